--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -30,7 +30,10 @@
 PAGES = sorted((*ROOT.glob("docs/**/*.md"), ROOT / "README.md"))
 
 # Folders whose files the documents name by path.
-FOLDERS = "docs|examples|tests|benchmarks|wasabiwing(?:_demo|_standins)?"
+FOLDERS = (
+    "docs|examples|tests|benchmarks|platform|deploy"
+    "|wasabiwing(?:_demo|_standins)?"
+)
 
 each_page = pytest.mark.parametrize(
     "page", PAGES, ids=lambda page: str(page.relative_to(ROOT))
@@ -177,17 +180,24 @@
     """``docs/modules.md`` against the docstrings of the modules."""
 
     @pytest.mark.parametrize(
-        "package",
-        ["wasabiwing", "wasabiwing_demo", "wasabiwing_standins", "benchmarks"],
+        "folder",
+        [
+            "wasabiwing",
+            "wasabiwing_demo",
+            "wasabiwing_standins",
+            "benchmarks",
+            "platform/wasabiwing_platform",
+        ],
     )
     def test_every_module_has_a_row_with_its_summary(
-        self, package: str
+        self, folder: str
     ) -> None:
+        package = Path(folder).name
         text = (ROOT / "docs" / "modules.md").read_text()
         section = text.split(f"## {package}\n")[1].split("\n## ")[0]
         rows = findall(r"(?m)^\| `(\w+)` \| (.+) \|$", section)
         expected = []
-        for path in sorted((ROOT / package).glob("*.py")):
+        for path in sorted((ROOT / folder).glob("*.py")):
             if path.stem != "__init__":
                 docstring = get_docstring(parse_module(path.read_text())) or ""
                 summary = docstring.split("\n\n")[0].replace("\n", " ")
--- a/wasabiwing/asgi.py
+++ b/wasabiwing/asgi.py
@@ -6,8 +6,11 @@
 from collections.abc import Mapping
 from contextlib import contextmanager
 from dataclasses import dataclass
+from enum import auto
+from enum import Enum
 from logging import getLogger
 from logging import NullHandler
+from math import ceil
 from socket import AF_INET
 from socket import SO_REUSEADDR
 from socket import SOCK_STREAM
@@ -18,6 +21,7 @@
 from anyio import create_task_group
 from anyio import Event
 from anyio import get_cancelled_exc_class
+from anyio import sleep
 from msgspec.json import encode
 from uvicorn import Config
 from uvicorn import Server
@@ -44,6 +48,9 @@
 
 SOCKET_BACKLOG = 2048
 
+# How often the limit for idle connections is read again, in seconds.
+IDLE_TIMEOUT_POLL_S = 0.5
+
 # Time in seconds for open answers to end after a stop was requested. A
 # planned stop waits for its requests before it gets here.
 GRACEFUL_SHUTDOWN_S = 5
@@ -63,6 +70,14 @@
     query: str = ""
 
 
+class BodyProblem(Enum):
+    """Why a request's body could not be read."""
+
+    TOO_LARGE = auto()
+    # The connection ended before the end of the body.
+    CALLER_LEFT = auto()
+
+
 class Responder:
     """Writes the answer to one HTTP request."""
 
@@ -182,8 +197,10 @@
     async def respond(
         scope: Scope, receive: Receive, responder: Responder
     ) -> None:
-        body = await _read_body(receive, max_body_bytes())
-        if body is None:
+        body = await read_body(receive, max_body_bytes())
+        if body is BodyProblem.CALLER_LEFT:
+            return
+        if body is BodyProblem.TOO_LARGE:
             failure = Failure(ResultCode.REQUEST_TOO_LARGE)
             await responder.send_json(
                 413,
@@ -231,17 +248,23 @@
 
 
 async def serve(
-    application: Application, listener: socket, stop: Event
+    application: Application,
+    listener: socket,
+    stop: Event,
+    idle_timeout_s: Callable[[], float] | None = None,
 ) -> None:
     """Serves HTTP on a bound socket until ``stop`` is set.
 
     Open answers are then given ``GRACEFUL_SHUTDOWN_S`` to end. Cancelling
-    the task cuts all connections.
+    the task cuts all connections. ``idle_timeout_s`` is asked again and
+    again, since it may change.
     """
     config = Config(
         application,
         log_config=None,
         access_log=False,
+        server_header=False,
+        date_header=False,
         lifespan="off",
         backlog=SOCKET_BACKLOG,
         timeout_graceful_shutdown=GRACEFUL_SHUTDOWN_S,
@@ -253,7 +276,19 @@
             await stop.wait()
             server.should_exit = True
 
+        async def follow_idle_timeout() -> None:
+            while idle_timeout_s is not None:
+                config.timeout_keep_alive = ceil(idle_timeout_s())
+                for connection in server.server_state.connections:
+                    setattr(
+                        connection,
+                        "timeout_keep_alive",
+                        config.timeout_keep_alive,
+                    )
+                await sleep(IDLE_TIMEOUT_POLL_S)
+
         tasks.start_soon(wait_for_stop)
+        tasks.start_soon(follow_idle_timeout)
         try:
             await server.serve(sockets=[listener])
         finally:
@@ -273,17 +308,18 @@
         task.cancel()
 
 
-async def _read_body(receive: Receive, limit: int) -> bytes | None:
+async def read_body(receive: Receive, limit: int) -> bytes | BodyProblem:
+    """Reads the whole body of a request."""
     parts: list[bytes] = []
     size = 0
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
-            return b"".join(parts)
+            return BodyProblem.CALLER_LEFT
         part = message.get("body", b"")
         size += len(part)
         if size > limit:
-            return None
+            return BodyProblem.TOO_LARGE
         parts.append(part)
         if not message.get("more_body", False):
             return b"".join(parts)
--- /dev/null
+++ b/wasabiwing/call_forwarding.py
@@ -0,0 +1,557 @@
+"""The life of one routed request: attempts, relayed answer, final failure.
+
+A request that may not be repeated is sent once more only if the server
+states, or the connection proves, that it has not run.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+from random import Random
+from typing import Protocol
+
+from anyio import CancelScope
+from anyio import move_on_after
+from result import Err
+
+from wasabiwing.call_placement import CallPlacement
+from wasabiwing.call_placement import PlacedAttempt
+from wasabiwing.call_refusal import longest_wait_s
+from wasabiwing.call_refusal import retry_after_s
+from wasabiwing.codes import Failure
+from wasabiwing.codes import ResultCode
+from wasabiwing.codes import RunState
+from wasabiwing.demand import Demand
+from wasabiwing.event_stream import EventCutter
+from wasabiwing.events import Event
+from wasabiwing.events import log_event
+from wasabiwing.metrics import GatewayMetrics
+from wasabiwing.node_reports import NodeReports
+from wasabiwing.prefill_rates import PrefillRates
+from wasabiwing.prompt_cache import PromptCacheIndex
+from wasabiwing.retries import ServiceRetryBudgets
+from wasabiwing.routed_calls import AnswerHead
+from wasabiwing.routed_calls import CallCodec
+from wasabiwing.routed_calls import RawHeaders
+from wasabiwing.routed_calls import RoutedCall
+from wasabiwing.server_connections import DEFAULT_IDLE_S
+from wasabiwing.server_connections import ServerAnswer
+from wasabiwing.server_connections import ServerConnections
+from wasabiwing.server_loads import ServerLoads
+from wasabiwing.service_configuration import RouteKind
+from wasabiwing.timers import TimerService
+from wasabiwing.usage_windows import UsageWindows
+
+# Servers that one request is offered to while each of them states that it
+# has not run.
+MOST_OFFERS = 3
+
+# How often a request that waits for a place looks for one, in seconds.
+PLACE_POLL_S = 0.015
+
+# A repeatable stream moves to another server after this silence: before its
+# first event several times the predicted time, and never less than this.
+LEAST_SILENCE_S = 1.0
+SILENCE_FACTOR = 3.0
+
+# Silence after which a plain request that may be repeated is sent elsewhere,
+# in latency targets.
+PLAIN_SILENCE_TARGETS = 2.5
+
+SERVER_ERROR_FROM = 500
+SUCCESS = range(200, 300)
+
+# Answers of this node's own.
+BAD_GATEWAY = 502
+REFUSED = 503
+GATEWAY_TIMEOUT = 504
+
+# Urgencies at the engines: classes of routes, and organisations within them.
+URGENCY_STEP = 2
+LEAST_URGENT = 9
+
+
+class AnswerOutput(Protocol):
+    """Where the answer to a caller goes."""
+
+    started: bool
+
+    async def start(self, status: int, headers: RawHeaders) -> None:
+        """Sends status and headers."""
+
+    async def write(self, data: bytes) -> None:
+        """Sends a part of the body."""
+
+    async def finish(self) -> None:
+        """Ends the body."""
+
+    async def refuse(
+        self, status: int, failure: Failure, retry_after_s: float | None
+    ) -> None:
+        """Sends a whole answer of this node's own."""
+
+
+@dataclass(frozen=True, slots=True)
+class KeptAnswer:
+    """A failure of a server that is passed on if no retry succeeds."""
+
+    status: int
+    headers: RawHeaders
+    body: bytes
+
+
+@dataclass(slots=True)
+class _Progress:
+    """How far a request has come."""
+
+    cutter: EventCutter
+    tried: set[str] = field(default_factory=set)
+    # Attempts that may have run, and those that have not.
+    runs: int = 0
+    offers: int = 0
+    kept: KeptAnswer | None = None
+    failure: Failure | None = None
+    counted: bool = False
+
+
+class CallForwarder:
+    """Forwards the routed requests of one node."""
+
+    def __init__(
+        self,
+        node_id: str,
+        timer: TimerService,
+        codec: CallCodec,
+        placement: CallPlacement,
+        connections: ServerConnections,
+        loads: ServerLoads,
+        prompts: PromptCacheIndex,
+        rates: PrefillRates,
+        windows: UsageWindows,
+        demand: Demand,
+        reports: NodeReports,
+        metrics: GatewayMetrics,
+        retry_budgets: ServiceRetryBudgets,
+        note_cold: Callable[[str, float], None],
+        random: Random,
+    ) -> None:
+        self._node_id = node_id
+        self._timer = timer
+        self._codec = codec
+        self._placement = placement
+        self._connections = connections
+        self._loads = loads
+        self._prompts = prompts
+        self._rates = rates
+        self._windows = windows
+        self._demand = demand
+        self._reports = reports
+        self._metrics = metrics
+        self._retry_budgets = retry_budgets
+        self._note_cold = note_cold
+        self._random = random
+
+    async def serve(self, call: RoutedCall, output: AnswerOutput) -> Failure:
+        """Serves a request; returns its outcome, ``OK`` for an answer."""
+        progress = _Progress(EventCutter(call.head.last_event_id))
+        remaining_s = call.deadline - self._timer.now()
+        with move_on_after(max(remaining_s, 0.0)) as scope:
+            failure = await self._run_attempts(call, progress, output)
+        if scope.cancelled_caught:
+            run = progress.failure.run if progress.failure else None
+            if progress.runs:
+                run = RunState.MAY_HAVE_RUN
+            failure = Failure(
+                ResultCode.DEADLINE_EXCEEDED, "", run or RunState.NOT_RUN
+            )
+        if failure.code is not ResultCode.OK:
+            await self._answer_failure(call, progress, failure, output)
+        self._log_end(call, progress, failure)
+        return failure
+
+    async def _run_attempts(
+        self, call: RoutedCall, progress: _Progress, output: AnswerOutput
+    ) -> Failure:
+        while True:
+            placed = await self._wait_for_place(call, progress)
+            if isinstance(placed, Failure):
+                return placed if progress.runs == 0 else _worst(progress)
+            failure = await self._attempt(call, placed, progress, output)
+            if failure is None:
+                return Failure(ResultCode.OK)
+            progress.failure = failure
+            if not self._may_try_again(call, progress, failure):
+                return _worst(progress)
+
+    async def _wait_for_place(
+        self, call: RoutedCall, progress: _Progress
+    ) -> PlacedAttempt | Failure:
+        """Waits a moment where no server has room."""
+        give_up_at = self._timer.now() + longest_wait_s(
+            call.route.latency_target_s
+        )
+        while True:
+            placed = self._placement.place(call, frozenset(progress.tried))
+            if not isinstance(placed, Err):
+                return placed.ok_value
+            failure = placed.err_value
+            waiting_helps = failure.code is ResultCode.OVERLOADED
+            if not waiting_helps or self._timer.now() >= give_up_at:
+                return failure
+            await self._timer.sleep(PLACE_POLL_S)
+
+    def _may_try_again(
+        self, call: RoutedCall, progress: _Progress, failure: Failure
+    ) -> bool:
+        """Decides on another attempt and uses the retry budget for it."""
+        reason = "budget used up"
+        budgets = self._retry_budgets
+        if failure.run is RunState.NOT_RUN:
+            allowed = progress.offers < MOST_OFFERS
+            # A connection that was not accepted has put no load on a server.
+            free = failure.code is ResultCode.CONNECT_FAILED
+            again = allowed and (free or budgets.take(call.service))
+            reason = "not run" if allowed else "offered often enough"
+        elif not call.route.repeatable:
+            again = False
+            reason = "non-idempotent and may have run"
+        else:
+            allowed = progress.runs < call.route.max_attempts
+            again = allowed and budgets.take(call.service)
+            reason = "idempotent" if allowed else "no attempts left"
+        log_event(
+            Event.RETRY_DECISION,
+            self._node_id,
+            request=call.head.attempt_id,
+            failure=str(failure),
+            run=failure.run.value,
+            again=again,
+            reason=reason,
+        )
+        return again
+
+    async def _attempt(
+        self,
+        call: RoutedCall,
+        placed: PlacedAttempt,
+        progress: _Progress,
+        output: AnswerOutput,
+    ) -> Failure | None:
+        """Makes one attempt; ``None`` when the caller has the answer."""
+        server = placed.server
+        progress.tried.add(server.id)
+        self._note_sending(call, placed, progress)
+        sent_at = self._timer.now()
+        remaining_s = call.deadline - sent_at
+        # Until the opposite is known, the attempt counts as run.
+        progress.runs += 1
+        failed: bool | None = None
+        try:
+            sent = await self._connections.send(
+                server.id,
+                server.address,
+                call.method,
+                call.target,
+                self._codec.server_headers(
+                    call,
+                    server.id,
+                    remaining_s,
+                    _urgency(call),
+                    progress.cutter.last_event_id,
+                ),
+                call.body,
+                _silence_s(call, placed, remaining_s),
+            )
+            if isinstance(sent, Err):
+                failure: Failure | None = sent.err_value
+                failed = True
+                if sent.err_value.code is ResultCode.CONNECT_FAILED:
+                    self._loads.note_unreachable(server.id)
+                    await self._connections.drop(server.id)
+            else:
+                failure = await self._read_answer(
+                    call, placed, sent.ok_value, progress, output, sent_at
+                )
+                failed = failure is not None
+                if failure is not None and failure.run is RunState.NOT_RUN:
+                    failed = None
+            if failure is not None and failure.run is RunState.NOT_RUN:
+                progress.runs -= 1
+                progress.offers += 1
+        finally:
+            self._loads.note_ended(server.id, call.head.attempt_id, failed)
+        code = ResultCode.OK if failure is None else failure.code
+        self._metrics.attempts.labels(call.service, code.name).inc()
+        if failure is not None:
+            log_event(
+                Event.ATTEMPT_FAILED,
+                self._node_id,
+                request=call.head.attempt_id,
+                server=server.id,
+                failure=str(failure),
+                run=failure.run.value,
+            )
+        return failure
+
+    def _note_sending(
+        self, call: RoutedCall, placed: PlacedAttempt, progress: _Progress
+    ) -> None:
+        server_id = placed.server.id
+        if not progress.tried - {server_id}:
+            self._retry_budgets.count_first(call.service)
+        self._loads.note_sent(
+            server_id, call.head.attempt_id, placed.uncached_tokens
+        )
+        if call.head.prompt_parts:
+            self._prompts.note(server_id, call.head.prompt_parts)
+            self._reports.note_placement(
+                server_id, call.head.prompt_parts[:-1]
+            )
+            self._demand.note(
+                call.service,
+                placed.uncached_tokens * self._rates.prefill_s(call.service),
+            )
+        log_event(
+            Event.ROUTE_DECISION,
+            self._node_id,
+            request=call.head.attempt_id,
+            route=call.route.name,
+            server=server_id,
+            zone=placed.server.availability_zone,
+            uncached_tokens=placed.uncached_tokens,
+            queued_tokens=round(placed.queued_tokens),
+            first_event_s=round(placed.placement.first_event_s, 3),
+            scores={
+                name: round(score, 3)
+                for name, score in placed.placement.score_by_server
+            },
+        )
+
+    async def _read_answer(
+        self,
+        call: RoutedCall,
+        placed: PlacedAttempt,
+        answer: ServerAnswer,
+        progress: _Progress,
+        output: AnswerOutput,
+        sent_at: float,
+    ) -> Failure | None:
+        """Reads an answer and passes it on; closes it in any case."""
+        head = self._codec.read_answer(answer.status, answer.headers)
+        server_id = placed.server.id
+        self._loads.note_heard(server_id)
+        if head.load is not None:
+            self._loads.note_statement(server_id, head.load)
+        if head.cold_s is not None:
+            self._note_cold(server_id, head.cold_s)
+        whole = False
+        try:
+            wrong = _check_head(call, answer.status, head)
+            if wrong is not None:
+                if wrong.run is RunState.NOT_RUN:
+                    whole = not isinstance(await answer.read(), Err)
+                return wrong
+            is_stream = call.route.kind is RouteKind.STREAM
+            if is_stream and answer.status in SUCCESS:
+                failure = await self._relay_stream(
+                    call, placed, answer, head, progress, output, sent_at
+                )
+            else:
+                failure = await self._relay_whole(
+                    call, answer, head, progress, output
+                )
+            whole = failure is None or failure.run is RunState.RAN
+            return failure
+        finally:
+            with CancelScope(shield=True):
+                await answer.close(_reusable_s(head) if whole else None)
+
+    async def _relay_whole(
+        self,
+        call: RoutedCall,
+        answer: ServerAnswer,
+        head: AnswerHead,
+        progress: _Progress,
+        output: AnswerOutput,
+    ) -> Failure | None:
+        """Passes a plain answer on once it is there as a whole."""
+        body = await answer.read()
+        if isinstance(body, Err):
+            return body.err_value
+        self._count_run(call, progress)
+        kept = KeptAnswer(answer.status, head.forwarded, body.ok_value)
+        if output.started:
+            return Failure(
+                ResultCode.STREAM_INCOMPLETE,
+                f"status {answer.status} on resume",
+                RunState.RAN,
+            )
+        if answer.status >= SERVER_ERROR_FROM and call.route.repeatable:
+            progress.kept = kept
+            return Failure(
+                ResultCode.SERVER_ERROR,
+                f"status {answer.status}",
+                RunState.RAN,
+            )
+        await _send_whole(output, kept)
+        return None
+
+    async def _relay_stream(
+        self,
+        call: RoutedCall,
+        placed: PlacedAttempt,
+        answer: ServerAnswer,
+        head: AnswerHead,
+        progress: _Progress,
+        output: AnswerOutput,
+        sent_at: float,
+    ) -> Failure | None:
+        """Passes events on as they arrive."""
+        cutter = progress.cutter
+        first = True
+        async for chunk in answer.chunks():
+            if isinstance(chunk, Err):
+                cutter.drop_rest()
+                return chunk.err_value
+            events = cutter.feed(chunk.ok_value)
+            if not events:
+                continue
+            if first:
+                first = False
+                self._note_first_event(call, placed, progress, sent_at)
+            if not output.started:
+                await output.start(answer.status, head.forwarded)
+            await output.write(events)
+        if not output.started:
+            await output.start(answer.status, head.forwarded)
+        if cutter.rest():
+            await output.write(cutter.rest())
+        await output.finish()
+        return None
+
+    def _note_first_event(
+        self,
+        call: RoutedCall,
+        placed: PlacedAttempt,
+        progress: _Progress,
+        sent_at: float,
+    ) -> None:
+        self._loads.note_first_event(placed.server.id, call.head.attempt_id)
+        self._count_run(call, progress)
+        took_s = self._timer.now() - sent_at
+        computed = round(placed.queued_tokens) + placed.uncached_tokens
+        self._rates.observe(call.service, computed, took_s)
+        self._metrics.first_token.labels(call.route.name).observe(
+            self._timer.now() - call.received_at
+        )
+
+    def _count_run(self, call: RoutedCall, progress: _Progress) -> None:
+        """Counts the request for the usage report, once."""
+        if not progress.counted:
+            progress.counted = True
+            self._windows.count(call.organisation_name)
+
+    async def _answer_failure(
+        self,
+        call: RoutedCall,
+        progress: _Progress,
+        failure: Failure,
+        output: AnswerOutput,
+    ) -> None:
+        """Gives the caller the final failure at once."""
+        if output.started:
+            # The connection is closed without the end of the body.
+            return
+        if progress.kept is not None:
+            await _send_whole(output, progress.kept)
+            return
+        if failure.run is not RunState.NOT_RUN:
+            timed_out = failure.code in (
+                ResultCode.DEADLINE_EXCEEDED,
+                ResultCode.SERVER_TIMEOUT,
+            )
+            status = GATEWAY_TIMEOUT if timed_out else BAD_GATEWAY
+            await output.refuse(status, failure, None)
+            return
+        remaining_s = max(call.deadline - self._timer.now(), 0.0)
+        again_s = retry_after_s(
+            failure.retry_after_s or 0.0, remaining_s, self._random.random()
+        )
+        await output.refuse(REFUSED, failure, again_s)
+
+    def _log_end(
+        self, call: RoutedCall, progress: _Progress, failure: Failure
+    ) -> None:
+        ok = failure.code is ResultCode.OK
+        log_event(
+            Event.REQUEST_FINISHED if ok else Event.REQUEST_REFUSED,
+            self._node_id,
+            request=call.head.attempt_id,
+            route=call.route.name,
+            organisation=call.organisation_name,
+            code=failure.code.name,
+            detail=failure.detail,
+            run=failure.run.value,
+            runs=progress.runs,
+            offers=progress.offers,
+            duration_s=round(self._timer.now() - call.received_at, 3),
+        )
+
+
+async def _send_whole(output: AnswerOutput, kept: KeptAnswer) -> None:
+    await output.start(kept.status, kept.headers)
+    await output.write(kept.body)
+    await output.finish()
+
+
+def _check_head(
+    call: RoutedCall, status: int, head: AnswerHead
+) -> Failure | None:
+    """Returns what is wrong with an answer before its body is read."""
+    if head.attempt_id and head.attempt_id != call.head.attempt_id:
+        return Failure(
+            ResultCode.SERVER_CUT,
+            f"answer of request {head.attempt_id}",
+            RunState.MAY_HAVE_RUN,
+        )
+    if head.not_run:
+        return Failure(ResultCode.SERVER_REFUSED, f"status {status}")
+    if status in SUCCESS and not (head.stamped and head.attempt_id):
+        return Failure(
+            ResultCode.SERVER_ERROR,
+            "success without proof of origin",
+            RunState.MAY_HAVE_RUN,
+        )
+    return None
+
+
+def _worst(progress: _Progress) -> Failure:
+    """Returns the final failure, with what all attempts together prove."""
+    failure = progress.failure or Failure(ResultCode.NO_BACKEND_SERVER)
+    if progress.runs and failure.run is RunState.NOT_RUN:
+        return Failure(failure.code, failure.detail, RunState.MAY_HAVE_RUN)
+    return failure
+
+
+def _urgency(call: RoutedCall) -> int:
+    route, organisation = call.rank
+    return min(route * URGENCY_STEP + min(organisation, 1), LEAST_URGENT)
+
+
+def _silence_s(
+    call: RoutedCall, placed: PlacedAttempt, remaining_s: float
+) -> float:
+    """Returns how long a server may send nothing."""
+    if not call.route.repeatable:
+        return remaining_s
+    if call.route.kind is RouteKind.STREAM:
+        expected_s = placed.placement.first_event_s * SILENCE_FACTOR
+        return min(max(expected_s, LEAST_SILENCE_S), remaining_s)
+    expected_s = call.route.latency_target_s * PLAIN_SILENCE_TARGETS
+    return min(expected_s or remaining_s, remaining_s)
+
+
+def _reusable_s(head: AnswerHead) -> float | None:
+    if head.closes:
+        return None
+    return DEFAULT_IDLE_S if head.idle_s is None else head.idle_s
--- /dev/null
+++ b/wasabiwing/call_placement.py
@@ -0,0 +1,149 @@
+"""Finds the backend server for an attempt: what is known, then the choice.
+
+Reads the fleet, the loads and the prompt index, and leaves the decision to
+``server_choice`` and ``call_refusal``.
+"""
+
+from dataclasses import dataclass
+
+from result import Err
+from result import Ok
+from result import Result
+
+from wasabiwing.call_refusal import is_hopeless
+from wasabiwing.codes import Failure
+from wasabiwing.codes import ResultCode
+from wasabiwing.cold_allowance import ColdAllowance
+from wasabiwing.fleet_follower import FleetView
+from wasabiwing.node_registry import NodeRegistry
+from wasabiwing.prefill_rates import PrefillRates
+from wasabiwing.prompt_cache import PromptCacheIndex
+from wasabiwing.routed_calls import RoutedCall
+from wasabiwing.server_choice import Candidate
+from wasabiwing.server_choice import choose_server
+from wasabiwing.server_choice import Placement
+from wasabiwing.server_directory import RegisteredServer
+from wasabiwing.server_loads import ServerLoads
+from wasabiwing.timers import TimerService
+
+
+@dataclass(frozen=True, slots=True)
+class PlacedAttempt:
+    """A server with what the choice predicted."""
+
+    server: RegisteredServer
+    placement: Placement
+    # Prompt tokens that the server has to compute.
+    uncached_tokens: int
+    # Uncomputed prompt tokens ahead of this one.
+    queued_tokens: float
+
+
+class CallPlacement:
+    """Chooses servers for one node."""
+
+    def __init__(
+        self,
+        node_id: str,
+        availability_zone: str,
+        timer: TimerService,
+        view: FleetView,
+        nodes: NodeRegistry,
+        loads: ServerLoads,
+        prompts: PromptCacheIndex,
+        rates: PrefillRates,
+    ) -> None:
+        self._availability_zone = availability_zone
+        self._timer = timer
+        self._view = view
+        self._nodes = nodes
+        self._loads = loads
+        self._prompts = prompts
+        self._rates = rates
+        self._cold = ColdAllowance(node_id, timer)
+
+    def place(
+        self, call: RoutedCall, tried: frozenset[str]
+    ) -> Result[PlacedAttempt, Failure]:
+        """Returns the server for the next attempt.
+
+        ``NO_BACKEND_SERVER`` says that none is left, ``OVERLOADED`` that
+        none has room at this moment, and ``DEADLINE_UNREACHABLE`` that the
+        caller would not wait long enough.
+        """
+        servers = self._view.servers(call.service)
+        untried = [server for server in servers if server.id not in tried]
+        if not untried:
+            return Err(Failure(ResultCode.NO_BACKEND_SERVER, call.service))
+        open_servers = [
+            server for server in untried if self._may_send(call, server)
+        ]
+        candidates = [self._candidate(call, server) for server in open_servers]
+        token_s = self._rates.prefill_s(call.service)
+        base_s = self._rates.base_s(call.service)
+        placement = choose_server(
+            candidates, _affinity_key(call), token_s, base_s
+        )
+        if placement is None:
+            return Err(Failure(ResultCode.OVERLOADED, "servers are cold"))
+        by_id = {candidate.id: candidate for candidate in candidates}
+        chosen = by_id[placement.server_id]
+        remaining_s = call.deadline - self._timer.now()
+        if chosen.uncached_tokens and is_hopeless(
+            placement.first_event_s, remaining_s
+        ):
+            return Err(
+                Failure(
+                    ResultCode.DEADLINE_UNREACHABLE,
+                    f"first event in {placement.first_event_s:.2f} s",
+                    retry_after_s=placement.first_event_s,
+                )
+            )
+        server = next(
+            server for server in open_servers if server.id == chosen.id
+        )
+        if self._view.directory.is_cold(server.id):
+            self._cold.take(server.id)
+        return Ok(
+            PlacedAttempt(
+                server,
+                placement,
+                chosen.uncached_tokens,
+                chosen.load.pending_tokens,
+            )
+        )
+
+    def _may_send(self, call: RoutedCall, server: RegisteredServer) -> bool:
+        if not self._view.directory.is_cold(server.id):
+            return True
+        configuration = self._view.configuration
+        if configuration is None:
+            return False
+        profile = configuration.service_by_name.get(call.service)
+        per_s = 0.0 if profile is None else profile.cold_requests_per_s
+        return self._cold.allows(server.id, per_s, self._nodes.node_ids())
+
+    def _candidate(
+        self, call: RoutedCall, server: RegisteredServer
+    ) -> Candidate:
+        uncached = 0
+        if call.head.prompt_tokens is not None:
+            cached = self._prompts.cached_tokens(
+                server.id, call.head.prompt_parts
+            )
+            uncached = max(call.head.prompt_tokens - cached, 1)
+        return Candidate(
+            server.id,
+            server.availability_zone == self._availability_zone,
+            server.slots,
+            self._loads.estimate(server.id, call.service),
+            uncached,
+        )
+
+
+def _affinity_key(call: RoutedCall) -> str:
+    """Returns the shared part of the prompt that distinguishes it most."""
+    parts = call.head.prompt_parts
+    if len(parts) >= 2:
+        return parts[-2].id
+    return parts[0].id if parts else call.head.attempt_id
--- /dev/null
+++ b/wasabiwing/call_refusal.py
@@ -0,0 +1,46 @@
+"""When a routed request is refused at once, and when it may come back.
+
+Load patterns: more prompts than the engines can compute in time, and callers
+that repeat at once. A request that the caller would give up on anyway is
+refused while it has not run; the time to come back follows from how long the
+queue takes, spread so that the callers do not return as one wave.
+"""
+
+# Part of the remaining time within which the first event must be predicted;
+# predictions are off by the work that other nodes send meanwhile.
+FEASIBLE_SHARE = 0.7
+
+# Bounds of the time to come back after, in seconds.
+LEAST_RETRY_S = 0.1
+MOST_RETRY_S = 1.5
+
+# Spread of the time to come back, as a share of it.
+SPREAD = 0.5
+
+# Part of the latency target that a request waits for a free place.
+WAITING_SHARE = 0.125
+
+# Longest wait for a free place in seconds.
+LONGEST_WAIT_S = 0.15
+
+
+def is_hopeless(first_event_s: float, remaining_s: float) -> bool:
+    """Whether the caller will have left before the first event."""
+    return first_event_s > remaining_s * FEASIBLE_SHARE
+
+
+def retry_after_s(queue_s: float, remaining_s: float, draw: float) -> float:
+    """Returns the seconds after which a refused request may come back.
+
+    ``queue_s`` is the predicted time until a place is free, and ``draw`` a
+    random number from 0 to 1. Callers wait for a third of their remaining
+    time at most.
+    """
+    wished = min(max(queue_s, LEAST_RETRY_S), MOST_RETRY_S)
+    spread = wished * (1.0 + SPREAD * (draw - 0.5))
+    return max(min(spread, remaining_s / 3.0), LEAST_RETRY_S / 2.0)
+
+
+def longest_wait_s(latency_target_s: float) -> float:
+    """Returns how long a request may wait for a place in the node."""
+    return min(latency_target_s * WAITING_SHARE, LONGEST_WAIT_S)
--- /dev/null
+++ b/wasabiwing/caller_http.py
@@ -0,0 +1,296 @@
+"""The callers' side of the node program: HTTP in, forwarded calls out.
+
+Looks up route and organisation, checks the usage cap, reads the body and
+watches for the caller's leaving while the request is served.
+"""
+
+from collections.abc import Sequence
+from random import Random
+
+from anyio import create_task_group
+from msgspec.json import encode
+from result import Err
+from result import Ok
+from result import Result
+
+from wasabiwing.asgi import Application
+from wasabiwing.asgi import BodyProblem
+from wasabiwing.asgi import JSON_TYPE
+from wasabiwing.asgi import read_body
+from wasabiwing.asgi import Receive
+from wasabiwing.asgi import Scope
+from wasabiwing.asgi import Send
+from wasabiwing.call_forwarding import CallForwarder
+from wasabiwing.codes import Failure
+from wasabiwing.codes import ResultCode
+from wasabiwing.codes import RunState
+from wasabiwing.events import Event
+from wasabiwing.events import log_event
+from wasabiwing.fleet_follower import FleetView
+from wasabiwing.metrics import GatewayMetrics
+from wasabiwing.routed_calls import CallCodec
+from wasabiwing.routed_calls import CallHead
+from wasabiwing.routed_calls import RawHeaders
+from wasabiwing.routed_calls import RoutedCall
+from wasabiwing.service_configuration import OrganisationProfile
+from wasabiwing.service_configuration import RequestLimits
+from wasabiwing.service_configuration import ServiceConfiguration
+from wasabiwing.service_configuration import ServiceRoute
+from wasabiwing.service_configuration import WeightedService
+from wasabiwing.streams import failure_document
+from wasabiwing.timers import TimerService
+from wasabiwing.usage_caps import UsageCaps
+
+# Time that a request is kept where neither caller nor route sets a limit.
+DEFAULT_TIMEOUT_S = 30.0
+
+# Seconds after which a caller may return to a node that knows no
+# configuration yet.
+STARTUP_RETRY_S = 0.5
+
+STATUS_BY_CODE = {
+    ResultCode.CONFIGURATION_MISSING: 503,
+    ResultCode.MALFORMED_REQUEST: 400,
+    ResultCode.UNKNOWN_ROUTE: 404,
+    ResultCode.UNKNOWN_ORGANISATION: 401,
+    ResultCode.REQUEST_TOO_LARGE: 413,
+    ResultCode.OVERLOADED: 429,
+}
+
+
+class CallerOutput:
+    """The answer to one caller, as ASGI messages."""
+
+    def __init__(self, send: Send, closing: bool) -> None:
+        self._send = send
+        # Whether the caller should use another connection afterwards.
+        self._closing = closing
+        self.started = False
+
+    async def start(self, status: int, headers: RawHeaders) -> None:
+        """Sends status and headers."""
+        self.started = True
+        sent = [(name.lower(), value) for name, value in headers]
+        if self._closing:
+            sent.append((b"connection", b"close"))
+        await self._send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": sent,
+            }
+        )
+
+    async def write(self, data: bytes) -> None:
+        """Sends a part of the body."""
+        await self._send(
+            {"type": "http.response.body", "body": data, "more_body": True}
+        )
+
+    async def finish(self) -> None:
+        """Ends the body."""
+        await self._send({"type": "http.response.body", "body": b""})
+
+    async def refuse(
+        self, status: int, failure: Failure, retry_after_s: float | None
+    ) -> None:
+        """Sends a whole answer of this node's own."""
+        body = encode(failure_document(failure))
+        headers = [
+            (b"content-type", JSON_TYPE.encode()),
+            (b"content-length", str(len(body)).encode()),
+        ]
+        if retry_after_s is not None:
+            value = f"{retry_after_s:.2f}".encode()
+            headers.append((b"retry-after", value))
+        await self.start(status, tuple(headers))
+        await self.write(body)
+        await self.finish()
+
+
+class CallerHttp:
+    """Serves callers of one node."""
+
+    def __init__(
+        self,
+        node_id: str,
+        timer: TimerService,
+        view: FleetView,
+        codec: CallCodec,
+        caps: UsageCaps,
+        forwarder: CallForwarder,
+        metrics: GatewayMetrics,
+        random: Random,
+    ) -> None:
+        self._node_id = node_id
+        self._timer = timer
+        self._view = view
+        self._codec = codec
+        self._caps = caps
+        self._forwarder = forwarder
+        self._metrics = metrics
+        self._random = random
+        self.running = 0
+        # Whether the process is about to stop.
+        self.stopping = False
+
+    def application(self) -> Application:
+        """Returns the ASGI application."""
+
+        async def application(
+            scope: Scope, receive: Receive, send: Send
+        ) -> None:
+            if scope["type"] != "http":
+                return
+            self.running += 1
+            try:
+                await self._serve(scope, receive, send)
+            finally:
+                self.running -= 1
+
+        return application
+
+    async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
+        received_at = self._timer.now()
+        output = CallerOutput(send, self.stopping)
+        configuration = self._view.configuration
+        limits = RequestLimits()
+        if configuration is not None:
+            limits = configuration.limits
+        body = await read_body(receive, limits.body_bytes)
+        if body is BodyProblem.CALLER_LEFT:
+            return
+        if body is BodyProblem.TOO_LARGE:
+            failure = Failure(ResultCode.REQUEST_TOO_LARGE)
+            await self._refuse(output, failure)
+            return
+        parsed = self._accept(scope, body, received_at)
+        if isinstance(parsed, Err):
+            await self._refuse(output, parsed.err_value)
+            return
+        call = parsed.ok_value
+        async with create_task_group() as tasks:
+
+            async def cancel_when_caller_leaves() -> None:
+                while True:
+                    message = await receive()
+                    if message["type"] == "http.disconnect":
+                        break
+                log_event(
+                    Event.CALLER_LEFT,
+                    self._node_id,
+                    request=call.head.attempt_id,
+                )
+                tasks.cancel_scope.cancel()
+
+            tasks.start_soon(cancel_when_caller_leaves)
+            outcome = await self._forwarder.serve(call, output)
+            tasks.cancel_scope.cancel()
+            self._count(call.route.name, outcome)
+            self._settle_cap(call, outcome)
+
+    def _accept(
+        self, scope: Scope, body: bytes, received_at: float
+    ) -> Result[RoutedCall, Failure]:
+        """Checks a request against the configuration in force."""
+        configuration = self._view.configuration
+        if configuration is None or not self._view.loaded:
+            return Err(
+                Failure(
+                    ResultCode.CONFIGURATION_MISSING,
+                    retry_after_s=STARTUP_RETRY_S,
+                )
+            )
+        read = self._codec.read_call(tuple(scope["headers"]))
+        if isinstance(read, Err):
+            return Err(Failure(ResultCode.MALFORMED_REQUEST, read.err_value))
+        head = read.ok_value
+        path = scope["raw_path"]
+        route = configuration.find_route(head.host, path.decode("latin-1"))
+        if route is None:
+            return Err(Failure(ResultCode.UNKNOWN_ROUTE))
+        found = _organisation(configuration, route, head)
+        if isinstance(found, Err):
+            return found
+        call = RoutedCall(
+            head=head,
+            method=scope["method"].encode(),
+            target=_target(path, scope["query_string"]),
+            body=body,
+            route=route,
+            service=_choose_service(route.targets, self._random),
+            organisation=found.ok_value,
+            received_at=received_at,
+            deadline=received_at + _patience_s(route, head),
+        )
+        return self._within_cap(call)
+
+    def _within_cap(self, call: RoutedCall) -> Result[RoutedCall, Failure]:
+        if call.organisation is None:
+            return Ok(call)
+        wait_s = self._caps.admit(call.organisation, call.total_tokens)
+        if wait_s is None:
+            return Ok(call)
+        log_event(
+            Event.REQUEST_REFUSED,
+            self._node_id,
+            request=call.head.attempt_id,
+            route=call.route.name,
+            organisation=call.organisation.name,
+            code=ResultCode.OVERLOADED.name,
+            detail="usage cap",
+            run=RunState.NOT_RUN.value,
+            retry_after_s=round(wait_s, 2),
+        )
+        return Err(
+            Failure(
+                ResultCode.OVERLOADED,
+                "the organisation's usage cap is reached",
+                retry_after_s=wait_s,
+            )
+        )
+
+    def _settle_cap(self, call: RoutedCall, outcome: Failure) -> None:
+        """Gives the cap back what a request did not use."""
+        not_run = outcome.run is RunState.NOT_RUN
+        if call.organisation is not None and not_run:
+            if outcome.code is not ResultCode.OK:
+                self._caps.give_back(call.organisation, call.total_tokens)
+
+    async def _refuse(self, output: CallerOutput, failure: Failure) -> None:
+        self._count("", failure)
+        status = STATUS_BY_CODE[failure.code]
+        await output.refuse(status, failure, failure.retry_after_s)
+
+    def _count(self, route: str, outcome: Failure) -> None:
+        self._metrics.requests.labels(route, outcome.code.name).inc()
+
+
+def _organisation(
+    configuration: ServiceConfiguration, route: ServiceRoute, head: CallHead
+) -> Result[OrganisationProfile | None, Failure]:
+    """Returns the organisation of the request's key."""
+    found = configuration.organisation_by_key.get(head.key)
+    if found is None and configuration.organisations and not route.public:
+        return Err(Failure(ResultCode.UNKNOWN_ORGANISATION))
+    return Ok(found)
+
+
+def _target(path: bytes, query: bytes) -> bytes:
+    return path + b"?" + query if query else path
+
+
+def _patience_s(route: ServiceRoute, head: CallHead) -> float:
+    limits = [
+        limit
+        for limit in (head.patience_s, route.timeout_s)
+        if limit is not None
+    ]
+    return min(limits, default=DEFAULT_TIMEOUT_S)
+
+
+def _choose_service(targets: Sequence[WeightedService], random: Random) -> str:
+    if len(targets) == 1:
+        return targets[0].service
+    weights = [target.weight for target in targets]
+    return random.choices(targets, weights)[0].service
--- a/wasabiwing/codes.py
+++ b/wasabiwing/codes.py
@@ -67,6 +67,7 @@
     STORE_CONFLICT = 402
     LEASE_LOST = 403
     STORE_BUDGET_EXHAUSTED = 404
+    STORE_HISTORY_GONE = 405
     # 5xx: backend servers, cloud and weight store.
     CONNECT_FAILED = 500
     SERVER_REFUSED = 501
@@ -165,6 +166,9 @@
     ResultCode.STORE_BUDGET_EXHAUSTED: (
         "The node's share of the store's write rate is used up."
     ),
+    ResultCode.STORE_HISTORY_GONE: (
+        "The key-value service no longer has the changes asked for."
+    ),
     ResultCode.CONNECT_FAILED: "No connection to the backend server.",
     ResultCode.SERVER_REFUSED: (
         "The backend server refused the request before it started."
--- /dev/null
+++ b/wasabiwing/duties.py
@@ -0,0 +1,143 @@
+"""Calls that one node at a time makes: usage reports and server orders.
+
+The holder's lease is a key in the store; the revision that created it fences
+all its calls. A holder that cannot renew its lease stops before it ends.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from random import Random
+
+from result import Err
+from result import Result
+
+from wasabiwing.codes import Failure
+from wasabiwing.codes import ResultCode
+from wasabiwing.duty_port import DutyStamp
+from wasabiwing.events import Event
+from wasabiwing.events import log_event
+from wasabiwing.leases import HeldLease
+from wasabiwing.leases import LeaseHolder
+from wasabiwing.node_registry import node_lease_name
+from wasabiwing.node_registry import NodeRegistry
+from wasabiwing.server_orders import ServerOrders
+from wasabiwing.timers import TimerService
+from wasabiwing.usage_reporter import UsageReporter
+
+DUTY_LEASE = "duties"
+
+# Part of a lease's lifetime after which it is renewed.
+RENEWAL_SHARE = 0.3
+
+# How often the holder looks for work, in seconds.
+WORK_PERIOD_S = 0.5
+
+# Longest random pause before a free duty is asked for, in seconds; keeps the
+# nodes from asking all at once.
+ELECTION_SPREAD_S = 0.3
+
+# A call is only begun while the lease lasts for at least this many seconds.
+LEAST_REMAINING_S = 0.3
+
+
+class Duties:
+    """This node's lease, its entry in the registry, and its duties."""
+
+    def __init__(
+        self,
+        node_id: str,
+        inbox: str,
+        timer: TimerService,
+        leases: LeaseHolder,
+        nodes: NodeRegistry,
+        usage: UsageReporter | None,
+        orders: ServerOrders | None,
+        random: Random,
+    ) -> None:
+        self._node_id = node_id
+        self._own_name = node_lease_name(node_id, inbox)
+        self._timer = timer
+        self._leases = leases
+        self._nodes = nodes
+        self._usage = usage
+        self._orders = orders
+        self._random = random
+        self._fence = 0
+        # Fencing number that the platform has refused; never used again.
+        self._refused_fence = 0
+        # Whether the process is about to stop.
+        self.stopping = False
+
+    async def renew(self) -> None:
+        """Extends the lease and takes what is free; called periodically."""
+        await self._leases.extend()
+        if self.stopping:
+            return
+        if self._leases.held(self._own_name) is None:
+            await self._leases.take(self._own_name)
+        if self._usage is None and self._orders is None:
+            return
+        if self._leases.held(DUTY_LEASE) is not None:
+            return
+        if DUTY_LEASE in self._nodes.held_leases:
+            return
+        await self._timer.sleep(self._random.random() * ELECTION_SPREAD_S)
+        if DUTY_LEASE not in self._nodes.held_leases:
+            await self._leases.take(DUTY_LEASE)
+
+    async def resign(self) -> None:
+        """Gives everything up, so that others need not wait."""
+        self.stopping = True
+        await self._leases.release(DUTY_LEASE)
+        await self._leases.release(self._own_name)
+
+    async def work(self) -> None:
+        """Does what is due if this node holds the duties."""
+        held = self._current()
+        if held is None:
+            return
+        if held.number != self._fence:
+            self._fence = held.number
+            if self._usage is not None:
+                self._usage.begin()
+            if self._orders is not None:
+                self._orders.begin()
+        if self._orders is not None:
+            await self._run(self._orders.send_missing, held)
+        usage = self._usage
+        while usage is not None and self._current() is not None:
+            reported = await self._run(usage.report_next, held)
+            if reported is None or not reported:
+                return
+
+    def _current(self) -> HeldLease | None:
+        """Returns the lease while calls may still be begun."""
+        if self._leases.remaining_s() < LEAST_REMAINING_S:
+            return None
+        held = self._leases.held(DUTY_LEASE)
+        if held is None or held.number <= self._refused_fence:
+            return None
+        return held
+
+    async def _run(
+        self,
+        call: Callable[[DutyStamp], Awaitable[Result[object, Failure]]],
+        held: HeldLease,
+    ) -> object | None:
+        """Makes a call; returns ``None`` if it failed."""
+        done = await call(DutyStamp(self._node_id, held.number))
+        if not isinstance(done, Err):
+            return done.ok_value
+        failure = done.err_value
+        if failure.code is ResultCode.ORDER_FENCED:
+            self._refused_fence = held.number
+            await self._leases.release(DUTY_LEASE)
+        log_event(
+            Event.USAGE_WITHHELD
+            if self._usage is not None and call == self._usage.report_next
+            else Event.ORDER_WITHHELD,
+            self._node_id,
+            fence=held.number,
+            failure=str(failure),
+        )
+        return None
--- /dev/null
+++ b/wasabiwing/event_stream.py
@@ -0,0 +1,38 @@
+"""Cuts a relayed stream of server-sent events at the ends of events.
+
+Only whole events are passed on, so that a stream that breaks off in the
+middle of an event can go on at another backend server.
+"""
+
+EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
+
+
+class EventCutter:
+    """Whole events, and the id of the last one."""
+
+    def __init__(self, last_event_id: str = "") -> None:
+        self._pending = b""
+        self.last_event_id = last_event_id
+
+    def feed(self, data: bytes) -> bytes:
+        """Returns the bytes of the events that are whole now."""
+        self._pending += data
+        end = max(
+            self._pending.rfind(mark) + len(mark)
+            if mark in self._pending
+            else 0
+            for mark in EVENT_ENDS
+        )
+        whole, self._pending = self._pending[:end], self._pending[end:]
+        for line in whole.splitlines():
+            if line.startswith(b"id:"):
+                self.last_event_id = line[3:].strip().decode("latin-1")
+        return whole
+
+    def rest(self) -> bytes:
+        """Returns what follows the last whole event."""
+        return self._pending
+
+    def drop_rest(self) -> None:
+        """Forgets an event that broke off."""
+        self._pending = b""
--- a/wasabiwing/events.py
+++ b/wasabiwing/events.py
@@ -22,6 +22,11 @@
     PROGRAM_STOPPING = 101
     PROGRAM_STOPPED = 102
     TASK_FAILED = 103
+    DEPENDENCY_LOST = 104
+    DEPENDENCY_REGAINED = 105
+    SETTINGS_RELOADED = 106
+    LINES_LEFT_OUT = 107
+    PROCESS_SUSPENDED = 108
     # 2xx: requests.
     ROUTE_DECISION = 200
     REQUEST_ADMITTED = 201
@@ -35,10 +40,12 @@
     RETRY_DECISION = 209
     ADMISSION_REFUSED = 210
     QUARANTINE_ENDED = 211
+    CALLER_LEFT = 212
     # 3xx: configuration.
     CONFIGURATION_IN_FORCE = 300
     CONFIGURATION_REJECTED = 301
     CONFIGURATION_APPLIED = 302
+    ZONE_EVACUATION = 303
     # 4xx: membership and messages.
     MEMBER_JOINED = 400
     MEMBER_SUSPECTED = 401
@@ -52,6 +59,8 @@
     SERVER_LEAVING = 502
     HOME_GAINED = 503
     HOME_LOST = 504
+    SERVER_ENTRY_UNUSABLE = 505
+    SERVER_UNREACHABLE = 506
     # 6xx: claims and jobs.
     CLAIM_GRANTED = 600
     CLAIM_REPEATED = 601
@@ -73,6 +82,10 @@
     LEASE_GAINED = 710
     LEASE_LOST = 711
     VM_NOTICE_ENDED = 712
+    SERVERS_ORDERED = 713
+    SERVERS_REFUSED = 714
+    USAGE_REPORTED = 715
+    USAGE_WITHHELD = 716
 
 
 TEXT_BY_EVENT: dict[Event, str] = {
@@ -80,6 +93,11 @@
     Event.PROGRAM_STOPPING: "A program received a request to stop.",
     Event.PROGRAM_STOPPED: "A program has finished its work and exits.",
     Event.TASK_FAILED: "A background task failed and is run again.",
+    Event.DEPENDENCY_LOST: "An outside system stopped answering.",
+    Event.DEPENDENCY_REGAINED: "An outside system answers again.",
+    Event.SETTINGS_RELOADED: "The settings file was read again.",
+    Event.LINES_LEFT_OUT: "Lines of one event were left out, with a count.",
+    Event.PROCESS_SUSPENDED: "The process stood still for a while.",
     Event.ROUTE_DECISION: (
         "A backend server was chosen; candidates, scores and filters."
     ),
@@ -98,9 +116,11 @@
     Event.RETRY_DECISION: "The retry table was applied to a failure.",
     Event.ADMISSION_REFUSED: "A request cannot wait for a slot any longer.",
     Event.QUARANTINE_ENDED: "A request with a refused digest succeeded.",
+    Event.CALLER_LEFT: "A caller closed the connection before the end.",
     Event.CONFIGURATION_IN_FORCE: "A node put a generation in force.",
     Event.CONFIGURATION_REJECTED: "A received configuration is unusable.",
     Event.CONFIGURATION_APPLIED: "An operator's file was accepted.",
+    Event.ZONE_EVACUATION: "A zone is taken out, or taken back.",
     Event.MEMBER_JOINED: "A member was seen alive for the first time.",
     Event.MEMBER_SUSPECTED: "A member did not answer probes.",
     Event.MEMBER_DEAD: "A suspected member was declared dead.",
@@ -112,6 +132,8 @@
     Event.SERVER_LEAVING: "A backend server takes no new work.",
     Event.HOME_GAINED: "This controller became the home of a server.",
     Event.HOME_LOST: "This controller is no longer the home of a server.",
+    Event.SERVER_ENTRY_UNUSABLE: "A registry entry names no usable server.",
+    Event.SERVER_UNREACHABLE: "A backend server accepted no connection.",
     Event.CLAIM_GRANTED: "A gateway may send a non-idempotent request.",
     Event.CLAIM_REPEATED: "A known idempotency key was asked for again.",
     Event.PARTITION_LOADED: "A claim partition was read from the store.",
@@ -131,6 +153,10 @@
     Event.LEASE_GAINED: "The node holds a lease.",
     Event.LEASE_LOST: "The node no longer holds a lease.",
     Event.VM_NOTICE_ENDED: "A VM under notice is gone or stays.",
+    Event.SERVERS_ORDERED: "A number of backend servers was ordered.",
+    Event.SERVERS_REFUSED: "An order for backend servers was refused.",
+    Event.USAGE_REPORTED: "The usage of a window was reported.",
+    Event.USAGE_WITHHELD: "The usage of a window was not reported, and why.",
 }
 
 
--- /dev/null
+++ b/wasabiwing/fleet_changes.py
@@ -0,0 +1,34 @@
+"""Changes of the fleet that a node learns from the platform's store."""
+
+from dataclasses import dataclass
+
+from wasabiwing.server_directory import RegisteredServer
+from wasabiwing.service_configuration import ServiceConfiguration
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationChange:
+    """The operator has put a configuration in force."""
+
+    configuration: ServiceConfiguration
+
+
+@dataclass(frozen=True, slots=True)
+class EvacuationChange:
+    """An availability zone is evacuated, or taken back."""
+
+    availability_zone: str
+    active: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ServerChange:
+    """A backend server's entry was written, or names no server any more."""
+
+    server_id: str
+    entry: RegisteredServer | None
+    # Why an entry cannot be used; empty if it was removed.
+    problem: str = ""
+
+
+FleetChange = ConfigurationChange | EvacuationChange | ServerChange
--- a/wasabiwing/leases.py
+++ b/wasabiwing/leases.py
@@ -17,8 +17,8 @@
 from wasabiwing.codes import ResultCode
 from wasabiwing.events import Event
 from wasabiwing.events import log_event
-from wasabiwing.ports import ConfigStore
 from wasabiwing.ports import Lease
+from wasabiwing.ports import LeaseStore
 from wasabiwing.ports import SwapResult
 from wasabiwing.timers import TimerService
 
@@ -50,11 +50,16 @@
     """
 
     def __init__(
-        self, node_id: str, timer: TimerService, store: ConfigStore
+        self,
+        node_id: str,
+        timer: TimerService,
+        store: LeaseStore,
+        ttl_s: float = LEASE_TTL_S,
     ) -> None:
         self._node_id = node_id
         self._timer = timer
         self._store = store
+        self._ttl_s = ttl_s
         self._lease: Lease | None = None
         self._valid_until = 0.0
         self._held_by_name: dict[str, HeldLease] = {}
@@ -116,7 +121,7 @@
             return Ok(self._lease)
         self._forget()
         asked_at = self._timer.now()
-        granted = await self._store.grant_lease(LEASE_TTL_S)
+        granted = await self._store.grant_lease(self._ttl_s)
         if isinstance(granted, Err):
             return granted
         self._lease = granted.ok_value
--- a/wasabiwing/messages.py
+++ b/wasabiwing/messages.py
@@ -470,6 +470,54 @@
 
 
 # New message classes are added here and to the union below.
+class OrganisationUse(Struct, frozen=True, array_like=True):
+    """What a node has admitted of an organisation since it started."""
+
+    organisation: str
+    used: float
+    # Level of the node's token bucket.
+    level: float
+
+
+class WindowUse(Struct, frozen=True, array_like=True):
+    """Requests of an organisation that began to run in a usage window."""
+
+    window: int
+    organisation: str
+    count: int
+
+
+class ServerUse(Struct, frozen=True, array_like=True):
+    """What a node has in flight at a backend server."""
+
+    server_id: str
+    # Prompt tokens of requests without a first event.
+    pending_tokens: int
+    running: int
+
+
+class PromptPlacement(Struct, frozen=True, array_like=True):
+    """Parts of a prompt that a backend server has computed."""
+
+    server_id: str
+    # Ids and lengths in tokens.
+    parts: tuple[tuple[str, int], ...]
+
+
+class NodeReport(Struct, frozen=True, array_like=True, tag=100):
+    """What a node tells all other nodes several times a second."""
+
+    # Names one start of the node.
+    life: str
+    caps: tuple[OrganisationUse, ...] = ()
+    windows: tuple[WindowUse, ...] = ()
+    servers: tuple[ServerUse, ...] = ()
+    # Placements since the report before.
+    placements: tuple[PromptPlacement, ...] = ()
+    # Prompt computing time sent to each service, in servers.
+    demand: tuple[tuple[str, float], ...] = ()
+
+
 Message = (
     Ping
     | Ack
@@ -503,6 +551,7 @@
     | JobProgress
     | JobResult
     | JobAck
+    | NodeReport
 )
 
 M = TypeVar("M", bound=Struct)
--- a/wasabiwing/metrics.py
+++ b/wasabiwing/metrics.py
@@ -93,3 +93,30 @@
     def count_store_call(self, kind: str, code: ResultCode) -> None:
         """Counts a call to the key-value service."""
         self.store_calls.labels(kind, code.name).inc()
+
+
+class NodeMetrics:
+    """Counters of a node, which has data path and control in one process."""
+
+    def __init__(self) -> None:
+        self.gateway = GatewayMetrics()
+        self.registry = self.gateway.registry
+        self.connects = Counter(
+            "wasabiwing_server_connects",
+            "New connections to backend servers.",
+            registry=self.registry,
+        )
+        self.platform_calls = Counter(
+            "wasabiwing_platform_calls",
+            "Calls to the platform's store by kind and result code.",
+            ("kind", "code"),
+            registry=self.registry,
+        )
+
+    def count_connect(self, server_id: str) -> None:
+        """Counts a new connection to a backend server."""
+        self.connects.inc()
+
+    def count_store_call(self, kind: str, code: ResultCode) -> None:
+        """Counts a call to the platform's store."""
+        self.platform_calls.labels(kind, code.name).inc()
--- /dev/null
+++ b/wasabiwing/node.py
@@ -0,0 +1,353 @@
+"""The ``wasabiwing-node`` program: data path and control of one entry VM.
+
+Both are in one process, joined in memory. An adapter passes in what belongs
+to the platform: store, cloud API, codec of headers and of stored documents.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from random import SystemRandom
+from signal import SIGHUP
+
+from anyio import create_task_group
+from anyio import Event
+from anyio import open_signal_receiver
+
+from wasabiwing.asgi import bind
+from wasabiwing.asgi import serve
+from wasabiwing.call_forwarding import CallForwarder
+from wasabiwing.call_placement import CallPlacement
+from wasabiwing.caller_http import CallerHttp
+from wasabiwing.demand import Demand
+from wasabiwing.duties import Duties
+from wasabiwing.duties import RENEWAL_SHARE
+from wasabiwing.duties import WORK_PERIOD_S
+from wasabiwing.duty_port import DutyCalls
+from wasabiwing.events import Event as LogEvent
+from wasabiwing.events import log_event
+from wasabiwing.fleet_follower import Decode
+from wasabiwing.fleet_follower import FleetFollower
+from wasabiwing.fleet_follower import FleetView
+from wasabiwing.leases import LeaseHolder
+from wasabiwing.message_router import MessageRouter
+from wasabiwing.messages import Envelope
+from wasabiwing.messages import NodeReport
+from wasabiwing.metrics import NodeMetrics
+from wasabiwing.nng_transport import open_transport
+from wasabiwing.node_registry import NodeRegistry
+from wasabiwing.node_reports import NodeReports
+from wasabiwing.node_reports import REPORT_PERIOD_S
+from wasabiwing.node_reports import SharedState
+from wasabiwing.node_settings import NodeSettings
+from wasabiwing.ports import FollowedStore
+from wasabiwing.ports import Transport
+from wasabiwing.prefill_rates import PrefillRates
+from wasabiwing.prompt_cache import PromptCacheIndex
+from wasabiwing.readiness_http import readiness_application
+from wasabiwing.retries import ServiceRetryBudgets
+from wasabiwing.routed_calls import CallCodec
+from wasabiwing.server_connections import ServerConnections
+from wasabiwing.server_directory import ServerDirectory
+from wasabiwing.server_loads import ServerLoads
+from wasabiwing.server_orders import ServerOrders
+from wasabiwing.service_configuration import RequestLimits
+from wasabiwing.service_configuration import ServiceConfiguration
+from wasabiwing.timers import SystemTimer
+from wasabiwing.timers import TimerService
+from wasabiwing.usage_caps import UsageCaps
+from wasabiwing.usage_reporter import UsageReporter
+from wasabiwing.usage_windows import UsageWindows
+
+SEED_BITS = 64
+
+# How often idle connections to backend servers are checked, in seconds.
+EXPIRY_PERIOD_S = 0.5
+
+# Time after a stop request in which the load balancer sees the failed
+# readiness check and sends no new connections, in seconds.
+READINESS_NOTICE_S = 2.2
+
+# How often a stopping node looks whether its requests have ended.
+STOP_POLL_S = 0.05
+
+# Part of the time until the process is killed in which requests may end;
+# closing what is left takes the rest.
+DRAIN_SHARE = 0.88
+
+# A pause between two ticks beyond this many seconds means that the process
+# or its VM stood still.
+SUSPENSION_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class NodePlatform:
+    """What the adapter provides."""
+
+    store: FollowedStore
+    # ``None`` where no duties are asked for.
+    cloud: DutyCalls | None
+    codec: CallCodec
+    decode: Decode
+    # Reads the settings file again; logs what is wrong with it.
+    reload: Callable[[], Awaitable[None]]
+
+
+class Node:
+    """The parts of one node."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        platform: NodePlatform,
+        timer: TimerService,
+        transport: Transport,
+        metrics: NodeMetrics,
+    ) -> None:
+        node_id = settings.node_id
+        bounds = settings.bounds
+        random = Random(SystemRandom().getrandbits(SEED_BITS))
+        self._node_id = node_id
+        self._timer = timer
+        self._last_tick_at = timer.now()
+        life = f"{node_id}/{random.getrandbits(SEED_BITS):016x}"
+        self.metrics = metrics
+        self.nodes = NodeRegistry(node_id)
+        directory = ServerDirectory(timer)
+        self.view = FleetView(node_id, directory)
+        self.follower = FleetFollower(
+            node_id,
+            timer,
+            platform.store,
+            platform.decode,
+            self.view,
+            self.nodes,
+            random,
+        )
+        self._reports = NodeReports(life, timer, transport, self.nodes)
+        self._rates = PrefillRates()
+        self._loads = ServerLoads(timer, self._rates)
+        self._prompts = PromptCacheIndex()
+        self._shared = SharedState(
+            UsageCaps(timer, settings.first_start, self._reports.heard_share),
+            UsageWindows(timer, life, bounds.usage_window_s),
+            self._loads,
+            self._prompts,
+            Demand(timer),
+        )
+        self.connections = ServerConnections(timer, metrics.count_connect)
+        placement = CallPlacement(
+            node_id,
+            settings.availability_zone,
+            timer,
+            self.view,
+            self.nodes,
+            self._loads,
+            self._prompts,
+            self._rates,
+        )
+        forwarder = CallForwarder(
+            node_id,
+            timer,
+            platform.codec,
+            placement,
+            self.connections,
+            self._loads,
+            self._prompts,
+            self._rates,
+            self._shared.windows,
+            self._shared.demand,
+            self._reports,
+            metrics.gateway,
+            ServiceRetryBudgets(
+                bounds.retry_ratio,
+                bounds.retry_reserve,
+                lambda: self.nodes.count,
+            ),
+            directory.mark_cold,
+            random,
+        )
+        self.callers = CallerHttp(
+            node_id,
+            timer,
+            self.view,
+            platform.codec,
+            self._shared.caps,
+            forwarder,
+            metrics.gateway,
+            random,
+        )
+        self.duties = self._build_duties(settings, platform, random)
+        self.view.on_configuration(self._on_configuration)
+        self.view.on_server_renewed(self._on_server_renewed)
+        timer.subscribe(REPORT_PERIOD_S, self._send_report)
+        timer.subscribe(bounds.lease_s * RENEWAL_SHARE, self.duties.renew)
+        timer.subscribe(WORK_PERIOD_S, self.duties.work)
+        timer.subscribe(EXPIRY_PERIOD_S, self._check_connections)
+
+    @property
+    def ready(self) -> bool:
+        """Whether the load balancer may send new connections."""
+        return self.view.loaded and not self.callers.stopping
+
+    def register(self, messages: MessageRouter) -> None:
+        """Takes over the messages of other nodes."""
+
+        async def receive(envelope: Envelope, report: NodeReport) -> None:
+            self._reports.receive(envelope, report, self._shared)
+
+        messages.register(NodeReport, receive)
+
+    def idle_timeout_s(self) -> float:
+        """Returns how long callers may keep idle connections."""
+        configuration = self.view.configuration
+        if configuration is None:
+            return RequestLimits().idle_timeout_s
+        return configuration.limits.idle_timeout_s
+
+    async def drain(self, longest_s: float) -> None:
+        """Waits until the load balancer and all requests are done."""
+        self.callers.stopping = True
+        started_at = self._timer.now()
+        await self.duties.resign()
+        while self._timer.now() - started_at < longest_s:
+            noticed = self._timer.now() - started_at > READINESS_NOTICE_S
+            if noticed and self.callers.running == 0:
+                return
+            await self._timer.sleep(STOP_POLL_S)
+
+    def _build_duties(
+        self, settings: NodeSettings, platform: NodePlatform, random: Random
+    ) -> Duties:
+        usage = None
+        orders = None
+        node_id = settings.node_id
+        if platform.cloud is not None and settings.meters_usage:
+            usage = UsageReporter(
+                node_id,
+                self._timer,
+                platform.store,
+                platform.cloud,
+                self._shared.windows,
+                self._reports,
+                self.nodes,
+                settings.bounds.usage_due_s,
+            )
+        if platform.cloud is not None and settings.orders_servers:
+            orders = ServerOrders(
+                node_id,
+                self._timer,
+                platform.cloud,
+                self.view,
+                self._shared.demand,
+                settings.availability_zones,
+            )
+        leases = LeaseHolder(
+            node_id, self._timer, platform.store, settings.bounds.lease_s
+        )
+        return Duties(
+            node_id,
+            str(settings.inbox),
+            self._timer,
+            leases,
+            self.nodes,
+            usage,
+            orders,
+            random,
+        )
+
+    def _on_configuration(self, configuration: ServiceConfiguration) -> None:
+        self.metrics.gateway.generation.set(configuration.version)
+        for profile in configuration.service_by_name.values():
+            if profile.engine is not None:
+                self._prompts.capacity = profile.engine.kv_capacity_tokens
+
+    def _on_server_renewed(self, server_id: str) -> None:
+        """A new process has neither our connections nor our prompts."""
+        self._prompts.forget(server_id)
+        self._loads.forget(server_id)
+
+    async def _send_report(self) -> None:
+        await self._reports.send(self._shared)
+
+    async def _check_connections(self) -> None:
+        now = self._timer.now()
+        pause_s = now - self._last_tick_at
+        self._last_tick_at = now
+        if pause_s > EXPIRY_PERIOD_S + SUSPENSION_S:
+            log_event(
+                LogEvent.PROCESS_SUSPENDED,
+                self._node_id,
+                pause_s=round(pause_s, 2),
+            )
+            await self.connections.drop_all()
+        await self.connections.close_expired()
+
+
+async def run_node(
+    settings: NodeSettings,
+    platform: NodePlatform,
+    metrics: NodeMetrics,
+    stop: Event,
+) -> None:
+    """Runs a node until ``stop`` is set and its requests have ended."""
+    timer = SystemTimer()
+    listener = bind(settings.callers.host, settings.callers.port)
+    readiness = bind(settings.readiness.host, settings.readiness.port)
+    inbox = f"tcp://{settings.inbox}"
+    never = Event()
+    async with (
+        open_transport(settings.node_id, inbox) as transport,
+        create_task_group() as tasks,
+    ):
+        node = Node(settings, platform, timer, transport, metrics)
+        messages = MessageRouter(settings.node_id, transport)
+        node.register(messages)
+        drained = Event()
+        tasks.start_soon(timer.run)
+        tasks.start_soon(messages.run)
+        tasks.start_soon(node.follower.run)
+        tasks.start_soon(_drain_when_stopped, settings, node, stop, drained)
+        tasks.start_soon(_reload_on_signal, platform)
+        tasks.start_soon(
+            serve,
+            readiness_application(lambda: node.ready, metrics.registry),
+            readiness,
+            never,
+        )
+        log_event(
+            LogEvent.PROGRAM_STARTED,
+            settings.node_id,
+            program="wasabiwing-node",
+            callers=str(settings.callers),
+            inbox=str(settings.inbox),
+            first_start=settings.first_start,
+        )
+        await serve(
+            node.callers.application(),
+            listener,
+            drained,
+            node.idle_timeout_s,
+        )
+        tasks.cancel_scope.cancel()
+    log_event(LogEvent.PROGRAM_STOPPED, settings.node_id)
+
+
+async def _drain_when_stopped(
+    settings: NodeSettings, node: Node, stop: Event, drained: Event
+) -> None:
+    await stop.wait()
+    log_event(
+        LogEvent.PROGRAM_STOPPING,
+        settings.node_id,
+        running=node.callers.running,
+    )
+    await node.drain(settings.bounds.stop_grace_s * DRAIN_SHARE)
+    drained.set()
+
+
+async def _reload_on_signal(platform: NodePlatform) -> None:
+    with open_signal_receiver(SIGHUP) as signals:
+        async for _ in signals:
+            await platform.reload()
--- /dev/null
+++ b/wasabiwing/node_reports.py
@@ -0,0 +1,162 @@
+"""What the nodes tell each other several times a second.
+
+Every node sends its report to every other one. Reports carry totals and not
+differences, so that a lost one costs nothing but time.
+"""
+
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from wasabiwing.demand import Demand
+from wasabiwing.messages import Envelope
+from wasabiwing.messages import NodeReport
+from wasabiwing.messages import OrganisationUse
+from wasabiwing.messages import PromptPlacement
+from wasabiwing.messages import ServerUse
+from wasabiwing.messages import WindowUse
+from wasabiwing.node_registry import NodeRegistry
+from wasabiwing.ports import Transport
+from wasabiwing.prompt_cache import PromptCacheIndex
+from wasabiwing.routed_calls import PromptPart
+from wasabiwing.server_loads import PeerLoad
+from wasabiwing.server_loads import ServerLoads
+from wasabiwing.timers import TimerService
+from wasabiwing.usage_caps import CapUse
+from wasabiwing.usage_caps import UsageCaps
+from wasabiwing.usage_windows import UsageWindows
+from wasabiwing.usage_windows import WindowCount
+
+# Time between two reports in seconds, up to ``FULL_RATE_NODES`` nodes. Usage
+# caps may be exceeded by what arrives in that time.
+REPORT_PERIOD_S = 0.25
+
+# Above this number, reports become rarer, so that the messages that a node
+# gets per second stay the same.
+FULL_RATE_NODES = 13
+
+# A node that was not heard for this long counts as silent, in seconds.
+SILENCE_S = 1.5
+
+# Placements that one report carries at most.
+MOST_PLACEMENTS = 64
+
+
+@dataclass(frozen=True, slots=True)
+class SharedState:
+    """The parts of a node whose state the reports carry."""
+
+    caps: UsageCaps
+    windows: UsageWindows
+    loads: ServerLoads
+    prompts: PromptCacheIndex
+    demand: Demand
+
+
+class NodeReports:
+    """Sends this node's report and takes over those of others."""
+
+    def __init__(
+        self,
+        life: str,
+        timer: TimerService,
+        transport: Transport,
+        nodes: NodeRegistry,
+    ) -> None:
+        self._life = life
+        self._timer = timer
+        self._transport = transport
+        self._nodes = nodes
+        self._heard_at_by_node: dict[str, float] = {}
+        self._placements: deque[PromptPlacement] = deque(
+            maxlen=MOST_PLACEMENTS
+        )
+        self._sent_at = 0.0
+
+    def note_placement(
+        self, server_id: str, parts: Sequence[PromptPart]
+    ) -> None:
+        """Tells the other nodes where a prompt's shared parts are."""
+        self._placements.append(
+            PromptPlacement(
+                server_id, tuple((part.id, part.tokens) for part in parts)
+            )
+        )
+
+    def heard_share(self) -> float:
+        """Returns the share of the nodes, with this one, heard from."""
+        heard = sum(
+            self.heard_since(node_id, self._timer.now() - SILENCE_S)
+            for node_id in self._nodes.peers()
+        )
+        return (heard + 1) / self._nodes.count
+
+    def heard_since(self, node_id: str, moment: float) -> bool:
+        """Whether a report of another node arrived after a moment."""
+        return self._heard_at_by_node.get(node_id, 0.0) >= moment
+
+    async def send(self, shared: SharedState) -> None:
+        """Sends the report to all other nodes if it is due."""
+        now = self._timer.now()
+        crowd = max(self._nodes.count / FULL_RATE_NODES, 1.0)
+        if now - self._sent_at < REPORT_PERIOD_S * crowd * 0.9:
+            return
+        self._sent_at = now
+        report = self._build(shared)
+        for inbox in self._nodes.peers().values():
+            self._transport.send(f"tcp://{inbox}", report)
+
+    def receive(
+        self, envelope: Envelope, report: NodeReport, shared: SharedState
+    ) -> None:
+        """Takes over another node's report."""
+        now = self._timer.now()
+        self._heard_at_by_node[envelope.sender] = now
+        shared.caps.note_peer(
+            report.life,
+            [
+                CapUse(item.organisation, item.used, item.level)
+                for item in report.caps
+            ],
+        )
+        shared.windows.note_peer(
+            report.life,
+            [
+                WindowCount(item.window, item.organisation, item.count)
+                for item in report.windows
+            ],
+        )
+        shared.loads.note_peer(
+            envelope.sender,
+            {
+                item.server_id: PeerLoad(item.pending_tokens, item.running)
+                for item in report.servers
+            },
+        )
+        shared.demand.note_peer(envelope.sender, dict(report.demand))
+        for placement in report.placements:
+            shared.prompts.note(
+                placement.server_id,
+                [PromptPart(*part) for part in placement.parts],
+            )
+
+    def _build(self, shared: SharedState) -> NodeReport:
+        placements = tuple(self._placements)
+        self._placements.clear()
+        return NodeReport(
+            self._life,
+            tuple(
+                OrganisationUse(use.organisation, use.used, use.level)
+                for use in shared.caps.own_use()
+            ),
+            tuple(
+                WindowUse(item.window, item.organisation, item.count)
+                for item in shared.windows.own_counts()
+            ),
+            tuple(
+                ServerUse(server_id, load.pending_tokens, load.running)
+                for server_id, load in shared.loads.own_load().items()
+            ),
+            placements,
+            tuple(shared.demand.own().items()),
+        )
--- a/wasabiwing/ports.py
+++ b/wasabiwing/ports.py
@@ -107,6 +107,64 @@
         """
 
 
+@dataclass(frozen=True, slots=True)
+class StoreSnapshot:
+    """All values below a prefix, and the revision to follow changes from."""
+
+    values: tuple[StoredValue, ...]
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class StoreChanges:
+    """Changes in order, and the revision to continue from."""
+
+    events: tuple[WatchEvent, ...]
+    revision: int
+
+
+class LeaseStore(Protocol):
+    """What a lease holder needs of the key-value service."""
+
+    async def get(self, key: str) -> Result[StoredValue | None, Failure]:
+        """Reads one key."""
+
+    async def swap(
+        self,
+        key: str,
+        expected_revision: int,
+        value: bytes,
+        lease_id: int = 0,
+    ) -> Result[SwapResult, Failure]:
+        """Writes a key if its revision is still the expected one."""
+
+    async def delete(
+        self, key: str, expected_revision: int
+    ) -> Result[SwapResult, Failure]:
+        """Deletes a key if its revision is still the expected one."""
+
+    async def grant_lease(self, ttl_s: float) -> Result[Lease, Failure]:
+        """Creates a lease."""
+
+    async def keep_alive(self, lease_id: int) -> Result[Lease, Failure]:
+        """Extends a lease; ``LEASE_LOST`` when it has expired."""
+
+
+class FollowedStore(LeaseStore, Protocol):
+    """A key-value service whose changes are read call by call."""
+
+    async def snapshot(self, prefix: str) -> Result[StoreSnapshot, Failure]:
+        """Reads all keys with a prefix."""
+
+    async def changes(
+        self, prefix: str, after: int, wait_s: float
+    ) -> Result[StoreChanges, Failure]:
+        """Waits up to ``wait_s`` seconds for changes after a revision.
+
+        ``STORE_HISTORY_GONE`` says that a new snapshot is needed.
+        """
+
+
 class Transport(Protocol):
     """Messages between wasabiwing processes; delivery is at most once."""
 
--- a/wasabiwing/prefill_rates.py
+++ b/wasabiwing/prefill_rates.py
@@ -12,6 +12,10 @@
 # Time per token before enough observations, in seconds.
 DEFAULT_PREFILL_S = 0.00002
 
+# Time to a first token without any prompt before enough observations, in
+# seconds.
+DEFAULT_BASE_S = 0.1
+
 # Bounds of a believable slope, in seconds per token.
 SLOWEST_PREFILL_S = 0.001
 
@@ -39,6 +43,7 @@
     def __init__(self) -> None:
         self._sums_by_pool: dict[str, _Sums] = defaultdict(_Sums)
         self._slope_by_pool: dict[str, float] = {}
+        self._base_by_pool: dict[str, float] = {}
 
     def observe(self, pool_id: str, tokens: int, first_token_s: float) -> None:
         """Takes the time to first token of a prompt."""
@@ -54,6 +59,13 @@
         shared = sums.products - sums.tokens * sums.seconds / sums.weight
         slope = min(max(shared / variance, 0.0), SLOWEST_PREFILL_S)
         self._slope_by_pool[pool_id] = slope
+        mean_s = sums.seconds / sums.weight
+        base_s = mean_s - slope * sums.tokens / sums.weight
+        self._base_by_pool[pool_id] = max(base_s, 0.0)
+
+    def base_s(self, pool_id: str) -> float:
+        """Returns the time to a first token without prompt, in seconds."""
+        return self._base_by_pool.get(pool_id, DEFAULT_BASE_S)
 
     def prefill_s(self, pool_id: str) -> float:
         """Returns the time for one prompt token, in seconds."""
--- /dev/null
+++ b/wasabiwing/server_directory.py
@@ -0,0 +1,142 @@
+"""Backend servers of the node program, as the platform's registry lists them.
+
+Answers which servers may get new work. A server that disappears from the
+registry gets none, except for a short while after an outage of the store:
+entries lapse while servers cannot renew them, and come back.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import replace
+
+from wasabiwing.timers import TimerService
+
+# Time after the store's return in which lapsed entries of live servers come
+# back, in seconds; from the platform's description of its registry.
+LAPSE_GRACE_S = 2.0
+
+# A removal this soon after a failed call to the store may be a lapse.
+OUTAGE_MEMORY_S = 6.0
+
+
+@dataclass(frozen=True, slots=True)
+class RegisteredServer:
+    """A registry entry of a backend server."""
+
+    id: str
+    service: str
+    # ``host:port``; the host is an IP address.
+    address: str
+    availability_zone: str
+    version: str
+    # Requests that the server runs at once.
+    slots: int
+    # Whether the server has announced that it leaves.
+    draining: bool = False
+    # Time for which the server remains cold, in seconds from the reading.
+    cold_s: float = 0.0
+    # Whether the platform may reclaim the server's VM.
+    reclaimable: bool = False
+    # Start of the process, in milliseconds of Unix time; 0 if unknown.
+    born_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class KnownServer:
+    """A server with what this node adds to its entry."""
+
+    entry: RegisteredServer
+    # Monotonic time until which the server is cold.
+    cold_until: float = 0.0
+    # Monotonic time at which a lapsed entry is given up; ``None`` while the
+    # entry is there.
+    gone_at: float | None = None
+
+
+class ServerDirectory:
+    """The registered servers of one node."""
+
+    def __init__(self, timer: TimerService) -> None:
+        self._timer = timer
+        self._known_by_id: dict[str, KnownServer] = {}
+        # Last time at which a call to the store failed.
+        self._last_failure_at = -OUTAGE_MEMORY_S
+        self.loaded = False
+
+    def note_store_failure(self) -> None:
+        """Notes that a call to the store has failed just now."""
+        self._last_failure_at = self._timer.now()
+
+    def put(self, entry: RegisteredServer) -> bool:
+        """Enters or changes a server; returns whether it starts anew."""
+        known = self._known_by_id.get(entry.id)
+        cold_until = 0.0
+        if entry.cold_s > 0:
+            cold_until = self._timer.now() + entry.cold_s
+        self._known_by_id[entry.id] = KnownServer(entry, cold_until)
+        return known is None or known.entry.born_ms != entry.born_ms
+
+    def remove(self, server_id: str) -> None:
+        """Takes out a server whose entry was removed."""
+        known = self._known_by_id.get(server_id)
+        if known is None:
+            return
+        now = self._timer.now()
+        if (
+            known.entry.draining
+            or now - self._last_failure_at > OUTAGE_MEMORY_S
+        ):
+            del self._known_by_id[server_id]
+        elif known.gone_at is None:
+            self._known_by_id[server_id] = replace(
+                known, gone_at=now + LAPSE_GRACE_S
+            )
+
+    def replace_all(self, entry_by_id: Mapping[str, RegisteredServer]) -> None:
+        """Takes over a complete listing of the registry."""
+        for server_id in list(self._known_by_id):
+            if server_id not in entry_by_id:
+                self.remove(server_id)
+        for entry in entry_by_id.values():
+            self.put(entry)
+        self.loaded = True
+
+    def mark_cold(self, server_id: str, cold_s: float) -> None:
+        """Notes that a server said that it is cold."""
+        known = self._known_by_id.get(server_id)
+        if known is not None:
+            until = self._timer.now() + cold_s
+            self._known_by_id[server_id] = replace(known, cold_until=until)
+
+    def get(self, server_id: str) -> RegisteredServer | None:
+        """Returns an entry, also of a draining server."""
+        known = self._current(server_id)
+        return None if known is None else known.entry
+
+    def is_cold(self, server_id: str) -> bool:
+        """Whether a server has to be spared."""
+        known = self._known_by_id.get(server_id)
+        return known is not None and known.cold_until > self._timer.now()
+
+    def of_service(self, service: str) -> list[RegisteredServer]:
+        """Returns the servers of a service that take new work, by id."""
+        entries = [
+            known.entry
+            for server_id in sorted(self._known_by_id)
+            if (known := self._current(server_id)) is not None
+        ]
+        return [
+            entry
+            for entry in entries
+            if entry.service == service and not entry.draining
+        ]
+
+    def _current(self, server_id: str) -> KnownServer | None:
+        """Returns a server unless its lapsed entry has not come back."""
+        known = self._known_by_id.get(server_id)
+        if known is None:
+            return None
+        if known.gone_at is not None and known.gone_at <= self._timer.now():
+            del self._known_by_id[server_id]
+            return None
+        return known
--- /dev/null
+++ b/wasabiwing/server_orders.py
@@ -0,0 +1,189 @@
+"""Orders backend servers while this node holds the duty.
+
+Compares the plan with what was ordered and with what is registered, and
+sends the orders that are missing. Where none are to be had, the zone counts
+as dry for a while.
+"""
+
+from dataclasses import dataclass
+from math import inf
+
+from result import Err
+from result import Ok
+from result import Result
+
+from wasabiwing.capacity_plan import plan_servers
+from wasabiwing.capacity_plan import ServerCount
+from wasabiwing.capacity_plan import ServerOrder
+from wasabiwing.codes import Failure
+from wasabiwing.codes import ResultCode
+from wasabiwing.demand import Demand
+from wasabiwing.duty_port import DutyCalls
+from wasabiwing.duty_port import DutyStamp
+from wasabiwing.events import Event
+from wasabiwing.events import log_event
+from wasabiwing.fleet_follower import FleetView
+from wasabiwing.service_configuration import ScaleLimits
+from wasabiwing.timers import TimerService
+
+# Time for which a zone without reclaimable servers is not asked again, in
+# seconds.
+DRY_S = 3.0
+
+# Time beyond the boot time after which an order without effect is repeated,
+# in seconds.
+REPEAT_SLACK_S = 2.5
+
+# Key of what was ordered: service, zone, whether reclaimable.
+OrderKey = tuple[str, str, bool]
+
+
+@dataclass(frozen=True, slots=True)
+class _Sent:
+    """The last order of one kind."""
+
+    count: int
+    at: float
+
+
+class ServerOrders:
+    """What this holder has ordered so far."""
+
+    def __init__(
+        self,
+        node_id: str,
+        timer: TimerService,
+        cloud: DutyCalls,
+        view: FleetView,
+        demand: Demand,
+        zones: tuple[str, ...],
+    ) -> None:
+        self._node_id = node_id
+        self._timer = timer
+        self._cloud = cloud
+        self._view = view
+        self._demand = demand
+        self._zones = zones
+        self._sent_by_key: dict[OrderKey, _Sent] = {}
+        self._dry_until_by_zone: dict[tuple[str, str], float] = {}
+
+    def begin(self) -> None:
+        """Starts over as a new holder of the duty."""
+        self._sent_by_key.clear()
+
+    async def send_missing(self, stamp: DutyStamp) -> Result[None, Failure]:
+        """Sends the orders that the plan asks for."""
+        configuration = self._view.configuration
+        if configuration is None:
+            return Ok(None)
+        for profile in configuration.service_by_name.values():
+            if profile.scale is None:
+                continue
+            sent = await self._send_for(stamp, profile.name, profile.scale)
+            if isinstance(sent, Err):
+                return sent
+        return Ok(None)
+
+    async def _send_for(
+        self, stamp: DutyStamp, service: str, limits: ScaleLimits
+    ) -> Result[None, Failure]:
+        counts = self._counts(service)
+        now = self._timer.now()
+        dry = frozenset(
+            zone
+            for zone in self._zones
+            if self._dry_until_by_zone.get((service, zone), -inf) > now
+        )
+        zones = [
+            zone
+            for zone in self._zones
+            if zone not in self._view.evacuated_zones
+        ]
+        demand = self._demand.total(service)
+        orders = plan_servers(demand, zones, limits, counts, dry)
+        for order in orders:
+            if not self._is_due(service, order, counts, limits):
+                continue
+            sent = await self._send(stamp, service, order, demand)
+            if isinstance(sent, Err):
+                return sent
+        return Ok(None)
+
+    async def _send(
+        self,
+        stamp: DutyStamp,
+        service: str,
+        order: ServerOrder,
+        demand: float,
+    ) -> Result[None, Failure]:
+        zone = order.availability_zone
+        sent = await self._cloud.order_servers(
+            stamp, service, zone, order.count, order.reclaimable
+        )
+        now = self._timer.now()
+        refused = isinstance(sent, Err)
+        log_event(
+            Event.SERVERS_REFUSED if refused else Event.SERVERS_ORDERED,
+            self._node_id,
+            service=service,
+            zone=zone,
+            count=order.count,
+            reclaimable=order.reclaimable,
+            demand=round(demand, 2),
+            fence=stamp.fence,
+            failure=str(sent.err_value) if isinstance(sent, Err) else "",
+        )
+        if isinstance(sent, Err):
+            if sent.err_value.code is not ResultCode.CLOUD_REFUSED:
+                return sent
+            if order.reclaimable:
+                self._dry_until_by_zone[(service, zone)] = now + DRY_S
+        key = (service, zone, order.reclaimable)
+        self._sent_by_key[key] = _Sent(order.count, now)
+        return Ok(None)
+
+    def _is_due(
+        self,
+        service: str,
+        order: ServerOrder,
+        counts: tuple[ServerCount, ...],
+        limits: ScaleLimits,
+    ) -> bool:
+        """Whether an order has to be sent, for the first time or again."""
+        zone = order.availability_zone
+        present = sum(
+            count.present
+            for count in counts
+            if count.availability_zone == zone
+            and count.reclaimable == order.reclaimable
+        )
+        sent = self._sent_by_key.get((service, zone, order.reclaimable))
+        if sent is None:
+            return present != order.count
+        if sent.count != order.count:
+            return True
+        age_s = self._timer.now() - sent.at
+        patience_s = limits.boot_s + REPEAT_SLACK_S
+        return present != order.count and age_s > patience_s
+
+    def _counts(self, service: str) -> tuple[ServerCount, ...]:
+        directory = self._view.directory
+        servers = directory.of_service(service)
+        counts = []
+        for zone in self._zones:
+            for reclaimable in (False, True):
+                there = [
+                    server
+                    for server in servers
+                    if server.availability_zone == zone
+                    and server.reclaimable == reclaimable
+                ]
+                warm = [
+                    server
+                    for server in there
+                    if not directory.is_cold(server.id)
+                ]
+                counts.append(
+                    ServerCount(zone, reclaimable, len(warm), len(there))
+                )
+        return tuple(counts)
--- /dev/null
+++ b/wasabiwing/service_configuration.py
@@ -0,0 +1,161 @@
+"""Configuration of routed services: what the operator has put in force.
+
+The node program routes by host and path to services whose backend servers
+register themselves. An adapter decodes the operator's document into these
+records; every other part reads them.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+from enum import StrEnum
+
+
+class RouteKind(StrEnum):
+    """Says how often a request of a route may run."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    # A stream of server-sent events; non-idempotent unless it is resumable.
+    STREAM = "stream"
+
+
+@dataclass(frozen=True, slots=True)
+class WeightedService:
+    """A service that gets a share of a route's requests."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceRoute:
+    """How requests for a host and path prefix are served."""
+
+    name: str
+    host: str
+    # Begins and ends with a slash.
+    path_prefix: str
+    kind: RouteKind
+    targets: tuple[WeightedService, ...]
+    # Longest time until the final answer, in seconds; ``None`` for no limit.
+    timeout_s: float | None
+    # Time within which an answer, or a stream's first event, is on time.
+    latency_target_s: float
+    # Lower numbers are served first.
+    priority: int
+    # Backend servers that one request may be sent to.
+    max_attempts: int
+    # Whether requests need no API key.
+    public: bool = False
+    # Whether a stream may continue after an event on another server.
+    resumable: bool = False
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        if self.kind is RouteKind.STREAM:
+            return self.resumable
+        return self.kind is RouteKind.IDEMPOTENT
+
+
+@dataclass(frozen=True, slots=True)
+class EngineProfile:
+    """A service's model engines."""
+
+    # Requests that one engine runs at once.
+    slots: int
+    # Memory of one engine, in tokens.
+    kv_capacity_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class ScaleLimits:
+    """How many backend servers of a service may be ordered in a zone."""
+
+    least: int
+    most: int
+    boot_s: float
+    # Price of a reclaimable server as a share of the full price; 0 for none.
+    reclaimable_price: float
+    price_by_zone: Mapping[str, float]
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceProfile:
+    """A service and its backend servers."""
+
+    name: str
+    # Connections that one backend server accepts from all nodes together.
+    max_connections: int
+    # Requests per second that a cold backend server tolerates; 0 for any.
+    cold_requests_per_s: float = 0.0
+    # ``None`` for plain services.
+    engine: EngineProfile | None = None
+    # ``None`` for services whose size is fixed.
+    scale: ScaleLimits | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RequestLimits:
+    """What callers may send and how long they may stay idle."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    idle_timeout_s: float = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class OrganisationProfile:
+    """An organisation with its API keys and usage cap."""
+
+    name: str
+    keys: frozenset[str]
+    # Takes precedence over the route's priority.
+    priority: int | None = None
+    # Whether the cap counts tokens instead of requests.
+    counts_tokens: bool = False
+    # Tokens that a request without token counts counts for.
+    plain_tokens: int = 1
+    # Sustained rate per second and burst; 0 for no cap.
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceConfiguration:
+    """The whole document, with the indexes that requests are looked up in."""
+
+    version: int
+    routes: tuple[ServiceRoute, ...]
+    service_by_name: Mapping[str, ServiceProfile]
+    limits: RequestLimits
+    organisations: tuple[OrganisationProfile, ...] = ()
+    # Routes by host, the longest path prefix first.
+    routes_by_host: Mapping[str, tuple[ServiceRoute, ...]] = field(init=False)
+    organisation_by_key: Mapping[str, OrganisationProfile] = field(init=False)
+
+    def __post_init__(self) -> None:
+        routes_by_host: dict[str, list[ServiceRoute]] = {}
+        for route in self.routes:
+            routes_by_host.setdefault(route.host.lower(), []).append(route)
+        ordered = {
+            host: tuple(
+                sorted(routes, key=lambda route: -len(route.path_prefix))
+            )
+            for host, routes in routes_by_host.items()
+        }
+        by_key = {
+            key: organisation
+            for organisation in self.organisations
+            for key in organisation.keys
+        }
+        object.__setattr__(self, "routes_by_host", ordered)
+        object.__setattr__(self, "organisation_by_key", by_key)
+
+    def find_route(self, host: str, path: str) -> ServiceRoute | None:
+        """Returns the route with the longest prefix that begins the path."""
+        for route in self.routes_by_host.get(host.lower(), ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
--- a/wasabiwing/timers.py
+++ b/wasabiwing/timers.py
@@ -11,7 +11,8 @@
 from heapq import heappop
 from heapq import heappush
 from itertools import count
-from time import monotonic
+from time import CLOCK_BOOTTIME
+from time import clock_gettime
 from time import time
 from typing import Protocol
 
@@ -33,7 +34,7 @@
     """The clock, sleeping and periodic ticks."""
 
     def now(self) -> float:
-        """Monotonic time in seconds."""
+        """Monotonic time in seconds, with the time of suspensions."""
 
     def wall(self) -> float:
         """Seconds since the epoch; for schedules and logs only."""
@@ -56,7 +57,9 @@
         self._task_group: TaskGroup | None = None
 
     def now(self) -> float:
-        return monotonic()
+        # The ordinary steady clock stands still while a VM is suspended;
+        # leases and deadlines do not.
+        return clock_gettime(CLOCK_BOOTTIME)
 
     def wall(self) -> float:
         return time()
@@ -79,12 +82,12 @@
             await sleep_forever()
 
     async def _serve(self, period_s: float, tick: Tick) -> None:
-        due = monotonic() + period_s
+        due = self.now() + period_s
         while True:
-            await sleep(max(due - monotonic(), 0.0))
+            await sleep(max(due - self.now(), 0.0))
             await tick()
             # Ticks that were missed during a pause are not made up for.
-            due = max(due + period_s, monotonic())
+            due = max(due + period_s, self.now())
 
 
 @dataclass(order=True)
--- /dev/null
+++ b/wasabiwing/usage_reporter.py
@@ -0,0 +1,145 @@
+"""Reports the usage of each window once, through changes of the reporter.
+
+The counts of a window are written to the store under a condition before they
+are sent. Whoever reports the window later finds them there and sends the
+same, so that two reports never differ.
+"""
+
+from collections.abc import Mapping
+
+from msgspec import DecodeError
+from msgspec import ValidationError
+from msgspec.json import decode
+from msgspec.json import encode
+from result import Err
+from result import Ok
+from result import Result
+
+from wasabiwing.codes import Failure
+from wasabiwing.codes import ResultCode
+from wasabiwing.duty_port import DutyCalls
+from wasabiwing.duty_port import DutyStamp
+from wasabiwing.events import Event
+from wasabiwing.events import log_event
+from wasabiwing.node_registry import NodeRegistry
+from wasabiwing.node_reports import NodeReports
+from wasabiwing.ports import LeaseStore
+from wasabiwing.timers import TimerService
+from wasabiwing.usage_windows import UsageWindows
+
+USAGE_PREFIX = "/wasabiwing/usage/"
+
+# Time after the end of a window in which reports of the other nodes arrive,
+# in seconds.
+SETTLE_S = 0.6
+
+# Part of the time until a report is due that silent nodes are waited for.
+PATIENCE_SHARE = 0.55
+
+# Lifetime of a record in the store, in seconds: far beyond the time in which
+# a window may still be reported.
+RECORD_LIFETIME_S = 300.0
+
+
+class UsageReporter:
+    """Reports windows while this node holds the duty."""
+
+    def __init__(
+        self,
+        node_id: str,
+        timer: TimerService,
+        store: LeaseStore,
+        cloud: DutyCalls,
+        windows: UsageWindows,
+        reports: NodeReports,
+        nodes: NodeRegistry,
+        due_s: float,
+    ) -> None:
+        self._node_id = node_id
+        self._timer = timer
+        self._store = store
+        self._cloud = cloud
+        self._windows = windows
+        self._reports = reports
+        self._nodes = nodes
+        self._due_s = due_s
+        # First window that this holder has not reported.
+        self._next_window: int | None = None
+        self._record_lease = 0
+        self._record_lease_until = 0.0
+
+    def begin(self) -> None:
+        """Starts over as a new holder of the duty."""
+        self._next_window = None
+
+    async def report_next(self, stamp: DutyStamp) -> Result[bool, Failure]:
+        """Reports the oldest window that is ready; false if none is."""
+        window = self._next_window
+        if window is None:
+            window = self._windows.oldest_window()
+        if not self._is_ready(window):
+            return Ok(False)
+        recorded = await self._record(window)
+        if isinstance(recorded, Err):
+            return recorded
+        counts = recorded.ok_value
+        sent = await self._cloud.report_usage(stamp, window, counts)
+        if isinstance(sent, Err):
+            return sent
+        self._next_window = window + 1
+        log_event(
+            Event.USAGE_REPORTED,
+            self._node_id,
+            window=window,
+            counts=dict(counts),
+            fence=stamp.fence,
+            late_s=round(self._timer.now() - self._windows.window_end(window)),
+        )
+        return Ok(True)
+
+    def _is_ready(self, window: int) -> bool:
+        """Whether all nodes have told their counts, or time runs out."""
+        now = self._timer.now()
+        ended_at = self._windows.window_end(window)
+        if now < ended_at + SETTLE_S:
+            return False
+        if now > ended_at + self._due_s * PATIENCE_SHARE:
+            return True
+        return all(
+            self._reports.heard_since(node_id, ended_at + SETTLE_S / 2)
+            for node_id in self._nodes.peers()
+        )
+
+    async def _record(self, window: int) -> Result[Mapping[str, int], Failure]:
+        """Returns the counts that stand in the store, and puts them there."""
+        lease = await self._lease()
+        if isinstance(lease, Err):
+            return lease
+        key = f"{USAGE_PREFIX}{window}"
+        counts = self._windows.totals(window)
+        value = encode(counts, order="sorted")
+        swapped = await self._store.swap(key, 0, value, lease.ok_value)
+        if isinstance(swapped, Err):
+            return swapped
+        if swapped.ok_value.swapped:
+            return Ok(counts)
+        current = swapped.ok_value.current
+        if current is None:
+            return Err(Failure(ResultCode.STORE_CONFLICT, key))
+        try:
+            return Ok(decode(current.value, type=dict[str, int]))
+        except (DecodeError, ValidationError) as error:
+            return Err(Failure(ResultCode.STORE_CONFLICT, f"{key}: {error}"))
+
+    async def _lease(self) -> Result[int, Failure]:
+        """Returns a lease under which records go away by themselves."""
+        now = self._timer.now()
+        if now < self._record_lease_until:
+            return Ok(self._record_lease)
+        granted = await self._store.grant_lease(RECORD_LIFETIME_S)
+        if isinstance(granted, Err):
+            return granted
+        self._record_lease = granted.ok_value.id
+        # Renewed by a new lease early enough for every record to stay.
+        self._record_lease_until = now + RECORD_LIFETIME_S / 2
+        return Ok(self._record_lease)
