Keep reclaimable servers of dry zones, wait for busy servers, use cap tolerance

Requests that may be repeated were ended after 1 s of silence although the server was only busy, which doubled the load. Change: servers of dry zones stay in the plan; a need is kept for 10 s. An attempt ends early only if its server is silent to everybody, or has started three later requests. Caps use half of the deployment's tolerance.

--- a/wasabiwing/call_forwarding.py
+++ b/wasabiwing/call_forwarding.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
+from math import inf
 from random import Random
 from typing import Protocol
 
@@ -14,6 +15,8 @@
 from anyio import move_on_after
 from result import Err
 
+from wasabiwing.attempt_watch import AttemptWatch
+from wasabiwing.attempt_watch import WatchedAttempt
 from wasabiwing.call_placement import CallPlacement
 from wasabiwing.call_placement import PlacedAttempt
 from wasabiwing.call_refusal import longest_wait_s
@@ -125,6 +128,7 @@
         placement: CallPlacement,
         connections: ServerConnections,
         loads: ServerLoads,
+        watch: AttemptWatch,
         prompts: PromptCacheIndex,
         rates: PrefillRates,
         windows: UsageWindows,
@@ -141,6 +145,7 @@
         self._placement = placement
         self._connections = connections
         self._loads = loads
+        self._watch = watch
         self._prompts = prompts
         self._rates = rates
         self._windows = windows
@@ -241,43 +246,32 @@
         server = placed.server
         progress.tried.add(server.id)
         self._note_sending(call, placed, progress)
-        sent_at = self._timer.now()
-        remaining_s = call.deadline - sent_at
+        remaining_s = call.deadline - self._timer.now()
         # Until the opposite is known, the attempt counts as run.
         progress.runs += 1
         failed: bool | None = None
+        failure: Failure | None = None
         try:
-            sent = await self._connections.send(
-                server.id,
-                server.address,
-                call.method,
-                call.target,
-                self._codec.server_headers(
-                    call,
-                    server.id,
-                    remaining_s,
-                    _urgency(call),
-                    progress.cutter.last_event_id,
-                ),
-                call.body,
-                _silence_s(call, placed, remaining_s),
-            )
-            if isinstance(sent, Err):
-                failure: Failure | None = sent.err_value
-                failed = True
-                if sent.err_value.code is ResultCode.CONNECT_FAILED:
-                    self._loads.note_unreachable(server.id)
-                    await self._connections.drop(server.id)
-            else:
-                failure = await self._read_answer(
-                    call, placed, sent.ok_value, progress, output, sent_at
+            patience_s = _patience_s(call, placed, remaining_s)
+            with self._watch.watch(
+                server.id, _urgency(call), patience_s
+            ) as watched:
+                failure = await self._exchange(
+                    call, placed, progress, output, watched
                 )
-                failed = failure is not None
-                if failure is not None and failure.run is RunState.NOT_RUN:
-                    failed = None
+            if watched.silent:
+                progress.cutter.drop_rest()
+                failure = Failure(
+                    ResultCode.SERVER_TIMEOUT,
+                    f"silent, overtaken by {watched.overtaken}",
+                    RunState.MAY_HAVE_RUN,
+                )
+            failed = failure is not None
             if failure is not None and failure.run is RunState.NOT_RUN:
                 progress.runs -= 1
                 progress.offers += 1
+                if failure.code is not ResultCode.CONNECT_FAILED:
+                    failed = None
         finally:
             self._loads.note_ended(server.id, call.head.attempt_id, failed)
         code = ResultCode.OK if failure is None else failure.code
@@ -293,6 +287,41 @@
             )
         return failure
 
+    async def _exchange(
+        self,
+        call: RoutedCall,
+        placed: PlacedAttempt,
+        progress: _Progress,
+        output: AnswerOutput,
+        watched: WatchedAttempt,
+    ) -> Failure | None:
+        """Sends the request and reads its answer."""
+        server = placed.server
+        remaining_s = call.deadline - self._timer.now()
+        sent = await self._connections.send(
+            server.id,
+            server.address,
+            call.method,
+            call.target,
+            self._codec.server_headers(
+                call,
+                server.id,
+                remaining_s,
+                _urgency(call),
+                progress.cutter.last_event_id,
+            ),
+            call.body,
+            remaining_s,
+        )
+        if not isinstance(sent, Err):
+            return await self._read_answer(
+                call, placed, sent.ok_value, progress, output, watched
+            )
+        if sent.err_value.code is ResultCode.CONNECT_FAILED:
+            self._loads.note_unreachable(server.id)
+            await self._connections.drop(server.id)
+        return sent.err_value
+
     def _note_sending(
         self, call: RoutedCall, placed: PlacedAttempt, progress: _Progress
     ) -> None:
@@ -334,7 +363,7 @@
         answer: ServerAnswer,
         progress: _Progress,
         output: AnswerOutput,
-        sent_at: float,
+        watched: WatchedAttempt,
     ) -> Failure | None:
         """Reads an answer and passes it on; closes it in any case."""
         head = self._codec.read_answer(answer.status, answer.headers)
@@ -354,9 +383,10 @@
             is_stream = call.route.kind is RouteKind.STREAM
             if is_stream and answer.status in SUCCESS:
                 failure = await self._relay_stream(
-                    call, placed, answer, head, progress, output, sent_at
+                    call, placed, answer, head, progress, output, watched
                 )
             else:
+                self._watch.note_started(watched)
                 failure = await self._relay_whole(
                     call, answer, head, progress, output
                 )
@@ -404,7 +434,7 @@
         head: AnswerHead,
         progress: _Progress,
         output: AnswerOutput,
-        sent_at: float,
+        watched: WatchedAttempt,
     ) -> Failure | None:
         """Passes events on as they arrive."""
         cutter = progress.cutter
@@ -413,12 +443,14 @@
             if isinstance(chunk, Err):
                 cutter.drop_rest()
                 return chunk.err_value
+            watched.heard_at = self._timer.now()
+            self._loads.note_heard(placed.server.id)
             events = cutter.feed(chunk.ok_value)
             if not events:
                 continue
             if first:
                 first = False
-                self._note_first_event(call, placed, progress, sent_at)
+                self._note_first_event(call, placed, progress, watched)
             if not output.started:
                 await output.start(answer.status, head.forwarded)
             await output.write(events)
@@ -434,11 +466,12 @@
         call: RoutedCall,
         placed: PlacedAttempt,
         progress: _Progress,
-        sent_at: float,
+        watched: WatchedAttempt,
     ) -> None:
         self._loads.note_first_event(placed.server.id, call.head.attempt_id)
+        self._watch.note_started(watched)
         self._count_run(call, progress)
-        took_s = self._timer.now() - sent_at
+        took_s = self._timer.now() - watched.sent_at
         computed = round(placed.queued_tokens) + placed.uncached_tokens
         self._rates.observe(call.service, computed, took_s)
         self._metrics.first_token.labels(call.route.name).observe(
@@ -538,17 +571,16 @@
     return min(route * URGENCY_STEP + min(organisation, 1), LEAST_URGENT)
 
 
-def _silence_s(
+def _patience_s(
     call: RoutedCall, placed: PlacedAttempt, remaining_s: float
 ) -> float:
-    """Returns how long a server may send nothing."""
+    """Returns the shortest silence after which an attempt may be ended."""
     if not call.route.repeatable:
-        return remaining_s
+        return inf
     if call.route.kind is RouteKind.STREAM:
         expected_s = placed.placement.first_event_s * SILENCE_FACTOR
         return min(max(expected_s, LEAST_SILENCE_S), remaining_s)
-    expected_s = call.route.latency_target_s * PLAIN_SILENCE_TARGETS
-    return min(expected_s or remaining_s, remaining_s)
+    return call.route.latency_target_s * PLAIN_SILENCE_TARGETS or inf
 
 
 def _reusable_s(head: AnswerHead) -> float | None:
--- a/wasabiwing/caller_http.py
+++ b/wasabiwing/caller_http.py
@@ -228,8 +228,8 @@
     def _within_cap(self, call: RoutedCall) -> Result[RoutedCall, Failure]:
         if call.organisation is None:
             return Ok(call)
-        wait_s = self._caps.admit(call.organisation, call.total_tokens)
-        if wait_s is None:
+        refusal = self._caps.admit(call.organisation, call.total_tokens)
+        if refusal is None:
             return Ok(call)
         log_event(
             Event.REQUEST_REFUSED,
@@ -240,13 +240,16 @@
             code=ResultCode.OVERLOADED.name,
             detail="usage cap",
             run=RunState.NOT_RUN.value,
-            retry_after_s=round(wait_s, 2),
+            retry_after_s=round(refusal.retry_after_s, 2),
+            cost=refusal.cost,
+            level=round(refusal.level),
+            rate_per_s=call.organisation.rate_per_s,
         )
         return Err(
             Failure(
                 ResultCode.OVERLOADED,
                 "the organisation's usage cap is reached",
-                retry_after_s=wait_s,
+                retry_after_s=refusal.retry_after_s,
             )
         )
 
--- a/wasabiwing/capacity_plan.py
+++ b/wasabiwing/capacity_plan.py
@@ -44,8 +44,13 @@
     count: int
 
 
+def servers_needed(demand: float) -> int:
+    """Returns the servers for a demand in servers' computing time."""
+    return max(ceil(demand / TARGET_USE), LEAST_SERVERS)
+
+
 def plan_servers(
-    demand: float,
+    needed: int,
     zones: Sequence[str],
     limits: ScaleLimits,
     counts: Sequence[ServerCount],
@@ -53,10 +58,9 @@
 ) -> tuple[ServerOrder, ...]:
     """Returns the wanted number for each zone and kind.
 
-    ``demand`` is the computing time of all prompts, in servers. In
-    ``dry_zones`` no reclaimable servers can be had at present.
+    In ``dry_zones`` no more reclaimable servers can be had at present; those
+    that are there stay.
     """
-    needed = max(ceil(demand / TARGET_USE), LEAST_SERVERS)
     cheapest = sorted(
         zones, key=lambda zone: (limits.price_by_zone.get(zone, 1.0), zone)
     )
@@ -68,12 +72,9 @@
         _spread(firm, {}, cheapest, needed, limits)
     else:
         firm[cheapest[0]] = 1
-        wet = [zone for zone in cheapest if zone not in dry_zones]
-        # The largest zone's reclaimable servers may vanish together.
-        spare = ceil(needed / len(zones))
-        _spread(reclaimable, firm, wet, needed + spare - 1, limits)
-        missing = needed - sum(reclaimable.values()) - 1
-        _spread(firm, reclaimable, cheapest, max(missing, 0) + 1, limits)
+        _plan_reclaimable(
+            firm, reclaimable, cheapest, needed, limits, counts, dry_zones
+        )
     _keep_minimum(firm, reclaimable, limits)
     _keep_until_replaced(firm, reclaimable, needed, counts)
     # The limit of a zone holds for both kinds together.
@@ -87,6 +88,30 @@
     )
 
 
+def _plan_reclaimable(
+    firm: dict[str, int],
+    reclaimable: dict[str, int],
+    cheapest: Sequence[str],
+    needed: int,
+    limits: ScaleLimits,
+    counts: Sequence[ServerCount],
+    dry_zones: frozenset[str],
+) -> None:
+    """Fills up with reclaimable servers, then with firm ones."""
+    for count in counts:
+        zone = count.availability_zone
+        if count.reclaimable and zone in dry_zones and zone in reclaimable:
+            reclaimable[zone] = count.present
+    wet = [zone for zone in cheapest if zone not in dry_zones]
+    # All reclaimable servers of a zone may vanish together.
+    spare = ceil(needed / len(cheapest))
+    firm_count = sum(firm.values())
+    _spread(reclaimable, firm, wet, needed + spare - firm_count, limits)
+    missing = needed - sum(reclaimable.values()) - firm_count
+    if missing > 0:
+        _spread(firm, reclaimable, cheapest, firm_count + missing, limits)
+
+
 def _spread(
     wanted: dict[str, int],
     others: Mapping[str, int],
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -17,6 +17,8 @@
 
 from wasabiwing.asgi import bind
 from wasabiwing.asgi import serve
+from wasabiwing.attempt_watch import AttemptWatch
+from wasabiwing.attempt_watch import WATCH_PERIOD_S
 from wasabiwing.call_forwarding import CallForwarder
 from wasabiwing.call_placement import CallPlacement
 from wasabiwing.caller_http import CallerHttp
@@ -56,6 +58,7 @@
 from wasabiwing.service_configuration import ServiceConfiguration
 from wasabiwing.timers import SystemTimer
 from wasabiwing.timers import TimerService
+from wasabiwing.usage_caps import CapTolerance
 from wasabiwing.usage_caps import UsageCaps
 from wasabiwing.usage_reporter import UsageReporter
 from wasabiwing.usage_windows import UsageWindows
@@ -130,7 +133,14 @@
         self._loads = ServerLoads(timer, self._rates)
         self._prompts = PromptCacheIndex()
         self._shared = SharedState(
-            UsageCaps(timer, settings.first_start, self._reports.heard_share),
+            UsageCaps(
+                timer,
+                settings.first_start,
+                self._reports.heard_share,
+                CapTolerance(
+                    bounds.cap_window_s, bounds.cap_excess, bounds.cap_slack
+                ),
+            ),
             UsageWindows(timer, life, bounds.usage_window_s),
             self._loads,
             self._prompts,
@@ -147,6 +157,8 @@
             self._prompts,
             self._rates,
         )
+        watch = AttemptWatch(timer, self._loads)
+        timer.subscribe(WATCH_PERIOD_S, watch.check)
         forwarder = CallForwarder(
             node_id,
             timer,
@@ -154,6 +166,7 @@
             placement,
             self.connections,
             self._loads,
+            watch,
             self._prompts,
             self._rates,
             self._shared.windows,
--- a/wasabiwing/node_settings.py
+++ b/wasabiwing/node_settings.py
@@ -26,8 +26,11 @@
     # Length of a usage window, and how long after its end a report is due.
     usage_window_s: float
     usage_due_s: float
-    # Sliding window over which usage caps are judged.
+    # Sliding window over which usage caps are judged, and by how much all
+    # nodes together may exceed one: a share, and an amount in the cap's unit.
     cap_window_s: float
+    cap_excess: float
+    cap_slack: float
     # Whether a duty's calls must carry a rising fencing number.
     fenced_duties: bool
 
--- a/wasabiwing/server_orders.py
+++ b/wasabiwing/server_orders.py
@@ -15,6 +15,7 @@
 from wasabiwing.capacity_plan import plan_servers
 from wasabiwing.capacity_plan import ServerCount
 from wasabiwing.capacity_plan import ServerOrder
+from wasabiwing.capacity_plan import servers_needed
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.demand import Demand
@@ -34,6 +35,10 @@
 # in seconds.
 REPEAT_SLACK_S = 2.5
 
+# A need that was seen is kept for this many seconds, so that servers are not
+# given up in the trough of a wave and booted again on its crest.
+NEED_MEMORY_S = 10.0
+
 # Key of what was ordered: service, zone, whether reclaimable.
 OrderKey = tuple[str, str, bool]
 
@@ -66,6 +71,8 @@
         self._zones = zones
         self._sent_by_key: dict[OrderKey, _Sent] = {}
         self._dry_until_by_zone: dict[tuple[str, str], float] = {}
+        # Highest need by service, and when it was last seen.
+        self._need_by_service: dict[str, tuple[int, float]] = {}
 
     def begin(self) -> None:
         """Starts over as a new holder of the duty."""
@@ -100,7 +107,8 @@
             if zone not in self._view.evacuated_zones
         ]
         demand = self._demand.total(service)
-        orders = plan_servers(demand, zones, limits, counts, dry)
+        needed = self._needed(service, servers_needed(demand))
+        orders = plan_servers(needed, zones, limits, counts, dry)
         for order in orders:
             if not self._is_due(service, order, counts, limits):
                 continue
@@ -109,6 +117,15 @@
                 return sent
         return Ok(None)
 
+    def _needed(self, service: str, needed: int) -> int:
+        """Returns the highest need of the last seconds."""
+        now = self._timer.now()
+        highest, seen_at = self._need_by_service.get(service, (0, now))
+        if needed >= highest or now - seen_at > NEED_MEMORY_S:
+            self._need_by_service[service] = (needed, now)
+            return needed
+        return highest
+
     async def _send(
         self,
         stamp: DutyStamp,
--- a/wasabiwing/usage_caps.py
+++ b/wasabiwing/usage_caps.py
@@ -13,6 +13,10 @@
 from wasabiwing.service_configuration import OrganisationProfile
 from wasabiwing.timers import TimerService
 
+# Part of the deployment's tolerance that admission uses; the rest covers what
+# other nodes admit before they are heard.
+USED_TOLERANCE = 0.5
+
 # Part of the burst that a restarted node assumes to be left until it hears
 # from another node.
 RESTART_SHARE = 0.25
@@ -31,6 +35,33 @@
     level: float
 
 
+@dataclass(frozen=True, slots=True)
+class CapTolerance:
+    """By how much the nodes together may exceed a cap in a window."""
+
+    window_s: float
+    # Share of what the cap allows in the window.
+    excess: float
+    # Fixed amount, in the cap's unit.
+    slack: float
+
+    def amount(self, organisation: OrganisationProfile) -> float:
+        """Returns the part of the tolerance that admission uses."""
+        allowed = organisation.rate_per_s * self.window_s + organisation.burst
+        return (allowed * self.excess + self.slack) * USED_TOLERANCE
+
+
+@dataclass(frozen=True, slots=True)
+class CapRefusal:
+    """Why a request is over the cap."""
+
+    # Seconds after which the request may come back.
+    retry_after_s: float
+    # What the request counts for, and what the bucket holds.
+    cost: float
+    level: float
+
+
 @dataclass(slots=True)
 class _Bucket:
     """The bucket of one organisation."""
@@ -49,8 +80,10 @@
         timer: TimerService,
         first_start: bool,
         heard_share: Callable[[], float],
+        tolerance: CapTolerance,
     ) -> None:
         self._timer = timer
+        self._tolerance = tolerance
         self._first_start = first_start
         # Share of the nodes, with this one, that are heard from.
         self._heard_share = heard_share
@@ -60,22 +93,16 @@
 
     def admit(
         self, organisation: OrganisationProfile, tokens: int | None
-    ) -> float | None:
-        """Deducts a request; returns ``None`` if it may be sent.
-
-        Otherwise returns the seconds after which it may come back.
-        """
+    ) -> CapRefusal | None:
+        """Deducts a request; returns ``None`` if it may be sent."""
         if organisation.rate_per_s <= 0:
             return None
-        cost = 1.0
-        if organisation.counts_tokens:
-            cost = float(
-                organisation.plain_tokens if tokens is None else tokens
-            )
+        cost = _cost(organisation, tokens)
         bucket = self._refill(organisation)
         if bucket.level <= 0:
             missing = cost - bucket.level
-            return max(missing / organisation.rate_per_s, LEAST_RETRY_S)
+            wait_s = max(missing / organisation.rate_per_s, LEAST_RETRY_S)
+            return CapRefusal(wait_s, cost, bucket.level)
         bucket.level -= cost
         bucket.used += cost
         return None
@@ -85,15 +112,10 @@
     ) -> None:
         """Returns what a request that has not run was charged."""
         bucket = self._bucket_by_organisation.get(organisation.name)
-        if bucket is None or organisation.rate_per_s <= 0:
-            return
-        cost = 1.0
-        if organisation.counts_tokens:
-            cost = float(
-                organisation.plain_tokens if tokens is None else tokens
-            )
-        bucket.level += cost
-        bucket.used -= cost
+        if bucket is not None and organisation.rate_per_s > 0:
+            cost = _cost(organisation, tokens)
+            bucket.level += cost
+            bucket.used -= cost
 
     def own_use(self) -> tuple[CapUse, ...]:
         """Returns what this node tells the others."""
@@ -124,13 +146,21 @@
     def _refill(self, organisation: OrganisationProfile) -> _Bucket:
         now = self._timer.now()
         bucket = self._bucket_by_organisation.get(organisation.name)
+        full = organisation.burst + self._tolerance.amount(organisation)
         if bucket is None:
-            share = 1.0 if self._first_start else RESTART_SHARE
-            bucket = _Bucket(organisation.burst * share, now)
+            restart = organisation.burst * RESTART_SHARE
+            level = full if self._first_start else restart
+            bucket = _Bucket(level, now)
             self._bucket_by_organisation[organisation.name] = bucket
             return bucket
         added = (now - bucket.refilled_at) * organisation.rate_per_s
         added *= self._heard_share()
-        bucket.level = min(bucket.level + added, organisation.burst)
+        bucket.level = min(bucket.level + added, full)
         bucket.refilled_at = now
         return bucket
+
+
+def _cost(organisation: OrganisationProfile, tokens: int | None) -> float:
+    if not organisation.counts_tokens:
+        return 1.0
+    return float(organisation.plain_tokens if tokens is None else tokens)
