Test the node's path on stand-ins of the platform

Change: stand-ins of the platform's store, cloud and servers with their faults; 25 tests of a node on loopback: dropped headers, refusals that are true, no second run of what may not repeat, streams that go on at another server, leaving servers, evacuation, configurations that never go back.

--- /dev/null
+++ b/tests/node_deployment.py
@@ -0,0 +1,267 @@
+"""A node of the users' platform on loopback, with stand-ins around it."""
+
+from collections.abc import AsyncIterator
+from collections.abc import Mapping
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from dataclasses import field
+
+from anyio import create_task_group
+from anyio import Event
+from anyio import sleep
+from anyio.abc import TaskGroup
+from msgspec.json import encode
+
+from wasabiwing.asgi import address_of
+from wasabiwing.asgi import bind
+from wasabiwing.asgi import serve
+from wasabiwing.http_client import HttpClient
+from wasabiwing.metrics import NodeMetrics
+from wasabiwing.node import NodePlatform
+from wasabiwing.node import run_node
+from wasabiwing.node_settings import Endpoint
+from wasabiwing.node_settings import NodeBounds
+from wasabiwing.node_settings import NodeSettings
+from wasabiwing.ports import HttpReply
+from wasabiwing.timers import SystemTimer
+from wasabiwing_platform.cloud import PlatformCloud
+from wasabiwing_platform.documents import decode_item
+from wasabiwing_platform.headers import PlatformHeaders
+from wasabiwing_platform.store import PlatformStore
+from wasabiwing_platform_standins.cloud import CloudStandIn
+from wasabiwing_platform_standins.server import ServerStandIn
+from wasabiwing_platform_standins.store import StoreStandIn
+
+HOST = "127.0.0.1"
+
+POLL_S = 0.01
+
+BOUNDS = NodeBounds(
+    drain_s=2.0,
+    stop_grace_s=8.0,
+    configuration_apply_s=2.0,
+    retry_ratio=0.2,
+    retry_window_s=10.0,
+    retry_reserve=50.0,
+    lease_s=3.0,
+    usage_window_s=5.0,
+    usage_due_s=10.0,
+    cap_window_s=8.0,
+    cap_excess=0.1,
+    cap_slack=0.0,
+    fenced_duties=True,
+)
+
+
+def route_document(
+    name: str, kind: str, service: str, **more: object
+) -> dict[str, object]:
+    """Returns a route of the operator's configuration."""
+    return {
+        "name": name,
+        "host": "desk.example",
+        "pathPrefix": f"/{name}/",
+        "kind": kind,
+        "service": service,
+        "timeoutMs": 20_000,
+        "targetLatencyMs": 4000,
+        "priority": 0,
+        "maxAttempts": 2,
+        **more,
+    }
+
+
+def configuration_document(
+    version: int = 1, **more: object
+) -> dict[str, object]:
+    """Returns a configuration with a plain and a streaming service."""
+    return {
+        "version": version,
+        "routes": [
+            route_document("read", "idempotent", "desk"),
+            route_document("book", "non_idempotent", "desk"),
+            route_document("chat", "stream", "models", streamResume=True),
+            route_document("notes", "stream", "models"),
+            route_document("open", "idempotent", "desk", skipAuth=True),
+        ],
+        "services": [
+            {"name": "desk", "maxConns": 50},
+            {
+                "name": "models",
+                "maxConns": 50,
+                "engine": {"slots": 8, "kvCapacity": 100_000},
+            },
+        ],
+        "limits": {
+            "maxHeaderBytes": 16_384,
+            "maxBodyBytes": 100_000,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15_000,
+        },
+        "tenants": [{"name": "north", "apiKeys": ["key-north"]}],
+        **more,
+    }
+
+
+def server_document(
+    service: str, address: str, **more: object
+) -> dict[str, object]:
+    """Returns a registry entry of a backend server."""
+    return {
+        "service": service,
+        "address": address,
+        "zone": "zone-a",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "coldLeftMs": 0,
+        "seq": 1,
+        **more,
+    }
+
+
+@dataclass(slots=True)
+class Deployment:
+    """A node and what surrounds it."""
+
+    store: StoreStandIn
+    cloud: CloudStandIn
+    tasks: TaskGroup
+    client: HttpClient
+    settings: NodeSettings
+    stop: Event = field(default_factory=Event)
+    stopped: Event = field(default_factory=Event)
+    address_by_server: dict[str, str] = field(default_factory=dict)
+    requests: int = 0
+    started: bool = False
+
+    def start(self) -> None:
+        """Starts the node; what was registered before is in its first view."""
+        if not self.started:
+            self.started = True
+            self.tasks.start_soon(_run, self.settings, self)
+
+    async def add_server(
+        self, service: str, server: ServerStandIn, **more: object
+    ) -> None:
+        """Starts a backend server and registers it."""
+        server.streams = service == "models"
+        address = await self._listen(server)
+        self.address_by_server[server.id] = address
+        self.register(server.id, service, **more)
+
+    def register(self, server_id: str, service: str, **more: object) -> None:
+        """Writes a server's registry entry."""
+        address = self.address_by_server[server_id]
+        document = server_document(service, address, **more)
+        self.store.put(f"servers/{server_id}", encode(document))
+
+    def configure(self, document: Mapping[str, object]) -> None:
+        """Writes the operator's configuration."""
+        self.store.put("op/config", encode(document))
+
+    async def call(
+        self,
+        path: str,
+        method: str = "POST",
+        body: bytes = b"order 1",
+        headers: Mapping[str, str] | None = None,
+        key: str = "key-north",
+    ) -> HttpReply:
+        """Sends a caller's request; raises if it gets no answer."""
+        self.requests += 1
+        sent = {
+            "Host": "desk.example",
+            "Wasabiwing-Attempt-Id": f"attempt-{self.requests}",
+            "Wasabiwing-Deadline-Ms": "15000",
+            **({"Authorization": f"Bearer {key}"} if key else {}),
+            **(headers or {}),
+        }
+        reply = await self.client.send(
+            method, f"http://{self.settings.callers}{path}", sent, body, 20.0
+        )
+        return reply.unwrap()
+
+    async def wait_ready(self) -> None:
+        """Starts the node and waits until callers may connect."""
+        self.start()
+        while await self.readiness_status() != 200:
+            await sleep(POLL_S)
+
+    async def readiness_status(self) -> int:
+        """Returns the status of the readiness page."""
+        url = f"http://{self.settings.readiness}/readyz"
+        reply = await self.client.send("GET", url)
+        return reply.map_or(0, lambda answer: answer.status)
+
+    async def _listen(self, server: ServerStandIn) -> str:
+        listener = bind(HOST, 0)
+        self.tasks.start_soon(serve, server.application(), listener, Event())
+        return address_of(listener)
+
+
+def free_endpoint() -> Endpoint:
+    """Returns an address whose port was free just now."""
+    listener = bind(HOST, 0)
+    port = int(address_of(listener).rpartition(":")[2])
+    listener.close()
+    return Endpoint(HOST, port)
+
+
+@asynccontextmanager
+async def deployment(configured: bool = True) -> AsyncIterator[Deployment]:
+    """Runs the stand-ins around a node, which is started later."""
+    client = HttpClient()
+    async with create_task_group() as tasks:
+        timer = SystemTimer()
+        store = StoreStandIn(timer)
+        cloud = CloudStandIn()
+        store_listener = bind(HOST, 0)
+        cloud_listener = bind(HOST, 0)
+        tasks.start_soon(serve, store.application(), store_listener, Event())
+        tasks.start_soon(serve, cloud.application(), cloud_listener, Event())
+        node_settings = NodeSettings(
+            node_id="node-1",
+            availability_zone="zone-a",
+            region="region-1",
+            availability_zones=("zone-a", "zone-b"),
+            callers=free_endpoint(),
+            readiness=free_endpoint(),
+            inbox=free_endpoint(),
+            store=_endpoint(address_of(store_listener)),
+            cloud=_endpoint(address_of(cloud_listener)),
+            meters_usage=True,
+            orders_servers=True,
+            first_start=True,
+            bounds=BOUNDS,
+        )
+        found = Deployment(store, cloud, tasks, client, node_settings)
+        if configured:
+            found.configure(configuration_document())
+        yield found
+        tasks.cancel_scope.cancel()
+    await client.close()
+
+
+async def _run(settings: NodeSettings, found: Deployment) -> None:
+    metrics = NodeMetrics()
+    store = PlatformStore(str(settings.store), metrics.count_store_call)
+    cloud = PlatformCloud(str(settings.cloud))
+
+    async def reload() -> None:
+        return
+
+    platform = NodePlatform(
+        store, cloud, PlatformHeaders(), decode_item, reload
+    )
+    try:
+        await run_node(settings, platform, metrics, found.stop)
+        found.stopped.set()
+    finally:
+        await store.close()
+        await cloud.close()
+
+
+def _endpoint(address: str) -> Endpoint:
+    host, _, port = address.rpartition(":")
+    return Endpoint(host, int(port))
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -187,6 +187,7 @@
             "wasabiwing_standins",
             "benchmarks",
             "platform/wasabiwing_platform",
+            "platform/wasabiwing_platform_standins",
         ],
     )
     def test_every_module_has_a_row_with_its_summary(
--- /dev/null
+++ b/tests/test_node_path.py
@@ -0,0 +1,342 @@
+"""A request's way through a node of the users' platform, with faults."""
+
+from anyio import create_task_group
+from anyio import move_on_after
+from anyio import sleep
+from msgspec.json import encode
+import pytest
+
+from tests.node_deployment import configuration_document
+from tests.node_deployment import Deployment
+from tests.node_deployment import deployment
+from tests.node_deployment import POLL_S
+from wasabiwing.http_client import find_header
+from wasabiwing_platform_standins.server import SeenRequest
+from wasabiwing_platform_standins.server import ServerFault
+from wasabiwing_platform_standins.server import ServerStandIn
+
+WHOLE_STREAM = b"".join(
+    f"id: {number}\ndata: piece {number}\n\n".encode()
+    for number in range(1, 5)
+)
+
+EVENTS_AFTER_TWO = b"".join(
+    f"id: {number}\ndata: piece {number}\n\n".encode() for number in (3, 4)
+)
+
+
+async def desk_of_two(
+    found: Deployment, *faults: ServerFault
+) -> tuple[ServerStandIn, ServerStandIn]:
+    """Starts two plain servers that both fail their first request."""
+    first = ServerStandIn("server-1", list(faults))
+    second = ServerStandIn("server-2", list(faults))
+    await found.add_server("desk", first)
+    await found.add_server("desk", second)
+    await found.wait_ready()
+    return first, second
+
+
+def all_seen(*servers: ServerStandIn) -> list[SeenRequest]:
+    """Returns what the servers have received."""
+    return [request for server in servers for request in server.seen]
+
+
+@pytest.mark.anyio
+class TestPlainRequests:
+    """Requests to plain services."""
+
+    async def test_answer_is_passed_on_unchanged(self) -> None:
+        async with deployment() as found:
+            server = ServerStandIn("server-1")
+            await found.add_server("desk", server)
+            await found.wait_ready()
+            reply = await found.call("/read/orders/7?full=1")
+            assert (reply.status, reply.body) == (200, b"answer to order 1")
+            stamp = find_header(reply.headers, b"wasabiwing-response-stamp")
+            assert stamp == b"stamp-of-the-server"
+            [seen] = server.seen
+            assert seen.path == "/read/orders/7"
+            assert seen.headers["wasabiwing-tenant"] == "north"
+            assert seen.headers["wasabiwing-expect-instance"] == "server-1"
+            assert "authorization" not in seen.headers
+            assert 0 < int(seen.headers["wasabiwing-deadline-ms"]) <= 15_000
+
+    async def test_system_headers_of_a_caller_are_dropped(self) -> None:
+        async with deployment() as found:
+            server = ServerStandIn("server-1")
+            await found.add_server("desk", server)
+            await found.wait_ready()
+            forged = {
+                "Wasabiwing-Tenant": "south",
+                "Wasabiwing-Expect-Instance": "server-9",
+                "Kv-From": "10.0.0.1:1/2",
+                "Wasabiwing-Kv-Hold": "4",
+                "Wasabiwing-Pin-Ms": "100",
+                "Wasabiwing-Request-Urgency": "0",
+                "X-Own": "kept",
+            }
+            reply = await found.call("/read/1", headers=forged)
+            assert reply.status == 200
+            headers = server.seen[0].headers
+            assert headers["wasabiwing-tenant"] == "north"
+            assert headers["x-own"] == "kept"
+            assert "kv-from" not in headers
+            assert "wasabiwing-kv-hold" not in headers
+            assert "wasabiwing-pin-ms" not in headers
+
+    async def test_unknown_route_and_key_are_refused(self) -> None:
+        async with deployment() as found:
+            server = ServerStandIn("server-1")
+            await found.add_server("desk", server)
+            await found.wait_ready()
+            assert (await found.call("/nothing/1")).status == 404
+            assert (await found.call("/read/1", key="other")).status == 401
+            assert (await found.call("/read/1", key="")).status == 401
+            assert (await found.call("/open/1", key="")).status == 200
+            too_long = b"x" * 100_001
+            assert (await found.call("/read/1", body=too_long)).status == 413
+            assert server.runs == 1
+
+    async def test_nothing_is_denied_before_the_configuration_is_known(
+        self,
+    ) -> None:
+        async with deployment(configured=False) as found:
+            found.start()
+            while await found.readiness_status() == 0:
+                await sleep(POLL_S)
+            assert await found.readiness_status() == 503
+            assert (await found.call("/nothing/1")).status == 503
+
+    async def test_request_that_was_not_run_is_sent_elsewhere(self) -> None:
+        async with deployment() as found:
+            first, second = await desk_of_two(found)
+            first.faults.append(ServerFault.FULL)
+            second.faults.append(ServerFault.FULL)
+            first.faults.append(ServerFault.NONE)
+            statuses = [(await found.call("/book/1")).status for _ in range(3)]
+            assert 503 in statuses or first.runs + second.runs == 3
+            assert statuses.count(200) == first.runs + second.runs
+
+    @pytest.mark.parametrize(
+        "fault",
+        [
+            ServerFault.CUT,
+            ServerFault.FOREIGN,
+            ServerFault.UNSTAMPED,
+        ],
+    )
+    async def test_non_idempotent_request_is_never_sent_again(
+        self, fault: ServerFault
+    ) -> None:
+        async with deployment() as found:
+            servers = await desk_of_two(found, fault)
+            reply = await found.call("/book/1")
+            assert reply.status == 502
+            assert len(all_seen(*servers)) == 1
+
+    @pytest.mark.parametrize(
+        "fault",
+        [
+            ServerFault.CUT,
+            ServerFault.FOREIGN,
+            ServerFault.UNSTAMPED,
+            ServerFault.ERROR,
+        ],
+    )
+    async def test_idempotent_request_is_sent_to_another_server(
+        self, fault: ServerFault
+    ) -> None:
+        async with deployment() as found:
+            first, second = await desk_of_two(found)
+            for server in (first, second):
+                server.faults.extend([fault, ServerFault.NONE])
+            replies = [await found.call("/read/1") for _ in range(2)]
+            # Both attempts of the first request may meet the fault.
+            assert replies[-1].status == 200
+            assert len(first.seen) >= 1 and len(second.seen) >= 1
+
+    async def test_last_error_of_a_server_is_passed_on(self) -> None:
+        async with deployment() as found:
+            servers = await desk_of_two(found, ServerFault.ERROR)
+            reply = await found.call("/read/1")
+            assert (reply.status, reply.body) == (500, b"failed")
+            assert len(all_seen(*servers)) == 2
+
+    async def test_address_of_another_server_does_not_get_the_request(
+        self,
+    ) -> None:
+        async with deployment() as found:
+            server = ServerStandIn("server-1")
+            await found.add_server("desk", server)
+            found.address_by_server["server-0"] = found.address_by_server[
+                "server-1"
+            ]
+            found.register("server-0", "desk")
+            found.store.remove("servers/server-1")
+            await found.wait_ready()
+            reply = await found.call("/book/1")
+            assert reply.status == 503
+            assert find_header(reply.headers, b"retry-after") is not None
+            assert server.runs == 0
+
+
+@pytest.mark.anyio
+class TestStreams:
+    """Streams of model engines."""
+
+    async def test_stream_is_passed_on_whole(self) -> None:
+        async with deployment() as found:
+            await found.add_server("models", ServerStandIn("engine-1"))
+            await found.wait_ready()
+            reply = await found.call("/notes/1")
+            assert (reply.status, reply.body) == (200, WHOLE_STREAM)
+
+    async def test_resumable_stream_goes_on_at_another_server(self) -> None:
+        async with deployment() as found:
+            engines = [
+                ServerStandIn("engine-1", [ServerFault.TORN]),
+                ServerStandIn("engine-2"),
+            ]
+            for engine in engines:
+                await found.add_server("models", engine)
+            await found.wait_ready()
+            # The first request to the broken engine is resumed at the other.
+            for _ in range(4):
+                reply = await found.call("/chat/1")
+                assert (reply.status, reply.body) == (200, WHOLE_STREAM)
+            resumed = [
+                request.headers.get("last-event-id")
+                for request in all_seen(*engines)
+            ]
+            torn_was_used = not engines[0].faults
+            assert ("2" in resumed) == torn_was_used
+
+    async def test_stream_continues_where_the_caller_left_it(self) -> None:
+        async with deployment() as found:
+            await found.add_server("models", ServerStandIn("engine-1"))
+            await found.wait_ready()
+            reply = await found.call("/chat/1", headers={"Last-Event-Id": "2"})
+            assert reply.body == EVENTS_AFTER_TWO
+
+    async def test_broken_stream_is_never_passed_off_as_whole(self) -> None:
+        async with deployment() as found:
+            engine = ServerStandIn("engine-1", [ServerFault.TORN])
+            await found.add_server("models", engine)
+            await found.wait_ready()
+            with pytest.raises(Exception, match="SERVER_CUT"):
+                await found.call("/notes/1")
+            assert engine.runs == 1
+
+    async def test_work_ends_when_the_caller_leaves(self) -> None:
+        async with deployment() as found:
+            engine = ServerStandIn("engine-1", [ServerFault.MUTE])
+            await found.add_server("models", engine)
+            await found.wait_ready()
+            async with create_task_group() as tasks:
+                tasks.start_soon(found.call, "/notes/1")
+                while not engine.seen:
+                    await sleep(POLL_S)
+                tasks.cancel_scope.cancel()
+            with move_on_after(10.0):
+                while not engine.seen[0].cancelled:
+                    await sleep(POLL_S)
+            assert engine.seen[0].cancelled
+
+
+@pytest.mark.anyio
+class TestFleet:
+    """What a node follows in the store."""
+
+    async def test_leaving_server_gets_no_new_requests(self) -> None:
+        async with deployment() as found:
+            leaving = ServerStandIn("server-1")
+            staying = ServerStandIn("server-2")
+            await found.add_server("desk", leaving)
+            await found.wait_ready()
+            assert (await found.call("/read/1")).status == 200
+            await found.add_server("desk", staying)
+            found.register("server-1", "desk", state="draining")
+            while not staying.seen:
+                await found.call("/read/1")
+            before = len(leaving.seen)
+            for _ in range(5):
+                assert (await found.call("/read/1")).status == 200
+            assert len(leaving.seen) == before
+
+    async def test_evacuated_zone_gets_no_requests_until_taken_back(
+        self,
+    ) -> None:
+        async with deployment() as found:
+            server = ServerStandIn("server-1")
+            await found.add_server("desk", server)
+            found.store.put("op/evacuate/zone-a", b"{}")
+            await found.wait_ready()
+            assert (await found.call("/read/1")).status == 503
+            assert server.seen == []
+            found.store.remove("op/evacuate/zone-a")
+            while (await found.call("/read/1")).status != 200:
+                await sleep(POLL_S)
+            assert server.runs == 1
+
+    async def test_newer_configuration_replaces_an_older_one_only(
+        self,
+    ) -> None:
+        async with deployment() as found:
+            await found.add_server("desk", ServerStandIn("server-1"))
+            await found.wait_ready()
+            moved = configuration_document(
+                3, tenants=[{"name": "north", "apiKeys": ["key-new"]}]
+            )
+            found.configure(moved)
+            while (await found.call("/read/1", key="key-new")).status != 200:
+                await sleep(POLL_S)
+            assert (await found.call("/read/1")).status == 401
+            found.configure(configuration_document(2))
+            found.store.put("servers/mark", b"not a document")
+            for _ in range(60):
+                reply = await found.call("/read/1", key="key-new")
+                assert reply.status == 200
+                await sleep(POLL_S)
+
+    async def test_unreadable_entry_harms_no_other(self) -> None:
+        async with deployment() as found:
+            found.store.put("servers/broken", b"\xff\xfe")
+            found.store.put("servers/other", encode({"service": "desk"}))
+            await found.add_server("desk", ServerStandIn("server-1"))
+            await found.wait_ready()
+            assert (await found.call("/read/1")).status == 200
+
+    async def test_lost_history_leads_to_a_new_snapshot(self) -> None:
+        async with deployment() as found:
+            await found.add_server("desk", ServerStandIn("server-1"))
+            await found.wait_ready()
+            found.store.drop_history()
+            second = ServerStandIn("server-2")
+            await found.add_server("desk", second)
+            found.store.remove("servers/server-1")
+            while not second.seen:
+                await found.call("/read/1")
+            assert second.runs >= 1
+
+
+@pytest.mark.anyio
+class TestPlannedStop:
+    """A node that is asked to stop."""
+
+    async def test_running_request_ends_and_the_node_leaves_rotation(
+        self,
+    ) -> None:
+        async with deployment() as found:
+            server = ServerStandIn("server-1")
+            await found.add_server("desk", server)
+            await found.wait_ready()
+            found.stop.set()
+            while await found.readiness_status() == 200:
+                await sleep(POLL_S)
+            reply = await found.call("/read/1")
+            assert reply.status == 200
+            assert find_header(reply.headers, b"connection") == b"close"
+            await found.stopped.wait()
+            leases = [key for key in found.store.keys() if "/lease/" in key]
+            assert leases == []
