Take a removed server out at once unless the store has just returned

A removal within 6 s of any failed store call counted as a lapsed entry and kept the server for 2 s more, also when the store had been back for long; the bound is 2 s from the removal. Change: the two seconds run from the store's first answer after a failure.

--- /dev/null
+++ b/tests/platform_fakes.py
@@ -0,0 +1,198 @@
+"""In-memory store and cloud for tests of duties with the fake timer."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+
+from result import Err
+from result import Ok
+from result import Result
+
+from wasabiwing.codes import Failure
+from wasabiwing.codes import ResultCode
+from wasabiwing.codes import RunState
+from wasabiwing.duty_port import DutyStamp
+from wasabiwing.ports import Lease
+from wasabiwing.ports import StoredValue
+from wasabiwing.ports import SwapResult
+from wasabiwing.timers import FakeTimer
+
+
+@dataclass(slots=True)
+class _Item:
+    value: bytes
+    revision: int
+    lease: int
+
+
+class LeaseStoreFake:
+    """A ``LeaseStore`` shared by several nodes; each has a ``StoreLink``."""
+
+    def __init__(self, timer: FakeTimer) -> None:
+        self._timer = timer
+        self.item_by_key: dict[str, _Item] = {}
+        self._end_by_lease: dict[int, float] = {}
+        self._ttl_by_lease: dict[int, float] = {}
+        self.revision = 0
+
+    def expire(self) -> None:
+        """Ends leases whose time is over."""
+        now = self._timer.now()
+        for lease, end in list(self._end_by_lease.items()):
+            if end <= now:
+                del self._end_by_lease[lease]
+                for key, item in list(self.item_by_key.items()):
+                    if item.lease == lease:
+                        del self.item_by_key[key]
+                        self.revision += 1
+
+    def stored(self, key: str) -> StoredValue | None:
+        """Returns an item."""
+        self.expire()
+        item = self.item_by_key.get(key)
+        if item is None:
+            return None
+        return StoredValue(key, item.value, item.revision)
+
+    def swap(
+        self, key: str, expected: int, value: bytes | None, lease: int
+    ) -> Result[SwapResult, Failure]:
+        """Writes or removes (``None``) under a condition."""
+        current = self.stored(key)
+        if (0 if current is None else current.revision) != expected:
+            found = 0 if current is None else current.revision
+            return Ok(SwapResult(False, found, current))
+        if lease and lease not in self._end_by_lease:
+            return Err(Failure(ResultCode.LEASE_LOST, key))
+        self.revision += 1
+        if value is None:
+            self.item_by_key.pop(key, None)
+        else:
+            self.item_by_key[key] = _Item(value, self.revision, lease)
+        return Ok(SwapResult(True, self.revision))
+
+    def grant(self, ttl_s: float) -> Lease:
+        """Creates a lease."""
+        self.revision += 1
+        self._end_by_lease[self.revision] = self._timer.now() + ttl_s
+        self._ttl_by_lease[self.revision] = ttl_s
+        return Lease(self.revision, ttl_s)
+
+    def extend(self, lease: int) -> Lease | None:
+        """Extends a lease that has not ended."""
+        self.expire()
+        if lease not in self._end_by_lease:
+            return None
+        ttl_s = self._ttl_by_lease[lease]
+        self._end_by_lease[lease] = self._timer.now() + ttl_s
+        return Lease(lease, ttl_s)
+
+
+@dataclass(slots=True)
+class StoreLink:
+    """One node's way to the store."""
+
+    store: LeaseStoreFake
+    # Calls fail and do nothing.
+    cut: bool = False
+    # Number of coming writes that are done and not answered.
+    lost_answers: int = 0
+
+    async def get(self, key: str) -> Result[StoredValue | None, Failure]:
+        if self.cut:
+            return Err(Failure(ResultCode.STORE_UNAVAILABLE))
+        return Ok(self.store.stored(key))
+
+    async def swap(
+        self,
+        key: str,
+        expected_revision: int,
+        value: bytes,
+        lease_id: int = 0,
+    ) -> Result[SwapResult, Failure]:
+        return self._write(key, expected_revision, value, lease_id)
+
+    async def delete(
+        self, key: str, expected_revision: int
+    ) -> Result[SwapResult, Failure]:
+        return self._write(key, expected_revision, None, 0)
+
+    async def grant_lease(self, ttl_s: float) -> Result[Lease, Failure]:
+        if self.cut:
+            return Err(Failure(ResultCode.STORE_UNAVAILABLE))
+        return Ok(self.store.grant(ttl_s))
+
+    async def keep_alive(self, lease_id: int) -> Result[Lease, Failure]:
+        if self.cut:
+            return Err(Failure(ResultCode.STORE_UNAVAILABLE))
+        extended = self.store.extend(lease_id)
+        if extended is None:
+            return Err(Failure(ResultCode.LEASE_LOST))
+        return Ok(extended)
+
+    def _write(
+        self, key: str, expected: int, value: bytes | None, lease: int
+    ) -> Result[SwapResult, Failure]:
+        if self.cut:
+            return Err(Failure(ResultCode.STORE_UNAVAILABLE))
+        done = self.store.swap(key, expected, value, lease)
+        if self.lost_answers > 0:
+            self.lost_answers -= 1
+            return Err(
+                Failure(ResultCode.STORE_REPLY_LOST, "", RunState.MAY_HAVE_RUN)
+            )
+        return done
+
+
+@dataclass(slots=True)
+class CloudFake:
+    """A ``DutyCalls`` that checks fences and keeps what was accepted."""
+
+    timer: FakeTimer
+    reports: list[tuple[DutyStamp, int, dict[str, int]]] = field(
+        default_factory=list
+    )
+    orders: list[tuple[DutyStamp, str, int, bool]] = field(
+        default_factory=list
+    )
+    highest_fence: int = 0
+    # Number of coming calls that are carried out and not answered.
+    lost_answers: int = 0
+    dry: bool = False
+    # Accepted stamps with the time of the call.
+    calls: list[tuple[float, DutyStamp]] = field(default_factory=list)
+
+    async def report_usage(
+        self, stamp: DutyStamp, window: int, counts: Mapping[str, int]
+    ) -> Result[None, Failure]:
+        if stamp.fence < self.highest_fence:
+            return Err(Failure(ResultCode.ORDER_FENCED))
+        self._accept(stamp)
+        self.reports.append((stamp, window, dict(counts)))
+        return self._answer()
+
+    async def order_servers(
+        self,
+        stamp: DutyStamp,
+        service: str,
+        availability_zone: str,
+        count: int,
+        reclaimable: bool,
+    ) -> Result[None, Failure]:
+        if stamp.fence < self.highest_fence:
+            return Err(Failure(ResultCode.CLOUD_REFUSED))
+        if self.dry and reclaimable:
+            return Err(Failure(ResultCode.CLOUD_REFUSED, "none to be had"))
+        self._accept(stamp)
+        self.orders.append((stamp, availability_zone, count, reclaimable))
+        return self._answer()
+
+    def _accept(self, stamp: DutyStamp) -> None:
+        self.highest_fence = stamp.fence
+        self.calls.append((self.timer.now(), stamp))
+
+    def _answer(self) -> Result[None, Failure]:
+        if self.lost_answers > 0:
+            self.lost_answers -= 1
+            return Err(Failure(ResultCode.CLOUD_UNAVAILABLE))
+        return Ok(None)
--- /dev/null
+++ b/tests/test_duties.py
@@ -0,0 +1,291 @@
+"""Tests of duties: one holder, fences, and usage reported once."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from random import Random
+
+from anyio import create_task_group
+import pytest
+
+from tests.network import bench
+from tests.network import FakeNetwork
+from tests.platform_fakes import CloudFake
+from tests.platform_fakes import LeaseStoreFake
+from tests.platform_fakes import StoreLink
+from wasabiwing.demand import Demand
+from wasabiwing.duties import Duties
+from wasabiwing.duties import DUTY_LEASE
+from wasabiwing.leases import LEASE_PREFIX
+from wasabiwing.leases import LeaseHolder
+from wasabiwing.messages import Envelope
+from wasabiwing.messages import NodeReport
+from wasabiwing.node_registry import NodeRegistry
+from wasabiwing.node_reports import NodeReports
+from wasabiwing.node_reports import REPORT_PERIOD_S
+from wasabiwing.node_reports import SharedState
+from wasabiwing.prefill_rates import PrefillRates
+from wasabiwing.prompt_cache import PromptCacheIndex
+from wasabiwing.server_loads import ServerLoads
+from wasabiwing.timers import FakeTimer
+from wasabiwing.usage_caps import CapTolerance
+from wasabiwing.usage_caps import UsageCaps
+from wasabiwing.usage_reporter import UsageReporter
+from wasabiwing.usage_windows import UsageWindows
+
+LEASE_S = 3.0
+WINDOW_S = 5.0
+DUE_S = 10.0
+STEP_S = 0.1
+
+
+class NodeUnderTest:
+    """The parts of a node that its duties need."""
+
+    def __init__(
+        self, number: int, fleet: "Fleet", transport_address: str
+    ) -> None:
+        timer = fleet.timer
+        node_id = f"node-{number}"
+        self.node_id = node_id
+        self.link = StoreLink(fleet.store)
+        self.nodes = NodeRegistry(node_id)
+        self.frozen = False
+        self.inbox = transport_address.removeprefix("tcp://")
+        transport = fleet.network.open(node_id, transport_address)
+        self.transport = transport
+        life = f"{node_id}/{fleet.random.random()}"
+        self.reports = NodeReports(life, timer, transport, self.nodes)
+        self.windows = UsageWindows(timer, life, WINDOW_S)
+        self.shared = SharedState(
+            UsageCaps(timer, True, lambda: 1.0, CapTolerance(8.0, 0.1, 0.0)),
+            self.windows,
+            ServerLoads(timer, PrefillRates()),
+            PromptCacheIndex(),
+            Demand(timer),
+        )
+        self.usage = UsageReporter(
+            node_id,
+            timer,
+            self.link,
+            fleet.cloud,
+            self.windows,
+            self.reports,
+            self.nodes,
+            DUE_S,
+        )
+        self.leases = LeaseHolder(node_id, timer, self.link, LEASE_S)
+        self.duties = Duties(
+            node_id,
+            self.inbox,
+            timer,
+            self.leases,
+            self.nodes,
+            self.usage,
+            None,
+            Random(number),
+        )
+
+    async def receive(self) -> None:
+        """Takes over the reports of other nodes."""
+        while True:
+            envelope: Envelope = await self.transport.receive()
+            if isinstance(envelope.body, NodeReport):
+                self.reports.receive(envelope, envelope.body, self.shared)
+
+
+class Fleet:
+    """Several nodes with one store and one cloud, stepped by hand."""
+
+    def __init__(
+        self, timer: FakeTimer, network: FakeNetwork, seed: int
+    ) -> None:
+        self.timer = timer
+        self.random = Random(seed)
+        self.store = LeaseStoreFake(timer)
+        self.cloud = CloudFake(timer)
+        self.network = network
+        self.nodes: list[NodeUnderTest] = []
+        self._step = 0
+        # Whether each step brings a request.
+        self.traffic = False
+
+    def holders(self) -> list[str]:
+        """Returns the nodes that believe to hold the duties."""
+        return [
+            node.node_id
+            for node in self.nodes
+            if node.leases.held(DUTY_LEASE) is not None
+        ]
+
+    async def run(self, seconds: float) -> None:
+        """Lets all nodes work for some time."""
+        for _ in range(round(seconds / STEP_S)):
+            await self.timer.advance(STEP_S)
+            self._step += 1
+            if self.traffic:
+                self.nodes[self._step % len(self.nodes)].windows.count("west")
+            self.store.expire()
+            async with create_task_group() as tasks:
+                for number, node in enumerate(self.nodes):
+                    if node.frozen:
+                        continue
+                    self._tell_leases(node)
+                    turn = self._step + number
+                    if turn % round(REPORT_PERIOD_S / STEP_S) == 0:
+                        await node.reports.send(node.shared)
+                    if turn % 9 == 0:
+                        tasks.start_soon(self._renew, node)
+                    if turn % 5 == 0:
+                        tasks.start_soon(node.duties.work)
+                await self.timer.advance(0.0)
+
+    async def _renew(self, node: NodeUnderTest) -> None:
+        # The random pause before an election would need a second clock.
+        await node.leases.extend()
+        if node.leases.held(node.duties._own_name) is None:
+            await node.leases.take(node.duties._own_name)
+        if DUTY_LEASE not in node.nodes.held_leases:
+            await node.leases.take(DUTY_LEASE)
+
+    def _tell_leases(self, node: NodeUnderTest) -> None:
+        if not node.link.cut:
+            node.nodes.replace_all(
+                key.removeprefix(LEASE_PREFIX)
+                for key in self.store.item_by_key
+                if key.startswith(LEASE_PREFIX)
+            )
+
+
+@asynccontextmanager
+async def fleet(count: int, seed: int = 1) -> AsyncIterator[Fleet]:
+    """Runs some nodes on a fake network."""
+    async with bench(seed) as found:
+        nodes = Fleet(found.timer, found.network, seed)
+        for number in range(count):
+            address = f"tcp://10.0.0.{number}:7000"
+            node = NodeUnderTest(number, nodes, address)
+            nodes.nodes.append(node)
+            found.tasks.start_soon(node.receive)
+        yield nodes
+
+
+@pytest.mark.anyio
+class TestHolder:
+    """Who acts, and when somebody else may."""
+
+    async def test_one_node_holds_the_duties(self) -> None:
+        async with fleet(3) as nodes:
+            await nodes.run(3.0)
+            assert len(nodes.holders()) == 1
+
+    async def test_frozen_holder_does_not_act_after_its_successor(
+        self,
+    ) -> None:
+        async with fleet(3) as nodes:
+            nodes.traffic = True
+            await nodes.run(8.0)
+            [first] = nodes.holders()
+            frozen = next(
+                node for node in nodes.nodes if node.node_id == first
+            )
+            frozen.frozen = True
+            await nodes.run(6.0)
+            [second] = nodes.holders()
+            assert second != first
+            frozen.frozen = False
+            await nodes.run(8.0)
+            holders = [stamp.holder for _, stamp in nodes.cloud.calls]
+            change = holders.index(second)
+            assert first not in holders[change:]
+
+    async def test_holder_that_is_cut_off_stops_before_its_lease_ends(
+        self,
+    ) -> None:
+        async with fleet(3) as nodes:
+            await nodes.run(4.0)
+            [first] = nodes.holders()
+            cut = next(node for node in nodes.nodes if node.node_id == first)
+            cut.link.cut = True
+            await nodes.run(LEASE_S)
+            assert first not in nodes.holders()
+            await nodes.run(3.0)
+            assert len(nodes.holders()) == 1
+
+    async def test_fences_rise_with_each_holder(self) -> None:
+        async with fleet(4) as nodes:
+            nodes.traffic = True
+            for _ in range(3):
+                await nodes.run(12.0)
+                for node in nodes.nodes:
+                    node.frozen = node.node_id in nodes.holders()
+                await nodes.run(5.0)
+                for node in nodes.nodes:
+                    node.frozen = False
+            fences = [stamp.fence for _, stamp in nodes.cloud.calls]
+            assert fences == sorted(fences)
+            holder_by_fence: dict[int, str] = {}
+            for _, stamp in nodes.cloud.calls:
+                known = holder_by_fence.setdefault(stamp.fence, stamp.holder)
+                assert known == stamp.holder
+            assert len(holder_by_fence) > 1
+
+
+@pytest.mark.anyio
+class TestUsage:
+    """Each window is reported once, with all counts."""
+
+    async def test_counts_of_all_nodes_are_added(self) -> None:
+        async with fleet(3) as nodes:
+            await nodes.run(1.0)
+            window = nodes.nodes[0].windows.window_now()
+            for node in nodes.nodes:
+                for _ in range(4):
+                    node.windows.count("north")
+            await nodes.run(WINDOW_S + 3.0)
+            found = {
+                number: counts for _, number, counts in nodes.cloud.reports
+            }
+            assert found[window] == {"north": 12}
+
+    async def test_counts_of_a_node_that_died_are_reported(self) -> None:
+        async with fleet(3) as nodes:
+            await nodes.run(1.0)
+            window = nodes.nodes[0].windows.window_now()
+            for node in nodes.nodes:
+                node.windows.count("north")
+            await nodes.run(1.0)
+            holder = nodes.holders()[0]
+            next(
+                node for node in nodes.nodes if node.node_id == holder
+            ).frozen = True
+            await nodes.run(WINDOW_S + DUE_S)
+            found = {
+                number: counts for _, number, counts in nodes.cloud.reports
+            }
+            assert found[window] == {"north": 3}
+
+    @pytest.mark.parametrize("seed", range(6))
+    async def test_two_reports_of_a_window_never_differ(
+        self, seed: int
+    ) -> None:
+        """Freezes, cuts and lost answers, drawn from a seed."""
+        random = Random(seed)
+        async with fleet(4, seed) as nodes:
+            for _ in range(25):
+                for node in nodes.nodes:
+                    node.windows.count(random.choice(["north", "south"]))
+                victim = random.choice(nodes.nodes)
+                fault = random.choice(["freeze", "cut", "lost", "cloud", ""])
+                victim.frozen = fault == "freeze"
+                victim.link.cut = fault == "cut"
+                victim.link.lost_answers = 2 if fault == "lost" else 0
+                nodes.cloud.lost_answers = 1 if fault == "cloud" else 0
+                await nodes.run(random.uniform(0.5, 4.0))
+                victim.frozen = False
+                victim.link.cut = False
+            await nodes.run(10.0)
+            counts_by_window: dict[int, dict[str, int]] = {}
+            for _, window, counts in nodes.cloud.reports:
+                known = counts_by_window.setdefault(window, counts)
+                assert known == counts
+            assert len(counts_by_window) >= 5
--- a/wasabiwing/fleet_follower.py
+++ b/wasabiwing/fleet_follower.py
@@ -261,6 +261,7 @@
         await self._timer.sleep(RETRY_PAUSE_S * (1.0 + self._random.random()))
 
     def _note_answer(self) -> None:
+        self._view.directory.note_store_answer()
         if not self._connected:
             self._connected = True
             log_event(
--- a/wasabiwing/server_directory.py
+++ b/wasabiwing/server_directory.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import replace
+from math import inf
 
 from wasabiwing.timers import TimerService
 
@@ -15,9 +16,6 @@
 # back, in seconds; from the platform's description of its registry.
 LAPSE_GRACE_S = 2.0
 
-# A removal this soon after a failed call to the store may be a lapse.
-OUTAGE_MEMORY_S = 6.0
-
 
 @dataclass(frozen=True, slots=True)
 class RegisteredServer:
@@ -59,13 +57,21 @@
     def __init__(self, timer: TimerService) -> None:
         self._timer = timer
         self._known_by_id: dict[str, KnownServer] = {}
-        # Last time at which a call to the store failed.
-        self._last_failure_at = -OUTAGE_MEMORY_S
+        # Whether the store has answered since its last failure, and when it
+        # first did.
+        self._store_answers = True
+        self._store_returned_at = -inf
         self.loaded = False
 
     def note_store_failure(self) -> None:
         """Notes that a call to the store has failed just now."""
-        self._last_failure_at = self._timer.now()
+        self._store_answers = False
+
+    def note_store_answer(self) -> None:
+        """Notes that the store has answered just now."""
+        if not self._store_answers:
+            self._store_answers = True
+            self._store_returned_at = self._timer.now()
 
     def put(self, entry: RegisteredServer) -> bool:
         """Enters or changes a server; returns whether it starts anew."""
@@ -81,16 +87,11 @@
         known = self._known_by_id.get(server_id)
         if known is None:
             return
-        now = self._timer.now()
-        if (
-            known.entry.draining
-            or now - self._last_failure_at > OUTAGE_MEMORY_S
-        ):
+        back_until = self._store_returned_at + LAPSE_GRACE_S
+        if known.entry.draining or self._timer.now() >= back_until:
             del self._known_by_id[server_id]
         elif known.gone_at is None:
-            self._known_by_id[server_id] = replace(
-                known, gone_at=now + LAPSE_GRACE_S
-            )
+            self._known_by_id[server_id] = replace(known, gone_at=back_until)
 
     def replace_all(self, entry_by_id: Mapping[str, RegisteredServer]) -> None:
         """Takes over a complete listing of the registry."""
