Order servers without swinging; begin a silent watch anew

Change 1: the plan starts from what is there or on its way and changes as little as possible; spare servers for bursts and a lost zone.

--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -26,6 +26,7 @@
 from wasabiwing.prefill_rates import PrefillRates
 from wasabiwing.prompt_cache import PromptCacheIndex
 from wasabiwing.server_loads import ServerLoads
+from wasabiwing.store_progress import StoreProgress
 from wasabiwing.timers import FakeTimer
 from wasabiwing.usage_caps import CapTolerance
 from wasabiwing.usage_caps import UsageCaps
@@ -62,6 +63,7 @@
             ServerLoads(timer, PrefillRates()),
             PromptCacheIndex(),
             Demand(timer),
+            StoreProgress(timer),
         )
         self.usage = UsageReporter(
             node_id,
--- /dev/null
+++ b/tests/test_fleet_follower.py
@@ -0,0 +1,182 @@
+"""Tests of following the store: silent watches, order of versions."""
+
+from collections import deque
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from random import Random
+
+from anyio import create_task_group
+from anyio import sleep_forever
+import pytest
+from result import Err
+from result import Ok
+from result import Result
+
+from tests.platform_fakes import LeaseStoreFake
+from tests.platform_fakes import StoreLink
+from wasabiwing.codes import Failure
+from wasabiwing.codes import ResultCode
+from wasabiwing.fleet_changes import ConfigurationChange
+from wasabiwing.fleet_changes import EvacuationChange
+from wasabiwing.fleet_changes import FleetChange
+from wasabiwing.fleet_follower import BATCH_PAUSE_S
+from wasabiwing.fleet_follower import FleetFollower
+from wasabiwing.fleet_follower import FleetView
+from wasabiwing.fleet_follower import RETRY_PAUSE_S
+from wasabiwing.node_registry import NodeRegistry
+from wasabiwing.ports import StoreChanges
+from wasabiwing.ports import StoredValue
+from wasabiwing.ports import StoreSnapshot
+from wasabiwing.ports import WatchEvent
+from wasabiwing.server_directory import ServerDirectory
+from wasabiwing.service_configuration import RequestLimits
+from wasabiwing.service_configuration import ServiceConfiguration
+from wasabiwing.store_progress import LAG_S
+from wasabiwing.store_progress import StoreProgress
+from wasabiwing.timers import FakeTimer
+
+Answer = Result[StoreChanges, Failure] | None
+
+
+class ScriptedStore(StoreLink):
+    """Gives prepared answers to watches; ``None`` stays silent."""
+
+    def __init__(self, timer: FakeTimer) -> None:
+        super().__init__(LeaseStoreFake(timer))
+        self.answers: deque[Answer] = deque()
+        self.snapshots = 0
+        self.watches = 0
+        self.values: tuple[StoredValue, ...] = ()
+
+    async def snapshot(self, prefix: str) -> Result[StoreSnapshot, Failure]:
+        self.snapshots += 1
+        return Ok(StoreSnapshot(self.values, 10))
+
+    async def changes(
+        self, prefix: str, after: int, wait_s: float
+    ) -> Result[StoreChanges, Failure]:
+        self.watches += 1
+        answer = self.answers.popleft() if self.answers else None
+        if answer is None:
+            await sleep_forever()
+        assert answer is not None
+        return answer
+
+
+def decode(key: str, value: bytes | None) -> Result[FleetChange | None, str]:
+    """Reads versions and evacuations of the test."""
+    if key == "configuration" and value is not None:
+        if not value.isdigit():
+            return Err("not a number")
+        return Ok(
+            ConfigurationChange(
+                ServiceConfiguration(int(value), (), {}, RequestLimits())
+            )
+        )
+    if key.startswith("out/"):
+        return Ok(EvacuationChange(key[4:], value is not None))
+    return Ok(None)
+
+
+def change(revision: int, key: str, value: bytes | None) -> Answer:
+    """Returns a watch's answer with one change."""
+    event = WatchEvent(key, revision, value)
+    return Ok(StoreChanges((event,), revision))
+
+
+class Followed:
+    """A follower with its clock."""
+
+    def __init__(self) -> None:
+        self.timer = FakeTimer()
+        self.store = ScriptedStore(self.timer)
+        self.view = FleetView("node", ServerDirectory(self.timer))
+        self.progress = StoreProgress(self.timer)
+        self.follower = FleetFollower(
+            "node",
+            self.timer,
+            self.store,
+            decode,
+            self.view,
+            NodeRegistry("node"),
+            self.progress,
+            Random(1),
+        )
+
+    @property
+    def version(self) -> int:
+        """Version in force."""
+        assert self.view.configuration is not None
+        return self.view.configuration.version
+
+
+@asynccontextmanager
+async def follower(*answers: Answer) -> AsyncIterator[Followed]:
+    """Runs a follower on prepared answers."""
+    found = Followed()
+    found.store.answers.extend(answers)
+    found.store.values = (StoredValue("configuration", b"5", 9),)
+    async with create_task_group() as tasks:
+        tasks.start_soon(found.follower.run)
+        await found.timer.advance(0.0)
+        yield found
+        tasks.cancel_scope.cancel()
+
+
+@pytest.mark.anyio
+class TestFollower:
+    """Snapshots and watches."""
+
+    async def test_newer_version_is_put_in_force(self) -> None:
+        async with follower(change(11, "configuration", b"7")) as found:
+            assert found.version == 7
+
+    async def test_older_version_never_returns(self) -> None:
+        answers = [
+            change(11, "configuration", b"7"),
+            change(12, "configuration", b"6"),
+            change(13, "configuration", b"x"),
+        ]
+        async with follower(*answers) as found:
+            await found.timer.advance(3 * BATCH_PAUSE_S)
+            assert found.version == 7
+
+    async def test_lost_history_leads_to_a_snapshot(self) -> None:
+        gone = Err(Failure(ResultCode.STORE_HISTORY_GONE))
+        async with follower(gone) as found:
+            assert found.store.snapshots == 2
+
+    async def test_evacuation_that_ended_unseen_is_taken_back(self) -> None:
+        gone = Err(Failure(ResultCode.STORE_HISTORY_GONE))
+        async with follower(change(11, "out/zone-a", b"{}"), gone) as found:
+            assert found.view.evacuated_zones == {"zone-a"}
+            await found.timer.advance(BATCH_PAUSE_S)
+            assert found.view.evacuated_zones == frozenset()
+
+    async def test_knowledge_stays_while_the_store_is_away(self) -> None:
+        down = Err(Failure(ResultCode.STORE_UNAVAILABLE))
+        async with follower(down, down, down) as found:
+            await found.timer.advance(10 * RETRY_PAUSE_S)
+            assert found.version == 5
+            assert found.store.snapshots == 1
+
+    async def test_silent_watch_is_begun_anew_when_others_are_ahead(
+        self,
+    ) -> None:
+        """Found on the bench, bagline, hunt-f16d-27: CONFIG."""
+        silent = None
+        news = change(11, "configuration", b"7")
+        async with follower(silent, news) as found:
+            assert found.version == 5
+            found.progress.note_peer(11)
+            await found.timer.advance(LAG_S + 0.1)
+            found.progress.note_peer(11)
+            await found.timer.advance(0.0)
+            assert found.version == 7
+
+    async def test_waiting_watch_is_left_alone_without_news(self) -> None:
+        async with follower() as found:
+            for _ in range(10):
+                found.progress.note_peer(9)
+                await found.timer.advance(LAG_S)
+            assert found.store.watches == 1
--- a/wasabiwing/capacity_plan.py
+++ b/wasabiwing/capacity_plan.py
@@ -3,11 +3,12 @@
 Load patterns: demand that changes within seconds while a server takes seconds
 to boot; a zone whose reclaimable servers all vanish at once while no others
 are to be had; prices that differ by zone and kind. Reclaimable servers are
-spread over the zones, one server that cannot be reclaimed stays in the
-cheapest zone, and servers are given up only when others have taken over.
+spread over the zones with a spare for the loss of one of them. Others are
+ordered only for what reclaimable ones cannot cover, and are given up when
+enough of those are warm. A plan changes what is there as little as possible:
+a server that boots is as good as there.
 """
 
-from collections.abc import Mapping
 from collections.abc import Sequence
 from dataclasses import dataclass
 from math import ceil
@@ -16,12 +17,16 @@
 
 # Share of a server's time that prompts may take on average; above it, first
 # events wait for bursts to be worked off.
-TARGET_USE = 0.45
+TARGET_USE = 0.4
 
 # Servers that always run, whatever the demand: with fewer, the loss of one
 # zone leaves one.
 LEAST_SERVERS = 3
 
+# Servers beyond the need, as a share of it, for bursts and the loss of a
+# zone's reclaimable servers.
+SPARE_SHARE = 0.5
+
 
 @dataclass(frozen=True, slots=True)
 class ServerCount:
@@ -31,8 +36,8 @@
     reclaimable: bool
     # Registered, not leaving and warm.
     ready: int
-    # Registered and not leaving, also cold ones.
-    present: int
+    # Registered and not leaving, or ordered a short while ago.
+    expected: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +49,41 @@
     count: int
 
 
+class _Plan:
+    """Wanted numbers while a plan is made."""
+
+    def __init__(
+        self, zones: Sequence[str], counts: Sequence[ServerCount]
+    ) -> None:
+        kinds = [(zone, kind) for zone in zones for kind in (False, True)]
+        self.ready = dict.fromkeys(kinds, 0)
+        self.wanted = dict.fromkeys(kinds, 0)
+        for count in counts:
+            key = (count.availability_zone, count.reclaimable)
+            if key in self.wanted:
+                self.ready[key] = min(count.ready, count.expected)
+                self.wanted[key] = count.expected
+        self.before = dict(self.wanted)
+
+    def in_zone(self, zone: str) -> int:
+        """Returns the wanted servers of both kinds."""
+        return self.wanted[(zone, False)] + self.wanted[(zone, True)]
+
+    def total(self, reclaimable: bool | None = None) -> int:
+        """Returns the wanted servers of one kind, or of both."""
+        return sum(
+            count
+            for (_, kind), count in self.wanted.items()
+            if reclaimable is None or kind is reclaimable
+        )
+
+    def ready_total(self) -> int:
+        """Returns the warm servers that are wanted."""
+        return sum(
+            min(self.ready[key], self.wanted[key]) for key in self.wanted
+        )
+
+
 def servers_needed(demand: float) -> int:
     """Returns the servers for a demand in servers' computing time."""
     return max(ceil(demand / TARGET_USE), LEAST_SERVERS)
@@ -55,108 +95,67 @@
     limits: ScaleLimits,
     counts: Sequence[ServerCount],
     dry_zones: frozenset[str],
+    may_shrink: bool,
 ) -> tuple[ServerOrder, ...]:
-    """Returns the wanted number for each zone and kind.
+    """Returns the numbers that should change.
 
-    In ``dry_zones`` no more reclaimable servers can be had at present; those
-    that are there stay.
+    In ``dry_zones`` no more reclaimable servers can be had at present.
     """
     cheapest = sorted(
         zones, key=lambda zone: (limits.price_by_zone.get(zone, 1.0), zone)
     )
-    if not cheapest:
-        return ()
-    firm = dict.fromkeys(zones, 0)
-    reclaimable = dict.fromkeys(zones, 0)
-    if limits.reclaimable_price <= 0:
-        _spread(firm, {}, cheapest, needed, limits)
+    plan = _Plan(cheapest, counts)
+    target = needed + ceil(needed * SPARE_SHARE)
+    if limits.reclaimable_price > 0:
+        wet = [zone for zone in cheapest if zone not in dry_zones]
+        _grow(plan, True, wet, target, limits)
     else:
-        firm[cheapest[0]] = 1
-        _plan_reclaimable(
-            firm, reclaimable, cheapest, needed, limits, counts, dry_zones
-        )
-    _keep_minimum(firm, reclaimable, limits)
-    _keep_until_replaced(firm, reclaimable, needed, counts)
-    # The limit of a zone holds for both kinds together.
-    room = {zone: max(limits.most - firm[zone], 0) for zone in cheapest}
-    return (
-        *(ServerOrder(zone, False, firm[zone]) for zone in cheapest),
-        *(
-            ServerOrder(zone, True, min(reclaimable[zone], room[zone]))
-            for zone in cheapest
-        ),
+        _grow(plan, False, cheapest, target, limits)
+    firm = needed - plan.total(True)
+    _grow(plan, False, cheapest, firm, limits)
+    for zone in cheapest:
+        while plan.in_zone(zone) < limits.least:
+            plan.wanted[(zone, False)] += 1
+    if may_shrink and not dry_zones and limits.reclaimable_price > 0:
+        # A firm server makes room for a reclaimable one.
+        _shrink(plan, False, cheapest, needed, limits)
+        _shrink(plan, True, cheapest, target, limits)
+    return tuple(
+        ServerOrder(zone, kind, count)
+        for (zone, kind), count in plan.wanted.items()
+        if count != plan.before[(zone, kind)]
     )
 
 
-def _plan_reclaimable(
-    firm: dict[str, int],
-    reclaimable: dict[str, int],
-    cheapest: Sequence[str],
-    needed: int,
-    limits: ScaleLimits,
-    counts: Sequence[ServerCount],
-    dry_zones: frozenset[str],
-) -> None:
-    """Fills up with reclaimable servers, then with firm ones."""
-    for count in counts:
-        zone = count.availability_zone
-        if count.reclaimable and zone in dry_zones and zone in reclaimable:
-            reclaimable[zone] = count.present
-    wet = [zone for zone in cheapest if zone not in dry_zones]
-    # All reclaimable servers of a zone may vanish together.
-    spare = ceil(needed / len(cheapest))
-    firm_count = sum(firm.values())
-    _spread(reclaimable, firm, wet, needed + spare - firm_count, limits)
-    missing = needed - sum(reclaimable.values()) - firm_count
-    if missing > 0:
-        _spread(firm, reclaimable, cheapest, firm_count + missing, limits)
-
-
-def _spread(
-    wanted: dict[str, int],
-    others: Mapping[str, int],
+def _grow(
+    plan: _Plan,
+    reclaimable: bool,
     zones: Sequence[str],
     total: int,
     limits: ScaleLimits,
 ) -> None:
-    """Adds servers zone by zone until there are ``total`` or no room."""
-    while sum(wanted.values()) < total:
-        room = [
-            zone
-            for zone in zones
-            if wanted[zone] + others.get(zone, 0) < limits.most
-        ]
+    """Adds servers to the emptiest zones until the kind has enough."""
+    while plan.total(reclaimable) < total:
+        room = [zone for zone in zones if plan.in_zone(zone) < limits.most]
         if not room:
             return
-        wanted[min(room, key=lambda zone: wanted[zone])] += 1
-
-
-def _keep_minimum(
-    firm: dict[str, int], reclaimable: dict[str, int], limits: ScaleLimits
-) -> None:
-    for zone in firm:
-        missing = limits.least - firm[zone] - reclaimable[zone]
-        if missing > 0:
-            firm[zone] += missing
+        emptiest = min(room, key=lambda zone: plan.wanted[(zone, reclaimable)])
+        plan.wanted[(emptiest, reclaimable)] += 1
 
 
-def _keep_until_replaced(
-    firm: dict[str, int],
-    reclaimable: dict[str, int],
-    needed: int,
-    counts: Sequence[ServerCount],
+def _shrink(
+    plan: _Plan,
+    reclaimable: bool,
+    cheapest: Sequence[str],
+    least: int,
+    limits: ScaleLimits,
 ) -> None:
-    """Keeps firm servers until enough reclaimable ones are warm."""
-    ready = sum(
-        min(count.ready, reclaimable[count.availability_zone])
-        for count in counts
-        if count.reclaimable and count.availability_zone in reclaimable
-    )
-    missing = needed - ready - sum(firm.values())
-    for count in counts:
-        zone = count.availability_zone
-        if count.reclaimable or zone not in firm or missing <= 0:
-            continue
-        kept = min(max(count.present - firm[zone], 0), missing)
-        firm[zone] += kept
-        missing -= kept
+    """Gives servers up while enough warm ones stay, the dearest first."""
+    for zone in reversed(cheapest):
+        key = (zone, reclaimable)
+        while (
+            plan.wanted[key] > 0
+            and plan.in_zone(zone) > limits.least
+            and plan.ready_total() > least
+        ):
+            plan.wanted[key] -= 1
--- a/wasabiwing/fleet_follower.py
+++ b/wasabiwing/fleet_follower.py
@@ -22,10 +22,12 @@
 from wasabiwing.leases import LEASE_PREFIX
 from wasabiwing.node_registry import NodeRegistry
 from wasabiwing.ports import FollowedStore
+from wasabiwing.ports import StoreChanges
 from wasabiwing.ports import StoredValue
 from wasabiwing.server_directory import RegisteredServer
 from wasabiwing.server_directory import ServerDirectory
 from wasabiwing.service_configuration import ServiceConfiguration
+from wasabiwing.store_progress import StoreProgress
 from wasabiwing.timers import TimerService
 
 # A watch that hears nothing returns after this many seconds. A connection
@@ -163,10 +165,12 @@
         decode: Decode,
         view: FleetView,
         nodes: NodeRegistry,
+        progress: StoreProgress,
         random: Random,
     ) -> None:
         self._node_id = node_id
         self._timer = timer
+        self._progress = progress
         self._store = store
         self._decode = decode
         self._view = view
@@ -181,7 +185,9 @@
             if revision is None:
                 revision = await self._load()
                 continue
-            found = await self._store.changes("", revision, WATCH_WAIT_S)
+            found = await self._watch(revision)
+            if found is None:
+                continue
             if isinstance(found, Err):
                 if found.err_value.code is ResultCode.STORE_HISTORY_GONE:
                     revision = None
@@ -191,10 +197,25 @@
             self._note_answer()
             revision = max(found.ok_value.revision, revision)
             for event in found.ok_value.events:
+                self._progress.note_seen(event.revision)
                 self._apply(event.key, event.value)
             if found.ok_value.events:
                 await self._timer.sleep(BATCH_PAUSE_S)
 
+    async def _watch(
+        self, revision: int
+    ) -> Result[StoreChanges, Failure] | None:
+        """Waits for changes; ``None`` if the call lagged behind."""
+        with self._progress.begin_call():
+            return await self._store.changes("", revision, WATCH_WAIT_S)
+        log_event(
+            Event.DEPENDENCY_LOST,
+            self._node_id,
+            dependency="store",
+            failure="the watch lags behind other nodes",
+        )
+        return None
+
     async def _load(self) -> int | None:
         """Reads everything; returns the revision to follow from."""
         found = await self._store.snapshot("")
@@ -203,6 +224,8 @@
             return None
         self._note_answer()
         snapshot = found.ok_value
+        for stored in snapshot.values:
+            self._progress.note_seen(stored.revision)
         self._replace_all(snapshot.values)
         return snapshot.revision
 
--- a/wasabiwing/messages.py
+++ b/wasabiwing/messages.py
@@ -516,6 +516,8 @@
     placements: tuple[PromptPlacement, ...] = ()
     # Prompt computing time sent to each service, in servers.
     demand: tuple[tuple[str, float], ...] = ()
+    # Newest change of the store that the node has seen.
+    revision: int = 0
 
 
 Message = (
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -56,6 +56,7 @@
 from wasabiwing.server_orders import ServerOrders
 from wasabiwing.service_configuration import RequestLimits
 from wasabiwing.service_configuration import ServiceConfiguration
+from wasabiwing.store_progress import StoreProgress
 from wasabiwing.timers import SystemTimer
 from wasabiwing.timers import TimerService
 from wasabiwing.usage_caps import CapTolerance
@@ -119,6 +120,7 @@
         self.nodes = NodeRegistry(node_id)
         directory = ServerDirectory(timer)
         self.view = FleetView(node_id, directory)
+        progress = StoreProgress(timer)
         self.follower = FleetFollower(
             node_id,
             timer,
@@ -126,6 +128,7 @@
             platform.decode,
             self.view,
             self.nodes,
+            progress,
             random,
         )
         self._reports = NodeReports(life, timer, transport, self.nodes)
@@ -145,6 +148,7 @@
             self._loads,
             self._prompts,
             Demand(timer),
+            progress,
         )
         self.connections = ServerConnections(timer, metrics.count_connect)
         placement = CallPlacement(
--- a/wasabiwing/node_reports.py
+++ b/wasabiwing/node_reports.py
@@ -21,6 +21,7 @@
 from wasabiwing.routed_calls import PromptPart
 from wasabiwing.server_loads import PeerLoad
 from wasabiwing.server_loads import ServerLoads
+from wasabiwing.store_progress import StoreProgress
 from wasabiwing.timers import TimerService
 from wasabiwing.usage_caps import CapUse
 from wasabiwing.usage_caps import UsageCaps
@@ -51,6 +52,7 @@
     loads: ServerLoads
     prompts: PromptCacheIndex
     demand: Demand
+    store: StoreProgress
 
 
 class NodeReports:
@@ -134,6 +136,7 @@
             },
         )
         shared.demand.note_peer(envelope.sender, dict(report.demand))
+        shared.store.note_peer(report.revision)
         for placement in report.placements:
             shared.prompts.note(
                 placement.server_id,
@@ -159,4 +162,5 @@
             ),
             placements,
             tuple(shared.demand.own().items()),
+            shared.store.revision,
         )
--- a/wasabiwing/server_orders.py
+++ b/wasabiwing/server_orders.py
@@ -31,6 +31,9 @@
 # seconds.
 DRY_S = 3.0
 
+# Time after asking for more servers in which none are given up, in seconds.
+SHRINK_PAUSE_S = 2.0
+
 # Time beyond the boot time after which an order without effect is repeated,
 # in seconds.
 REPEAT_SLACK_S = 2.5
@@ -48,6 +51,8 @@
     """The last order of one kind."""
 
     count: int
+    # Servers that were there at that time.
+    present: int
     at: float
 
 
@@ -71,6 +76,8 @@
         self._zones = zones
         self._sent_by_key: dict[OrderKey, _Sent] = {}
         self._dry_until_by_zone: dict[tuple[str, str], float] = {}
+        # Last time at which more servers were asked for.
+        self._grown_at = -inf
         # Highest need by service, and when it was last seen.
         self._need_by_service: dict[str, tuple[int, float]] = {}
 
@@ -94,7 +101,7 @@
     async def _send_for(
         self, stamp: DutyStamp, service: str, limits: ScaleLimits
     ) -> Result[None, Failure]:
-        counts = self._counts(service)
+        counts = self._counts(service, limits)
         now = self._timer.now()
         dry = frozenset(
             zone
@@ -108,10 +115,9 @@
         ]
         demand = self._demand.total(service)
         needed = self._needed(service, servers_needed(demand))
-        orders = plan_servers(needed, zones, limits, counts, dry)
+        may_shrink = now - self._grown_at > SHRINK_PAUSE_S
+        orders = plan_servers(needed, zones, limits, counts, dry, may_shrink)
         for order in orders:
-            if not self._is_due(service, order, counts, limits):
-                continue
             sent = await self._send(stamp, service, order, demand)
             if isinstance(sent, Err):
                 return sent
@@ -155,35 +161,22 @@
                 return sent
             if order.reclaimable:
                 self._dry_until_by_zone[(service, zone)] = now + DRY_S
-        key = (service, zone, order.reclaimable)
-        self._sent_by_key[key] = _Sent(order.count, now)
-        return Ok(None)
-
-    def _is_due(
-        self,
-        service: str,
-        order: ServerOrder,
-        counts: tuple[ServerCount, ...],
-        limits: ScaleLimits,
-    ) -> bool:
-        """Whether an order has to be sent, for the first time or again."""
-        zone = order.availability_zone
+            self._grown_at = now
+            return Ok(None)
         present = sum(
-            count.present
-            for count in counts
-            if count.availability_zone == zone
-            and count.reclaimable == order.reclaimable
+            server.availability_zone == zone
+            and server.reclaimable == order.reclaimable
+            for server in self._view.directory.of_service(service)
         )
-        sent = self._sent_by_key.get((service, zone, order.reclaimable))
-        if sent is None:
-            return present != order.count
-        if sent.count != order.count:
-            return True
-        age_s = self._timer.now() - sent.at
-        patience_s = limits.boot_s + REPEAT_SLACK_S
-        return present != order.count and age_s > patience_s
+        key = (service, zone, order.reclaimable)
+        if order.count > present:
+            self._grown_at = now
+        self._sent_by_key[key] = _Sent(order.count, present, now)
+        return Ok(None)
 
-    def _counts(self, service: str) -> tuple[ServerCount, ...]:
+    def _counts(
+        self, service: str, limits: ScaleLimits
+    ) -> tuple[ServerCount, ...]:
         directory = self._view.directory
         servers = directory.of_service(service)
         counts = []
@@ -200,7 +193,20 @@
                     for server in there
                     if not directory.is_cold(server.id)
                 ]
+                sent = self._sent_by_key.get((service, zone, reclaimable))
+                expected = self._expected(len(there), sent, limits)
                 counts.append(
-                    ServerCount(zone, reclaimable, len(warm), len(there))
+                    ServerCount(zone, reclaimable, len(warm), expected)
                 )
         return tuple(counts)
+
+    def _expected(
+        self, present: int, sent: _Sent | None, limits: ScaleLimits
+    ) -> int:
+        """Returns the servers that are there or on their way."""
+        patience_s = limits.boot_s + REPEAT_SLACK_S
+        if sent is None or self._timer.now() - sent.at > patience_s:
+            return present
+        if sent.count <= sent.present:
+            return min(present, sent.count)
+        return present + max(sent.count - max(present, sent.present), 0)
