Refuse what would be late; order servers safe against another reclaim

Change: firm servers cover the loss of a further zone, and one always runs; loads are reported by class of urgency; a prompt whose first event is predicted 1.3 times beyond its target behind a queue is refused at once. Tests replay bursts, a hot part and lost servers on an engine model against baselines; the log of a node is bounded and written from a thread.

--- /dev/null
+++ b/tests/load_replay.py
@@ -0,0 +1,322 @@
+"""Replays load patterns against engine models through the node's decisions.
+
+Several nodes see the same, slightly old loads and place prompts by a policy;
+time moves in small steps. Seeds are fixed, so a replay has one result.
+"""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+from dataclasses import dataclass
+from dataclasses import field
+from random import Random
+
+from wasabiwing.call_refusal import is_hopeless
+from wasabiwing.call_refusal import is_late
+from wasabiwing.prefill_rates import PrefillRates
+from wasabiwing.prompt_cache import PromptCacheIndex
+from wasabiwing.routed_calls import PromptPart
+from wasabiwing.routed_calls import URGENCY_CLASSES
+from wasabiwing.server_choice import Candidate
+from wasabiwing.server_choice import choose_server
+from wasabiwing.server_loads import ServerLoads
+from wasabiwing.timers import FakeTimer
+from wasabiwing_standins.engine_model import EngineModel
+from wasabiwing_standins.engine_model import FIRST_EVENT_S
+from wasabiwing_standins.engine_model import QueuedPrompt
+from wasabiwing_standins.engine_model import TOKENS_PER_S
+
+STEP_S = 0.01
+REPORT_S = 0.25
+SERVICE = "models"
+
+
+@dataclass(frozen=True, slots=True)
+class PromptKind:
+    """A kind of request."""
+
+    name: str
+    urgency_class: int
+    target_s: float
+    deadline_s: float
+    worth: float
+    # Tokens of two shared parts, and of the request's own part on average.
+    shared: tuple[int, int]
+    own: int
+    # Different values of the two shared parts.
+    values: tuple[int, int]
+    per_s: float
+
+
+QUOTE = PromptKind(
+    "quote", 0, 0.6, 5.0, 4.2, (2520, 3780), 2890, (4, 123), 14.0
+)
+NOTES = PromptKind(
+    "notes", 1, 1.0, 3.0, 1.0, (341, 227), 1800, (20, 151), 17.0
+)
+CHAT = PromptKind("chat", 2, 1.5, 15.0, 0.93, (103, 69), 543, (8, 109), 5.5)
+KINDS = (QUOTE, NOTES, CHAT)
+
+
+@dataclass(slots=True)
+class Prompt:
+    """A request of the replay."""
+
+    id: str
+    kind: PromptKind
+    at: float
+    parts: tuple[PromptPart, ...]
+    first_event_at: float | None = None
+    refused_at: float | None = None
+
+    @property
+    def tokens(self) -> int:
+        """Tokens of the whole prompt."""
+        return sum(part.tokens for part in self.parts)
+
+
+@dataclass(slots=True)
+class Result:
+    """What became of the requests."""
+
+    prompts: list[Prompt] = field(default_factory=list)
+    computed_tokens: int = 0
+
+    def in_time(self, kind: PromptKind | None = None) -> float:
+        """Share of requests whose first event was on time."""
+        chosen = [p for p in self.prompts if kind in (None, p.kind)]
+        return sum(map(_is_in_time, chosen)) / max(len(chosen), 1)
+
+    def worth(self) -> float:
+        """Worth earned as a share of the worth asked for."""
+        earned = sum(
+            prompt.kind.worth * (1.0 if _is_in_time(prompt) else 0.1)
+            for prompt in self.prompts
+            if prompt.first_event_at is not None
+            and prompt.first_event_at - prompt.at < prompt.kind.deadline_s
+        )
+        return earned / sum(prompt.kind.worth for prompt in self.prompts)
+
+
+def _is_in_time(prompt: Prompt) -> bool:
+    return (
+        prompt.first_event_at is not None
+        and prompt.first_event_at - prompt.at <= prompt.kind.target_s
+    )
+
+
+class ReplayNode:
+    """What one node knows."""
+
+    def __init__(self, node_id: str, timer: FakeTimer) -> None:
+        self.id = node_id
+        self.rates = PrefillRates()
+        self.loads = ServerLoads(timer, self.rates)
+        self.prompts = PromptCacheIndex()
+        # Shared parts that this node has placed since its last report.
+        self.placed: list[tuple[str, tuple[PromptPart, ...]]] = []
+
+    def candidates(
+        self, prompt: Prompt, servers: Sequence[str]
+    ) -> list[Candidate]:
+        """Returns the servers as this node sees them."""
+        found = []
+        for server_id in servers:
+            cached = self.prompts.cached_tokens(server_id, prompt.parts)
+            found.append(
+                Candidate(
+                    server_id,
+                    True,
+                    64,
+                    self.loads.estimate(
+                        server_id, SERVICE, prompt.kind.urgency_class
+                    ),
+                    max(prompt.tokens - cached, 1),
+                )
+            )
+        return found
+
+
+# Returns the chosen server, or ``None`` to refuse.
+Policy = Callable[[ReplayNode, Prompt, Sequence[str], float], str | None]
+
+
+def product_policy(
+    node: ReplayNode, prompt: Prompt, servers: Sequence[str], now: float
+) -> str | None:
+    """Places and refuses as a node does."""
+    chosen = placed_only(node, prompt, servers, now)
+    if chosen is None:
+        return None
+    [candidate] = node.candidates(prompt, [chosen])
+    work = candidate.load.pending_tokens + candidate.uncached_tokens
+    first_event_s = FIRST_EVENT_S + work / TOKENS_PER_S
+    remaining_s = prompt.kind.deadline_s - (now - prompt.at)
+    in_time_s = prompt.kind.target_s - (now - prompt.at)
+    if is_hopeless(first_event_s, remaining_s):
+        return None
+    if is_late(first_event_s, in_time_s, candidate.load):
+        return None
+    return chosen
+
+
+def placed_only(
+    node: ReplayNode, prompt: Prompt, servers: Sequence[str], now: float
+) -> str | None:
+    """Places as a node does and refuses nothing."""
+    placement = choose_server(
+        node.candidates(prompt, servers),
+        prompt.parts[-2].id,
+        1.0 / TOKENS_PER_S,
+        FIRST_EVENT_S,
+    )
+    return None if placement is None else placement.server_id
+
+
+def random_policy(seed: int) -> Policy:
+    """Returns a baseline that places at random."""
+    random = Random(seed)
+
+    def choose(
+        node: ReplayNode, prompt: Prompt, servers: Sequence[str], now: float
+    ) -> str | None:
+        return random.choice(list(servers)) if servers else None
+
+    return choose
+
+
+def least_outstanding(
+    node: ReplayNode, prompt: Prompt, servers: Sequence[str], now: float
+) -> str | None:
+    """A baseline that counts requests and ignores prompts."""
+    found = node.candidates(prompt, servers)
+    if not found:
+        return None
+    return min(found, key=lambda item: (item.load.running, item.id)).id
+
+
+def prefix_only(
+    node: ReplayNode, prompt: Prompt, servers: Sequence[str], now: float
+) -> str | None:
+    """A baseline that follows the prompt's shared parts only."""
+    found = node.candidates(prompt, servers)
+    if not found:
+        return None
+    return min(found, key=lambda item: (item.uncached_tokens, item.id)).id
+
+
+def arrivals(
+    seed: int,
+    seconds: float,
+    rate: Callable[[PromptKind, float], float],
+    hot_share: float = 0.0,
+) -> list[Prompt]:
+    """Draws requests; ``rate`` multiplies a kind's usual rate at a time.
+
+    ``hot_share`` of the quotes are about one thing.
+    """
+    random = Random(seed)
+    found: list[Prompt] = []
+    for kind in KINDS:
+        now = 0.0
+        while True:
+            now += random.expovariate(kind.per_s * max(rate(kind, now), 0.01))
+            if now > seconds:
+                break
+            first, second = (random.randrange(count) for count in kind.values)
+            if kind is QUOTE and random.random() < hot_share:
+                first, second = 0, 0
+            number = len(found)
+            own = max(int(random.lognormvariate(0.0, 0.9) * kind.own / 1.5), 5)
+            parts = (
+                PromptPart(f"{kind.name}-{first}", kind.shared[0]),
+                PromptPart(f"{kind.name}-{first}-{second}", kind.shared[1]),
+                PromptPart(f"own-{number}", min(own, 12 * kind.own)),
+            )
+            found.append(Prompt(f"r{number}", kind, now, parts))
+    return sorted(found, key=lambda prompt: prompt.at)
+
+
+async def replay(
+    prompts: list[Prompt],
+    policy: Policy,
+    servers: int = 5,
+    nodes: int = 7,
+    gone_at: tuple[float, int] | None = None,
+) -> Result:
+    """Plays requests; ``gone_at`` takes a number of engines away."""
+    timer = FakeTimer(0.0)
+    engines = [EngineModel(f"server-{number}") for number in range(servers)]
+    by_id = {engine.id: engine for engine in engines}
+    fleet = [ReplayNode(f"node-{number}", timer) for number in range(nodes)]
+    result = Result([], 0)
+    random = Random(7)
+    running: dict[str, tuple[Prompt, ReplayNode, str]] = {}
+    waiting_events: list[tuple[float, str]] = []
+    pending = [
+        Prompt(prompt.id, prompt.kind, prompt.at, prompt.parts)
+        for prompt in prompts
+    ]
+    result.prompts = list(pending)
+    end = pending[-1].at + 6.0
+    next_report = 0.0
+    while timer.now() < end:
+        now = timer.now()
+        if gone_at is not None and now >= gone_at[0]:
+            for engine in engines[: gone_at[1]]:
+                for request_id in engine.fail():
+                    _, node, server_id = running.pop(request_id)
+                    node.loads.note_ended(server_id, request_id, True)
+            gone_at = None
+        alive = [engine.id for engine in engines if not engine.gone]
+        while pending and pending[0].at <= now:
+            prompt = pending.pop(0)
+            node = random.choice(fleet)
+            chosen = policy(node, prompt, alive, now)
+            if chosen is None:
+                prompt.refused_at = now
+                continue
+            _send(by_id[chosen], node, prompt, now)
+            running[prompt.id] = (prompt, node, chosen)
+        for engine in engines:
+            for event in engine.advance(now):
+                result.computed_tokens += event.computed_tokens
+                waiting_events.append((event.at, event.request_id))
+        for at, request_id in [item for item in waiting_events]:
+            if at <= now and request_id in running:
+                prompt, node, server_id = running.pop(request_id)
+                prompt.first_event_at = at
+                node.loads.note_first_event(server_id, request_id)
+                node.loads.note_ended(server_id, request_id, False)
+        waiting_events = [item for item in waiting_events if item[0] > now]
+        if now >= next_report:
+            next_report = now + REPORT_S
+            _exchange(fleet)
+        await timer.advance(STEP_S)
+    return result
+
+
+def _send(
+    engine: EngineModel, node: ReplayNode, prompt: Prompt, now: float
+) -> None:
+    cached = node.prompts.cached_tokens(engine.id, prompt.parts)
+    urgency_class = min(prompt.kind.urgency_class, URGENCY_CLASSES - 1)
+    node.loads.note_sent(
+        engine.id, prompt.id, urgency_class, max(prompt.tokens - cached, 1)
+    )
+    node.prompts.note(engine.id, prompt.parts)
+    node.placed.append((engine.id, prompt.parts[:-1]))
+    engine.submit(QueuedPrompt(urgency_class, now, prompt.id, prompt.parts))
+
+
+def _exchange(fleet: Sequence[ReplayNode]) -> None:
+    loads = {node.id: node.loads.own_load() for node in fleet}
+    for node in fleet:
+        for peer_id, load in loads.items():
+            if peer_id != node.id:
+                node.loads.note_peer(peer_id, load)
+    for sender in fleet:
+        for node in fleet:
+            if node is not sender:
+                for server_id, parts in sender.placed:
+                    node.prompts.note(server_id, parts)
+        sender.placed.clear()
--- /dev/null
+++ b/tests/test_load_replay.py
@@ -0,0 +1,116 @@
+"""Replays of load at its worst through placement and refusal."""
+
+import pytest
+
+from tests.load_replay import arrivals
+from tests.load_replay import CHAT
+from tests.load_replay import KINDS
+from tests.load_replay import least_outstanding
+from tests.load_replay import NOTES
+from tests.load_replay import placed_only
+from tests.load_replay import prefix_only
+from tests.load_replay import product_policy
+from tests.load_replay import PromptKind
+from tests.load_replay import QUOTE
+from tests.load_replay import random_policy
+from tests.load_replay import replay
+
+SEEDS = (11, 12, 13)
+
+each_seed = pytest.mark.parametrize("seed", SEEDS)
+
+
+def steady(kind: PromptKind, now: float) -> float:
+    """Returns the usual rate."""
+    return 1.0
+
+
+def burst_of_all(kind: PromptKind, now: float) -> float:
+    """Returns seven times the rate for four seconds."""
+    return 7.0 if 3.0 <= now < 7.0 else 1.0
+
+
+def burst_of_notes(kind: PromptKind, now: float) -> float:
+    """Returns thirty times the rate of one kind for four seconds."""
+    return 30.0 if kind is NOTES and 3.0 <= now < 7.0 else 1.0
+
+
+@pytest.mark.anyio
+class TestPlacement:
+    """Where prompts go, against simple baselines on the same requests."""
+
+    @each_seed
+    async def test_fewer_tokens_are_computed_than_with_blind_policies(
+        self, seed: int
+    ) -> None:
+        prompts = arrivals(seed, 12.0, steady)
+        own = await replay(prompts, placed_only)
+        for policy in (random_policy(seed), least_outstanding):
+            other = await replay(prompts, policy)
+            assert own.computed_tokens < other.computed_tokens
+
+    @each_seed
+    async def test_hot_part_is_spread_over_servers(self, seed: int) -> None:
+        prompts = arrivals(seed, 10.0, lambda kind, now: 3.0, 0.6)
+        own = await replay(prompts, placed_only)
+        other = await replay(prompts, prefix_only)
+        assert own.in_time() > other.in_time()
+
+    @each_seed
+    async def test_half_of_the_servers_vanish(self, seed: int) -> None:
+        prompts = arrivals(seed, 10.0, lambda kind, now: 1.5)
+        own = await replay(prompts, product_policy, 4, gone_at=(4.0, 2))
+        for policy in (random_policy(seed), least_outstanding):
+            other = await replay(prompts, policy, 4, gone_at=(4.0, 2))
+            assert own.worth() > other.worth()
+
+
+@pytest.mark.anyio
+class TestRefusal:
+    """What refusing at once gains when there is too much work."""
+
+    @each_seed
+    async def test_burst_of_all_kinds(self, seed: int) -> None:
+        prompts = arrivals(seed, 12.0, burst_of_all)
+        own = await replay(prompts, product_policy, 3)
+        without = await replay(prompts, placed_only, 3)
+        assert own.worth() > without.worth()
+
+    @each_seed
+    async def test_burst_of_one_kind_leaves_more_urgent_ones_alone(
+        self, seed: int
+    ) -> None:
+        prompts = arrivals(seed, 10.0, burst_of_notes)
+        own = await replay(prompts, product_policy, 3)
+        calm = await replay(arrivals(seed, 10.0, steady), product_policy, 3)
+        assert own.in_time(QUOTE) > calm.in_time(QUOTE) - 0.1
+
+    @each_seed
+    async def test_nothing_is_refused_while_there_is_room(
+        self, seed: int
+    ) -> None:
+        prompts = arrivals(seed, 10.0, steady)
+        own = await replay(prompts, product_policy)
+        refused = [p for p in own.prompts if p.refused_at is not None]
+        assert refused == []
+
+    @each_seed
+    async def test_no_kind_starves(self, seed: int) -> None:
+        prompts = arrivals(seed, 12.0, burst_of_all)
+        own = await replay(prompts, product_policy, 3)
+        served = {
+            kind: [p.first_event_at is not None for p in own.prompts]
+            for kind in KINDS
+        }
+        for kind in (QUOTE, NOTES, CHAT):
+            assert sum(served[kind]) >= len(served[kind]) / 4
+
+    @each_seed
+    async def test_refusal_is_decided_on_arrival(self, seed: int) -> None:
+        prompts = arrivals(seed, 12.0, burst_of_all)
+        own = await replay(prompts, product_policy, 3)
+        refused = [p for p in own.prompts if p.refused_at is not None]
+        assert refused
+        for prompt in refused:
+            assert prompt.refused_at is not None
+            assert prompt.refused_at - prompt.at <= 0.05
--- /dev/null
+++ b/tests/test_log_writer.py
@@ -0,0 +1,80 @@
+"""Tests of the log writer: stalled readers and events that repeat."""
+
+from io import BytesIO
+from os import fdopen
+from os import pipe
+from threading import Event as ThreadEvent
+from threading import Thread
+
+from msgspec.json import decode
+
+from wasabiwing.events import Event
+from wasabiwing.log_writer import BURST_LINES
+from wasabiwing.log_writer import LogWriter
+from wasabiwing.log_writer import QUEUE_LINES
+
+
+class Clock:
+    """A clock that moves by hand."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def written(stream: BytesIO) -> list[dict[str, object]]:
+    """Returns the lines of a stream."""
+    return [decode(line) for line in stream.getvalue().splitlines()]
+
+
+class TestLogWriter:
+    """What is written, left out and never waited for."""
+
+    def test_lines_are_written_in_order(self) -> None:
+        stream = BytesIO()
+        writer = LogWriter(stream, Clock())
+        writer.start()
+        for number in range(20):
+            writer({"event": 200, "number": number})
+        writer.close()
+        assert [line["number"] for line in written(stream)] == list(range(20))
+
+    def test_event_that_repeats_is_cut_and_counted(self) -> None:
+        stream = BytesIO()
+        clock = Clock()
+        writer = LogWriter(stream, clock)
+        writer.start()
+        extra = 50
+        for _ in range(int(BURST_LINES) + extra):
+            writer({"event": 200, "node": "n"})
+        writer({"event": 201, "node": "n"})
+        clock.now = 1.0
+        writer({"event": 200, "node": "n"})
+        writer.close()
+        lines = written(stream)
+        left_out = [
+            line
+            for line in lines
+            if line["event"] == int(Event.LINES_LEFT_OUT)
+        ]
+        assert [line["count"] for line in left_out] == [extra]
+        assert sum(line["event"] == 201 for line in lines) == 1
+
+    def test_reader_that_stalls_does_not_block_the_caller(self) -> None:
+        read_end, write_end = pipe()
+        clock = Clock()
+        writer = LogWriter(fdopen(write_end, "wb"), clock)
+        writer.start()
+        done = ThreadEvent()
+
+        def log_much() -> None:
+            for number in range(3 * QUEUE_LINES):
+                clock.now += 1.0
+                writer({"event": 200, "text": "x" * 200, "number": number})
+            done.set()
+
+        Thread(target=log_much, daemon=True).start()
+        assert done.wait(60.0)
+        fdopen(read_end, "rb").close()
--- a/wasabiwing/call_forwarding.py
+++ b/wasabiwing/call_forwarding.py
@@ -329,7 +329,10 @@
         if not progress.tried - {server_id}:
             self._retry_budgets.count_first(call.service)
         self._loads.note_sent(
-            server_id, call.head.attempt_id, placed.uncached_tokens
+            server_id,
+            call.head.attempt_id,
+            call.urgency_class,
+            placed.uncached_tokens,
         )
         if call.head.prompt_parts:
             self._prompts.note(server_id, call.head.prompt_parts)
@@ -567,8 +570,8 @@
 
 
 def _urgency(call: RoutedCall) -> int:
-    route, organisation = call.rank
-    return min(route * URGENCY_STEP + min(organisation, 1), LEAST_URGENT)
+    urgency = call.urgency_class * URGENCY_STEP
+    return min(urgency + min(call.organisation_priority, 1), LEAST_URGENT)
 
 
 def _patience_s(
--- a/wasabiwing/call_placement.py
+++ b/wasabiwing/call_placement.py
@@ -11,6 +11,7 @@
 from result import Result
 
 from wasabiwing.call_refusal import is_hopeless
+from wasabiwing.call_refusal import is_late
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.cold_allowance import ColdAllowance
@@ -88,9 +89,12 @@
             return Err(Failure(ResultCode.OVERLOADED, "servers are cold"))
         by_id = {candidate.id: candidate for candidate in candidates}
         chosen = by_id[placement.server_id]
-        remaining_s = call.deadline - self._timer.now()
-        if chosen.uncached_tokens and is_hopeless(
-            placement.first_event_s, remaining_s
+        now = self._timer.now()
+        remaining_s = call.deadline - now
+        in_time_s = call.route.latency_target_s - (now - call.received_at)
+        if chosen.uncached_tokens and (
+            is_hopeless(placement.first_event_s, remaining_s)
+            or is_late(placement.first_event_s, in_time_s, chosen.load)
         ):
             return Err(
                 Failure(
@@ -136,7 +140,7 @@
             server.id,
             server.availability_zone == self._availability_zone,
             server.slots,
-            self._loads.estimate(server.id, call.service),
+            self._loads.estimate(server.id, call.service, call.urgency_class),
             uncached,
         )
 
--- a/wasabiwing/call_refusal.py
+++ b/wasabiwing/call_refusal.py
@@ -6,10 +6,16 @@
 queue takes, spread so that the callers do not return as one wave.
 """
 
+from wasabiwing.server_loads import LoadEstimate
+
 # Part of the remaining time within which the first event must be predicted;
 # predictions are off by the work that other nodes send meanwhile.
 FEASIBLE_SHARE = 0.7
 
+# How far beyond its latency target a first event must be predicted before a
+# request is refused: below, the prediction may be wrong.
+LATE_FACTOR = 1.3
+
 # Bounds of the time to come back after, in seconds.
 LEAST_RETRY_S = 0.1
 MOST_RETRY_S = 1.5
@@ -29,6 +35,19 @@
     return first_event_s > remaining_s * FEASIBLE_SHARE
 
 
+def is_late(
+    first_event_s: float, in_time_s: float, load: LoadEstimate
+) -> bool:
+    """Whether the first event will surely miss the latency target.
+
+    A late answer is worth little and delays all that come after it. With
+    nothing waiting at the server, a miss is not the load's fault, and the
+    request is sent all the same.
+    """
+    waits = load.waiting > 0 or load.pending_tokens > 0
+    return waits and first_event_s > max(in_time_s, 0.0) * LATE_FACTOR
+
+
 def retry_after_s(queue_s: float, remaining_s: float, draw: float) -> float:
     """Returns the seconds after which a refused request may come back.
 
--- a/wasabiwing/capacity_plan.py
+++ b/wasabiwing/capacity_plan.py
@@ -9,6 +9,7 @@
 a server that boots is as good as there.
 """
 
+from collections.abc import Callable
 from collections.abc import Sequence
 from dataclasses import dataclass
 from math import ceil
@@ -23,6 +24,10 @@
 # zone leaves one.
 LEAST_SERVERS = 3
 
+# Firm servers that always run: reclaims of two zones within a second leave
+# nothing else, and another server takes seconds to boot.
+LEAST_FIRM = 1
+
 # Servers beyond the need, as a share of it, for bursts and the loss of a
 # zone's reclaimable servers.
 SPARE_SHARE = 0.5
@@ -79,9 +84,24 @@
 
     def ready_total(self) -> int:
         """Returns the warm servers that are wanted."""
-        return sum(
-            min(self.ready[key], self.wanted[key]) for key in self.wanted
-        )
+        return sum(self._warm(key) for key in self.wanted)
+
+    def warm_reclaimable(self) -> int:
+        """Returns the warm reclaimable servers that are wanted."""
+        return sum(self._warm(key) for key in self.wanted if key[1])
+
+    def safe(self) -> int:
+        """Returns the wanted servers that stay if a zone is reclaimed."""
+        at_risk = [count for (_, kind), count in self.wanted.items() if kind]
+        return self.total() - max(at_risk, default=0)
+
+    def safe_ready(self) -> int:
+        """Returns the warm servers that stay if a zone is reclaimed."""
+        at_risk = [self._warm(key) for key in self.wanted if key[1]]
+        return self.ready_total() - max(at_risk, default=0)
+
+    def _warm(self, key: tuple[str, bool]) -> int:
+        return min(self.ready[key], self.wanted[key])
 
 
 def servers_needed(demand: float) -> int:
@@ -105,21 +125,35 @@
         zones, key=lambda zone: (limits.price_by_zone.get(zone, 1.0), zone)
     )
     plan = _Plan(cheapest, counts)
-    target = needed + ceil(needed * SPARE_SHARE)
+    target = needed + ceil(needed * SPARE_SHARE) - LEAST_FIRM
     if limits.reclaimable_price > 0:
         wet = [zone for zone in cheapest if zone not in dry_zones]
         _grow(plan, True, wet, target, limits)
     else:
-        _grow(plan, False, cheapest, target, limits)
-    firm = needed - plan.total(True)
-    _grow(plan, False, cheapest, firm, limits)
+        _grow(plan, False, cheapest, target + LEAST_FIRM, limits)
+    missing = max(needed - plan.safe(), LEAST_FIRM - plan.total(False))
+    _grow(plan, False, cheapest, plan.total(False) + missing, limits)
     for zone in cheapest:
         while plan.in_zone(zone) < limits.least:
             plan.wanted[(zone, False)] += 1
     if may_shrink and not dry_zones and limits.reclaimable_price > 0:
         # A firm server makes room for a reclaimable one.
-        _shrink(plan, False, cheapest, needed, limits)
-        _shrink(plan, True, cheapest, target, limits)
+        _shrink(
+            plan,
+            False,
+            cheapest,
+            limits,
+            lambda: (
+                plan.safe_ready() > needed and plan.total(False) > LEAST_FIRM
+            ),
+        )
+        _shrink(
+            plan,
+            True,
+            cheapest,
+            limits,
+            lambda: plan.warm_reclaimable() > target,
+        )
     return tuple(
         ServerOrder(zone, kind, count)
         for (zone, kind), count in plan.wanted.items()
@@ -147,15 +181,15 @@
     plan: _Plan,
     reclaimable: bool,
     cheapest: Sequence[str],
-    least: int,
     limits: ScaleLimits,
+    has_surplus: Callable[[], bool],
 ) -> None:
-    """Gives servers up while enough warm ones stay, the dearest first."""
+    """Gives servers up while there is a surplus, the dearest first."""
     for zone in reversed(cheapest):
         key = (zone, reclaimable)
         while (
             plan.wanted[key] > 0
             and plan.in_zone(zone) > limits.least
-            and plan.ready_total() > least
+            and has_surplus()
         ):
             plan.wanted[key] -= 1
--- a/wasabiwing/messages.py
+++ b/wasabiwing/messages.py
@@ -491,8 +491,8 @@
     """What a node has in flight at a backend server."""
 
     server_id: str
-    # Prompt tokens of requests without a first event.
-    pending_tokens: int
+    # Prompt tokens of requests without a first event, by class of urgency.
+    pending_by_class: tuple[int, ...]
     running: int
 
 
--- a/wasabiwing/node_reports.py
+++ b/wasabiwing/node_reports.py
@@ -131,7 +131,7 @@
         shared.loads.note_peer(
             envelope.sender,
             {
-                item.server_id: PeerLoad(item.pending_tokens, item.running)
+                item.server_id: PeerLoad(item.pending_by_class, item.running)
                 for item in report.servers
             },
         )
@@ -157,7 +157,7 @@
                 for item in shared.windows.own_counts()
             ),
             tuple(
-                ServerUse(server_id, load.pending_tokens, load.running)
+                ServerUse(server_id, load.pending_by_class, load.running)
                 for server_id, load in shared.loads.own_load().items()
             ),
             placements,
--- a/wasabiwing/program.py
+++ b/wasabiwing/program.py
@@ -5,13 +5,16 @@
 from signal import SIGINT
 from signal import SIGTERM
 from sys import stdout
+from time import monotonic
 
 from anyio import create_task_group
 from anyio import Event
 from anyio import open_signal_receiver
 from anyio import run
+from eliot import add_destinations
 
 from wasabiwing.events import open_log
+from wasabiwing.log_writer import LogWriter
 
 Program = Callable[[Event], Awaitable[None]]
 
@@ -20,6 +23,21 @@
     """Runs a program until it ends; SIGTERM and SIGINT ask it to stop."""
     stream = open(log_path, "a") if log_path else stdout
     open_log(stream)
+    _run(program)
+
+
+def run_with_bounded_log(program: Program) -> None:
+    """Runs a program that never waits for the reader of its log."""
+    writer = LogWriter(stdout.buffer, monotonic)
+    writer.start()
+    add_destinations(writer)
+    try:
+        _run(program)
+    finally:
+        writer.close()
+
+
+def _run(program: Program) -> None:
     run(_run_until_signal, program, backend_options={"use_uvloop": True})
 
 
--- a/wasabiwing/routed_calls.py
+++ b/wasabiwing/routed_calls.py
@@ -14,6 +14,9 @@
 
 RawHeaders = tuple[tuple[bytes, bytes], ...]
 
+# Classes of urgency; a server computes prompts of the lowest class first.
+URGENCY_CLASSES = 3
+
 
 @dataclass(frozen=True, slots=True)
 class PromptPart:
@@ -75,11 +78,15 @@
         return self.head.prompt_tokens + (self.head.answer_tokens or 0)
 
     @property
-    def rank(self) -> tuple[int, int]:
-        """Order of service among waiting requests; the lowest is first."""
+    def urgency_class(self) -> int:
+        """Class of urgency; the lowest is served first."""
+        return min(max(self.route.priority, 0), URGENCY_CLASSES - 1)
+
+    @property
+    def organisation_priority(self) -> int:
+        """Priority of the organisation; breaks ties within a class."""
         organisation = self.organisation
-        own = 0 if organisation is None else organisation.priority or 0
-        return self.route.priority, own
+        return 0 if organisation is None else organisation.priority or 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/wasabiwing/server_loads.py
+++ b/wasabiwing/server_loads.py
@@ -10,6 +10,7 @@
 
 from wasabiwing.prefill_rates import PrefillRates
 from wasabiwing.routed_calls import ServerLoad
+from wasabiwing.routed_calls import URGENCY_CLASSES
 from wasabiwing.timers import TimerService
 
 # Weight of the newest outcome in a server's share of failures.
@@ -33,8 +34,8 @@
 class PeerLoad:
     """What another node has in flight at one server."""
 
-    # Prompt tokens of requests without a first event.
-    pending_tokens: int
+    # Prompt tokens of requests without a first event, by class of urgency.
+    pending_by_class: tuple[int, ...]
     running: int
 
 
@@ -42,8 +43,11 @@
 class _Server:
     """Load and health of one server."""
 
-    # Prompt tokens to compute, by own request without a first event.
-    pending_by_attempt: dict[str, int] = field(default_factory=dict)
+    # Class of urgency and prompt tokens to compute, by own request without a
+    # first event.
+    pending_by_attempt: dict[str, tuple[int, int]] = field(
+        default_factory=dict
+    )
     running: int = 0
     load_by_peer: dict[str, tuple[float, PeerLoad]] = field(
         default_factory=dict
@@ -61,7 +65,8 @@
 class LoadEstimate:
     """The state of a server that a placement decision reads."""
 
-    # Prompt tokens that all nodes have sent and that are not computed yet.
+    # Prompt tokens that all nodes have sent, that are not computed yet and
+    # that are as urgent as the request or more.
     pending_tokens: float
     # Requests that all nodes have in flight.
     running: int
@@ -82,12 +87,16 @@
         self._server_by_id: dict[str, _Server] = {}
 
     def note_sent(
-        self, server_id: str, attempt_id: str, prompt_tokens: int
+        self,
+        server_id: str,
+        attempt_id: str,
+        urgency_class: int,
+        prompt_tokens: int,
     ) -> None:
         """Enters a request; tokens are those that need computing."""
         server = self._server(server_id)
         server.running += 1
-        server.pending_by_attempt[attempt_id] = prompt_tokens
+        server.pending_by_attempt[attempt_id] = (urgency_class, prompt_tokens)
 
     def note_first_event(self, server_id: str, attempt_id: str) -> None:
         """Notes that a prompt was computed."""
@@ -136,9 +145,7 @@
     def own_load(self) -> dict[str, PeerLoad]:
         """Returns what this node has in flight, for its reports."""
         return {
-            server_id: PeerLoad(
-                sum(server.pending_by_attempt.values()), server.running
-            )
+            server_id: PeerLoad(_by_class(server), server.running)
             for server_id, server in self._server_by_id.items()
             if server.running
         }
@@ -147,22 +154,26 @@
         """Returns when a server last sent anything; 0 for never."""
         return self._server(server_id).heard_at
 
-    def estimate(self, server_id: str, service: str) -> LoadEstimate:
-        """Returns the state of a server at this moment.
+    def estimate(
+        self, server_id: str, service: str, urgency_class: int
+    ) -> LoadEstimate:
+        """Returns the state of a server as a request of a class sees it.
 
         Prompts in reports of other nodes are computed meanwhile; those of
         this node leave the count with their first event.
         """
         now = self._timer.now()
         server = self._server(server_id)
-        pending = float(sum(server.pending_by_attempt.values()))
+        classes = urgency_class + 1
+        pending = float(sum(_by_class(server)[:classes]))
         running = server.running
         token_s = max(self._rates.prefill_s(service), 1e-7)
         for told_at, load in server.load_by_peer.values():
             age_s = now - told_at
             if age_s <= PEER_MEMORY_S:
                 computed = age_s / token_s / max(len(server.load_by_peer), 1)
-                pending += max(load.pending_tokens - computed, 0.0)
+                told = sum(load.pending_by_class[:classes])
+                pending += max(told - computed, 0.0)
                 running += load.running
         waiting = 0
         if (
@@ -189,3 +200,10 @@
 
     def _server(self, server_id: str) -> _Server:
         return self._server_by_id.setdefault(server_id, _Server())
+
+
+def _by_class(server: _Server) -> tuple[int, ...]:
+    tokens = [0] * URGENCY_CLASSES
+    for urgency_class, count in server.pending_by_attempt.values():
+        tokens[urgency_class] += count
+    return tuple(tokens)
