End calls quickly while the store may swallow them

The leases of the nodes lapsed in the outage, so other nodes no longer sent the reports that would have shown the lag. Change: after a failure, a watch waits 0.4 s until one has succeeded; a node that is heard gets reports for 5 s after its lease has lapsed.

--- a/tests/test_fleet_follower.py
+++ b/tests/test_fleet_follower.py
@@ -46,6 +46,7 @@
         self.answers: deque[Answer] = deque()
         self.snapshots = 0
         self.watches = 0
+        self.waits: list[float] = []
         self.values: tuple[StoredValue, ...] = ()
 
     async def snapshot(self, prefix: str) -> Result[StoreSnapshot, Failure]:
@@ -56,6 +57,7 @@
         self, prefix: str, after: int, wait_s: float
     ) -> Result[StoreChanges, Failure]:
         self.watches += 1
+        self.waits.append(wait_s)
         answer = self.answers.popleft() if self.answers else None
         if answer is None:
             await sleep_forever()
@@ -174,6 +176,22 @@
             await found.timer.advance(0.0)
             assert found.version == 7
 
+    async def test_watch_after_a_failure_waits_a_short_time_only(
+        self,
+    ) -> None:
+        """Found on the bench, bagline, fresh-a867: CONFIG.
+
+        A call that the store swallowed at the end of an outage was waited
+        for longer than a configuration may take.
+        """
+        down = Err(Failure(ResultCode.STORE_UNAVAILABLE))
+        nothing: Answer = Ok(StoreChanges((), 10))
+        async with follower(nothing, down, down, nothing) as found:
+            await found.timer.advance(10 * RETRY_PAUSE_S)
+            calm, first, second, third, after = found.store.waits
+            assert calm == first == after
+            assert second < 0.5 and third < 0.5
+
     async def test_waiting_watch_is_left_alone_without_news(self) -> None:
         async with follower() as found:
             for _ in range(10):
--- /dev/null
+++ b/tests/test_node_reports.py
@@ -0,0 +1,123 @@
+"""Tests of the reports between nodes."""
+
+import pytest
+
+from tests.network import Bench
+from tests.network import bench
+from wasabiwing.demand import Demand
+from wasabiwing.messages import NodeReport
+from wasabiwing.node_registry import node_lease_name
+from wasabiwing.node_registry import NodeRegistry
+from wasabiwing.node_reports import FULL_RATE_NODES
+from wasabiwing.node_reports import NodeReports
+from wasabiwing.node_reports import REPORT_PERIOD_S
+from wasabiwing.node_reports import SharedState
+from wasabiwing.prefill_rates import PrefillRates
+from wasabiwing.prompt_cache import PromptCacheIndex
+from wasabiwing.routed_calls import PromptPart
+from wasabiwing.server_loads import ServerLoads
+from wasabiwing.service_configuration import OrganisationProfile
+from wasabiwing.store_progress import StoreProgress
+from wasabiwing.usage_caps import CapTolerance
+from wasabiwing.usage_caps import UsageCaps
+from wasabiwing.usage_windows import UsageWindows
+
+PARTS = (PromptPart("a", 100), PromptPart("b", 50))
+
+
+class ReportingNode:
+    """A node that only reports."""
+
+    def __init__(self, found: Bench, name: str) -> None:
+        self.name = name
+        self.inbox = f"{name}:7000"
+        self.transport = found.network.open(name, f"tcp://{self.inbox}")
+        self.nodes = NodeRegistry(name)
+        timer = found.timer
+        self.reports = NodeReports(name, timer, self.transport, self.nodes)
+        self.received = 0
+        self.shared = SharedState(
+            UsageCaps(timer, True, lambda: 1.0, CapTolerance(8.0, 0.0, 0.0)),
+            UsageWindows(timer, name, 5.0),
+            ServerLoads(timer, PrefillRates()),
+            PromptCacheIndex(),
+            Demand(timer),
+            StoreProgress(timer),
+        )
+        found.tasks.start_soon(self._receive)
+
+    def know(self, *others: "ReportingNode") -> None:
+        """Enters other nodes in the registry."""
+        self.nodes.replace_all(
+            node_lease_name(node.name, node.inbox) for node in others
+        )
+
+    async def _receive(self) -> None:
+        while True:
+            envelope = await self.transport.receive()
+            assert isinstance(envelope.body, NodeReport)
+            self.received += 1
+            self.reports.receive(envelope, envelope.body, self.shared)
+
+
+@pytest.mark.anyio
+class TestNodeReports:
+    """What nodes know of each other."""
+
+    async def test_loads_and_prompt_parts_are_known_to_the_other_node(
+        self,
+    ) -> None:
+        async with bench() as found:
+            one, two = (ReportingNode(found, name) for name in ("one", "two"))
+            one.know(two)
+            one.shared.loads.note_sent("server", "r1", 1, 900)
+            one.reports.note_placement("server", PARTS)
+            await one.reports.send(one.shared)
+            await found.timer.advance(0.01)
+            loads = two.shared.loads
+            assert loads.estimate("server", "models", 0).pending_tokens == 0
+            assert loads.estimate("server", "models", 1).pending_tokens > 0
+            assert loads.estimate("server", "models", 0).running == 1
+            assert two.shared.prompts.cached_tokens("server", PARTS) == 150
+
+    async def test_use_of_a_cap_is_deducted_once(self) -> None:
+        north = OrganisationProfile(
+            "north", frozenset(), None, True, 1, 10.0, 1000.0
+        )
+        async with bench() as found:
+            one, two = (ReportingNode(found, name) for name in ("one", "two"))
+            one.know(two)
+            two.shared.caps.admit(north, 1)
+            one.shared.caps.admit(north, 600)
+            for _ in range(3):
+                await one.reports.send(one.shared)
+                await found.timer.advance(REPORT_PERIOD_S)
+            assert two.received == 3
+            level = two.shared.caps.own_use()[0].level
+            assert 390 <= level <= 400
+
+    async def test_node_whose_lease_lapsed_still_gets_reports(self) -> None:
+        """Found on the bench, bagline, fresh-a867: CONFIG."""
+        async with bench() as found:
+            one, two = (ReportingNode(found, name) for name in ("one", "two"))
+            one.know(two)
+            two.know(one)
+            await two.reports.send(two.shared)
+            await found.timer.advance(REPORT_PERIOD_S)
+            one.know()
+            await one.reports.send(one.shared)
+            await found.timer.advance(0.01)
+            assert two.received == 1
+
+    async def test_many_nodes_report_less_often(self) -> None:
+        async with bench() as found:
+            one = ReportingNode(found, "one")
+            others = [
+                ReportingNode(found, f"other-{number}")
+                for number in range(2 * FULL_RATE_NODES)
+            ]
+            one.know(*others)
+            for _ in range(8):
+                await one.reports.send(one.shared)
+                await found.timer.advance(REPORT_PERIOD_S)
+            assert others[0].received <= 4
--- a/wasabiwing/fleet_follower.py
+++ b/wasabiwing/fleet_follower.py
@@ -34,6 +34,10 @@
 # may have gone silent, and a server's leaving must be known within two.
 WATCH_WAIT_S = 2.5
 
+# Wait of a watch after a failure, in seconds: the store may still swallow
+# calls, and each must end soon.
+CAUTIOUS_WAIT_S = 0.4
+
 # Pause after changes, in seconds: a call is paid for, and changes come in
 # groups.
 BATCH_PAUSE_S = 0.35
@@ -206,8 +210,9 @@
         self, revision: int
     ) -> Result[StoreChanges, Failure] | None:
         """Waits for changes; ``None`` if the call lagged behind."""
+        wait_s = WATCH_WAIT_S if self._connected else CAUTIOUS_WAIT_S
         with self._progress.begin_call():
-            return await self._store.changes("", revision, WATCH_WAIT_S)
+            return await self._store.changes("", revision, wait_s)
         log_event(
             Event.DEPENDENCY_LOST,
             self._node_id,
--- a/wasabiwing/node_reports.py
+++ b/wasabiwing/node_reports.py
@@ -39,6 +39,10 @@
 # A node that was not heard for this long counts as silent, in seconds.
 SILENCE_S = 1.5
 
+# Reports go on to a node without a lease for this long after its last one,
+# in seconds.
+LAPSED_MEMORY_S = 5.0
+
 # Placements that one report carries at most.
 MOST_PLACEMENTS = 64
 
@@ -70,6 +74,7 @@
         self._transport = transport
         self._nodes = nodes
         self._heard_at_by_node: dict[str, float] = {}
+        self._inbox_by_heard: dict[str, str] = {}
         self._placements: deque[PromptPlacement] = deque(
             maxlen=MOST_PLACEMENTS
         )
@@ -105,8 +110,25 @@
             return
         self._sent_at = now
         report = self._build(shared)
-        for inbox in self._nodes.peers().values():
-            self._transport.send(f"tcp://{inbox}", report)
+        for inbox in self._receivers():
+            self._transport.send(inbox, report)
+
+    def _receivers(self) -> set[str]:
+        """Returns the inboxes of all other nodes.
+
+        A node whose lease lapsed in an outage of the store is still there
+        while it is heard.
+        """
+        since = self._timer.now() - LAPSED_MEMORY_S
+        registered = {
+            f"tcp://{inbox}" for inbox in self._nodes.peers().values()
+        }
+        heard = {
+            inbox
+            for node_id, inbox in self._inbox_by_heard.items()
+            if self.heard_since(node_id, since)
+        }
+        return registered | heard
 
     def receive(
         self, envelope: Envelope, report: NodeReport, shared: SharedState
@@ -114,6 +136,7 @@
         """Takes over another node's report."""
         now = self._timer.now()
         self._heard_at_by_node[envelope.sender] = now
+        self._inbox_by_heard[envelope.sender] = envelope.reply_to
         shared.caps.note_peer(
             report.life,
             [
