Explain a request from collected logs; say what a refusal rests on

Cause: a refusal's line had the predicted time only, callers that had been answered were logged as having left, and nothing read the logs of several nodes together. Change: refusals name server, queue, target and time left; decisions carry the configuration's version; wasabictl explain-log collects a request's lines of all nodes with what they knew of servers, store and configuration.

--- a/wasabiwing/call_forwarding.py
+++ b/wasabiwing/call_forwarding.py
@@ -350,6 +350,7 @@
             route=call.route.name,
             server=server_id,
             zone=placed.server.availability_zone,
+            version=placed.version,
             uncached_tokens=placed.uncached_tokens,
             queued_tokens=round(placed.queued_tokens),
             first_event_s=round(placed.placement.first_event_s, 3),
--- a/wasabiwing/call_placement.py
+++ b/wasabiwing/call_placement.py
@@ -38,6 +38,8 @@
     uncached_tokens: int
     # Uncomputed prompt tokens ahead of this one.
     queued_tokens: float
+    # Version of the configuration that the choice is based on.
+    version: int
 
 
 class CallPlacement:
@@ -86,7 +88,8 @@
             candidates, _affinity_key(call), token_s, base_s
         )
         if placement is None:
-            return Err(Failure(ResultCode.OVERLOADED, "servers are cold"))
+            cold = ",".join(server.id for server in untried)
+            return Err(Failure(ResultCode.OVERLOADED, f"cold: {cold}"))
         by_id = {candidate.id: candidate for candidate in candidates}
         chosen = by_id[placement.server_id]
         now = self._timer.now()
@@ -99,13 +102,17 @@
             return Err(
                 Failure(
                     ResultCode.DEADLINE_UNREACHABLE,
-                    f"first event in {placement.first_event_s:.2f} s",
+                    f"first event in {placement.first_event_s:.2f} s at"
+                    f" {chosen.id} behind"
+                    f" {chosen.load.pending_tokens:.0f} tokens, wanted in"
+                    f" {in_time_s:.2f} s, given up in {remaining_s:.2f} s",
                     retry_after_s=placement.first_event_s,
                 )
             )
         server = next(
             server for server in open_servers if server.id == chosen.id
         )
+        configuration = self._view.configuration
         if self._view.directory.is_cold(server.id):
             self._cold.take(server.id)
         return Ok(
@@ -114,6 +121,7 @@
                 placement,
                 chosen.uncached_tokens,
                 chosen.load.pending_tokens,
+                0 if configuration is None else configuration.version,
             )
         )
 
--- a/wasabiwing/caller_http.py
+++ b/wasabiwing/caller_http.py
@@ -169,6 +169,7 @@
             await self._refuse(output, parsed.err_value)
             return
         call = parsed.ok_value
+        answered = False
         async with create_task_group() as tasks:
 
             async def cancel_when_caller_leaves() -> None:
@@ -176,15 +177,18 @@
                     message = await receive()
                     if message["type"] == "http.disconnect":
                         break
-                log_event(
-                    Event.CALLER_LEFT,
-                    self._node_id,
-                    request=call.head.attempt_id,
-                )
+                if not answered:
+                    log_event(
+                        Event.CALLER_LEFT,
+                        self._node_id,
+                        request=call.head.attempt_id,
+                        after_s=round(self._timer.now() - received_at, 3),
+                    )
                 tasks.cancel_scope.cancel()
 
             tasks.start_soon(cancel_when_caller_leaves)
             outcome = await self._forwarder.serve(call, output)
+            answered = True
             tasks.cancel_scope.cancel()
             self._count(call.route.name, outcome)
             self._settle_cap(call, outcome)
--- a/wasabiwing/ctl.py
+++ b/wasabiwing/ctl.py
@@ -13,6 +13,7 @@
 from anyio import run
 from fire import Fire
 from fire.decorators import SetParseFn
+from msgspec.json import encode
 from result import Err
 from result import Result
 
@@ -28,6 +29,8 @@
 from wasabiwing.configuration_store import Root
 from wasabiwing.etcd_store import EtcdStore
 from wasabiwing.explain import explain_request
+from wasabiwing.explain_log import describe_line
+from wasabiwing.explain_log import explain_log
 from wasabiwing.http_client import HttpClient
 from wasabiwing.operations import apply_configuration
 from wasabiwing.operations import check_document
@@ -58,7 +61,7 @@
 
     Fire reads values as Python literals, and ``1e3`` would become a number.
     """
-    SetParseFn(str, "file", "settings", "zone", "request_id")(command)
+    SetParseFn(str, "file", "settings", "zone", "request_id", "log")(command)
     return command
 
 
@@ -156,6 +159,21 @@
 
         self._schedule(partial(_run_with, act, settings))
 
+    @as_text
+    def explain_log(
+        self, request_id: str, log: str = "-", json: bool = False
+    ) -> None:
+        """Shows what collected logs of nodes say of a request.
+
+        Args:
+          request_id: the id of the caller's attempt
+          log: a file with log lines of any number of nodes; - reads
+            standard input
+          json: print JSON lines instead of text
+        """
+        _expect("--json", json, bool)
+        self._schedule(partial(_explain_log, str(request_id), str(log), json))
+
 
 def _expect(option: str, value: object, *kinds: type) -> None:
     """Ends the program unless the value has one of the types."""
@@ -348,6 +366,20 @@
         _end_failed(Failure(ResultCode.UNKNOWN_REQUEST, detail))
 
 
+def _explain_log(request_id: str, log: str, as_json: bool) -> None:
+    try:
+        text = sys.stdin.read() if log == "-" else Path(log).read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        _end_usage(f"{log}: cannot be read", (str(error),))
+    found = explain_log(text.splitlines(), request_id)
+    for line in found.lines:
+        print(encode(line).decode() if as_json else describe_line(line))
+    if found.unreadable:
+        _print_error(f"{found.unreadable} lines are not JSON")
+    if not found.lines:
+        _end_failed(Failure(ResultCode.UNKNOWN_REQUEST, request_id))
+
+
 def _end_usage(headline: str, lines: tuple[str, ...]) -> NoReturn:
     _print_error(headline, *lines)
     raise SystemExit(EXIT_USAGE)
