--- a/wasabiwing/cold_allowance.py
+++ b/wasabiwing/cold_allowance.py
@@ -34,6 +34,10 @@
         self._node_id = node_id
         self._timer = timer
         self._bucket_by_server: dict[str, _Bucket] = {}
+        # Nodes that share a server, and the nodes that they were chosen from.
+        self._sharing_by_server: dict[
+            str, tuple[tuple[str, ...], list[str]]
+        ] = {}
 
     def allows(
         self, server_id: str, per_s: float, node_ids: Sequence[str]
@@ -44,7 +48,7 @@
         """
         if per_s <= 0:
             return True
-        sharing = rank(server_id, node_ids)[: min(MOST_NODES, int(per_s) or 1)]
+        sharing = self._sharing(server_id, per_s, tuple(node_ids))
         if self._node_id not in sharing:
             return False
         now = self._timer.now()
@@ -57,6 +61,17 @@
         bucket.refilled_at = now
         return bucket.level >= 1.0
 
+    def _sharing(
+        self, server_id: str, per_s: float, node_ids: tuple[str, ...]
+    ) -> list[str]:
+        known = self._sharing_by_server.get(server_id)
+        if known is not None and known[0] == node_ids:
+            return known[1]
+        count = min(MOST_NODES, int(per_s) or 1)
+        sharing = rank(server_id, node_ids)[:count]
+        self._sharing_by_server[server_id] = (node_ids, sharing)
+        return sharing
+
     def take(self, server_id: str) -> None:
         """Uses the allowance for one request."""
         bucket = self._bucket_by_server.get(server_id)
