Split the relay of answers from attempts; join the store's ports

Cause: call_forwarding had 593 lines and two jobs; ConfigStore and LeaseStore declared the same methods twice. Change: answer_relay reads and passes answers on, call_forwarding keeps attempts and final failures; ConfigStore extends LeaseStore. Reports take turns among groups of 13 nodes instead of reaching all at once. While no reclaimable servers are to be had, firm ones bear the load itself.

--- a/wasabiwing/call_forwarding.py
+++ b/wasabiwing/call_forwarding.py
@@ -1,20 +1,19 @@
-"""The life of one routed request: attempts, relayed answer, final failure.
+"""The life of one routed request: places, attempts and the final failure.
 
 A request that may not be repeated is sent once more only if the server
 states, or the connection proves, that it has not run.
 """
 
-from collections.abc import Callable
-from dataclasses import dataclass
-from dataclasses import field
 from math import inf
 from random import Random
-from typing import Protocol
 
-from anyio import CancelScope
 from anyio import move_on_after
 from result import Err
 
+from wasabiwing.answer_relay import AnswerOutput
+from wasabiwing.answer_relay import AnswerRelay
+from wasabiwing.answer_relay import CallProgress
+from wasabiwing.answer_relay import send_whole
 from wasabiwing.attempt_watch import AttemptWatch
 from wasabiwing.attempt_watch import WatchedAttempt
 from wasabiwing.call_placement import CallPlacement
@@ -33,17 +32,12 @@
 from wasabiwing.prefill_rates import PrefillRates
 from wasabiwing.prompt_cache import PromptCacheIndex
 from wasabiwing.retries import ServiceRetryBudgets
-from wasabiwing.routed_calls import AnswerHead
 from wasabiwing.routed_calls import CallCodec
-from wasabiwing.routed_calls import RawHeaders
 from wasabiwing.routed_calls import RoutedCall
-from wasabiwing.server_connections import DEFAULT_IDLE_S
-from wasabiwing.server_connections import ServerAnswer
 from wasabiwing.server_connections import ServerConnections
 from wasabiwing.server_loads import ServerLoads
 from wasabiwing.service_configuration import RouteKind
 from wasabiwing.timers import TimerService
-from wasabiwing.usage_windows import UsageWindows
 
 # Servers that one request is offered to while each of them states that it
 # has not run.
@@ -61,9 +55,6 @@
 # in latency targets.
 PLAIN_SILENCE_TARGETS = 2.5
 
-SERVER_ERROR_FROM = 500
-SUCCESS = range(200, 300)
-
 # Answers of this node's own.
 BAD_GATEWAY = 502
 REFUSED = 503
@@ -74,49 +65,6 @@
 LEAST_URGENT = 9
 
 
-class AnswerOutput(Protocol):
-    """Where the answer to a caller goes."""
-
-    started: bool
-
-    async def start(self, status: int, headers: RawHeaders) -> None:
-        """Sends status and headers."""
-
-    async def write(self, data: bytes) -> None:
-        """Sends a part of the body."""
-
-    async def finish(self) -> None:
-        """Ends the body."""
-
-    async def refuse(
-        self, status: int, failure: Failure, retry_after_s: float | None
-    ) -> None:
-        """Sends a whole answer of this node's own."""
-
-
-@dataclass(frozen=True, slots=True)
-class KeptAnswer:
-    """A failure of a server that is passed on if no retry succeeds."""
-
-    status: int
-    headers: RawHeaders
-    body: bytes
-
-
-@dataclass(slots=True)
-class _Progress:
-    """How far a request has come."""
-
-    cutter: EventCutter
-    tried: set[str] = field(default_factory=set)
-    # Attempts that may have run, and those that have not.
-    runs: int = 0
-    offers: int = 0
-    kept: KeptAnswer | None = None
-    failure: Failure | None = None
-    counted: bool = False
-
-
 class CallForwarder:
     """Forwards the routed requests of one node."""
 
@@ -127,16 +75,15 @@
         codec: CallCodec,
         placement: CallPlacement,
         connections: ServerConnections,
+        relay: AnswerRelay,
         loads: ServerLoads,
         watch: AttemptWatch,
         prompts: PromptCacheIndex,
         rates: PrefillRates,
-        windows: UsageWindows,
         demand: Demand,
         reports: NodeReports,
         metrics: GatewayMetrics,
         retry_budgets: ServiceRetryBudgets,
-        note_cold: Callable[[str, float], None],
         random: Random,
     ) -> None:
         self._node_id = node_id
@@ -144,21 +91,20 @@
         self._codec = codec
         self._placement = placement
         self._connections = connections
+        self._relay = relay
         self._loads = loads
         self._watch = watch
         self._prompts = prompts
         self._rates = rates
-        self._windows = windows
         self._demand = demand
         self._reports = reports
         self._metrics = metrics
         self._retry_budgets = retry_budgets
-        self._note_cold = note_cold
         self._random = random
 
     async def serve(self, call: RoutedCall, output: AnswerOutput) -> Failure:
         """Serves a request; returns its outcome, ``OK`` for an answer."""
-        progress = _Progress(EventCutter(call.head.last_event_id))
+        progress = CallProgress(EventCutter(call.head.last_event_id))
         remaining_s = call.deadline - self._timer.now()
         with move_on_after(max(remaining_s, 0.0)) as scope:
             failure = await self._run_attempts(call, progress, output)
@@ -175,7 +121,7 @@
         return failure
 
     async def _run_attempts(
-        self, call: RoutedCall, progress: _Progress, output: AnswerOutput
+        self, call: RoutedCall, progress: CallProgress, output: AnswerOutput
     ) -> Failure:
         while True:
             placed = await self._wait_for_place(call, progress)
@@ -189,7 +135,7 @@
                 return _worst(progress)
 
     async def _wait_for_place(
-        self, call: RoutedCall, progress: _Progress
+        self, call: RoutedCall, progress: CallProgress
     ) -> PlacedAttempt | Failure:
         """Waits a moment where no server has room."""
         give_up_at = self._timer.now() + longest_wait_s(
@@ -206,7 +152,7 @@
             await self._timer.sleep(PLACE_POLL_S)
 
     def _may_try_again(
-        self, call: RoutedCall, progress: _Progress, failure: Failure
+        self, call: RoutedCall, progress: CallProgress, failure: Failure
     ) -> bool:
         """Decides on another attempt and uses the retry budget for it."""
         reason = "budget used up"
@@ -239,7 +185,7 @@
         self,
         call: RoutedCall,
         placed: PlacedAttempt,
-        progress: _Progress,
+        progress: CallProgress,
         output: AnswerOutput,
     ) -> Failure | None:
         """Makes one attempt; ``None`` when the caller has the answer."""
@@ -291,7 +237,7 @@
         self,
         call: RoutedCall,
         placed: PlacedAttempt,
-        progress: _Progress,
+        progress: CallProgress,
         output: AnswerOutput,
         watched: WatchedAttempt,
     ) -> Failure | None:
@@ -314,7 +260,7 @@
             remaining_s,
         )
         if not isinstance(sent, Err):
-            return await self._read_answer(
+            return await self._relay.read(
                 call, placed, sent.ok_value, progress, output, watched
             )
         if sent.err_value.code is ResultCode.CONNECT_FAILED:
@@ -323,7 +269,7 @@
         return sent.err_value
 
     def _note_sending(
-        self, call: RoutedCall, placed: PlacedAttempt, progress: _Progress
+        self, call: RoutedCall, placed: PlacedAttempt, progress: CallProgress
     ) -> None:
         server_id = placed.server.id
         if not progress.tried - {server_id}:
@@ -360,138 +306,10 @@
             },
         )
 
-    async def _read_answer(
-        self,
-        call: RoutedCall,
-        placed: PlacedAttempt,
-        answer: ServerAnswer,
-        progress: _Progress,
-        output: AnswerOutput,
-        watched: WatchedAttempt,
-    ) -> Failure | None:
-        """Reads an answer and passes it on; closes it in any case."""
-        head = self._codec.read_answer(answer.status, answer.headers)
-        server_id = placed.server.id
-        self._loads.note_heard(server_id)
-        if head.load is not None:
-            self._loads.note_statement(server_id, head.load)
-        if head.cold_s is not None:
-            self._note_cold(server_id, head.cold_s)
-        whole = False
-        try:
-            wrong = _check_head(call, answer.status, head)
-            if wrong is not None:
-                if wrong.run is RunState.NOT_RUN:
-                    whole = not isinstance(await answer.read(), Err)
-                return wrong
-            is_stream = call.route.kind is RouteKind.STREAM
-            if is_stream and answer.status in SUCCESS:
-                failure = await self._relay_stream(
-                    call, placed, answer, head, progress, output, watched
-                )
-            else:
-                self._watch.note_started(watched)
-                failure = await self._relay_whole(
-                    call, answer, head, progress, output
-                )
-            whole = failure is None or failure.run is RunState.RAN
-            return failure
-        finally:
-            with CancelScope(shield=True):
-                await answer.close(_reusable_s(head) if whole else None)
-
-    async def _relay_whole(
-        self,
-        call: RoutedCall,
-        answer: ServerAnswer,
-        head: AnswerHead,
-        progress: _Progress,
-        output: AnswerOutput,
-    ) -> Failure | None:
-        """Passes a plain answer on once it is there as a whole."""
-        body = await answer.read()
-        if isinstance(body, Err):
-            return body.err_value
-        self._count_run(call, progress)
-        kept = KeptAnswer(answer.status, head.forwarded, body.ok_value)
-        if output.started:
-            return Failure(
-                ResultCode.STREAM_INCOMPLETE,
-                f"status {answer.status} on resume",
-                RunState.RAN,
-            )
-        if answer.status >= SERVER_ERROR_FROM and call.route.repeatable:
-            progress.kept = kept
-            return Failure(
-                ResultCode.SERVER_ERROR,
-                f"status {answer.status}",
-                RunState.RAN,
-            )
-        await _send_whole(output, kept)
-        return None
-
-    async def _relay_stream(
-        self,
-        call: RoutedCall,
-        placed: PlacedAttempt,
-        answer: ServerAnswer,
-        head: AnswerHead,
-        progress: _Progress,
-        output: AnswerOutput,
-        watched: WatchedAttempt,
-    ) -> Failure | None:
-        """Passes events on as they arrive."""
-        cutter = progress.cutter
-        first = True
-        async for chunk in answer.chunks():
-            if isinstance(chunk, Err):
-                cutter.drop_rest()
-                return chunk.err_value
-            watched.heard_at = self._timer.now()
-            self._loads.note_heard(placed.server.id)
-            events = cutter.feed(chunk.ok_value)
-            if not events:
-                continue
-            if first:
-                first = False
-                self._note_first_event(call, placed, progress, watched)
-            if not output.started:
-                await output.start(answer.status, head.forwarded)
-            await output.write(events)
-        if not output.started:
-            await output.start(answer.status, head.forwarded)
-        if cutter.rest():
-            await output.write(cutter.rest())
-        await output.finish()
-        return None
-
-    def _note_first_event(
-        self,
-        call: RoutedCall,
-        placed: PlacedAttempt,
-        progress: _Progress,
-        watched: WatchedAttempt,
-    ) -> None:
-        self._loads.note_first_event(placed.server.id, call.head.attempt_id)
-        self._watch.note_started(watched)
-        self._count_run(call, progress)
-        took_s = self._timer.now() - watched.sent_at
-        computed = round(placed.queued_tokens) + placed.uncached_tokens
-        self._rates.observe(call.service, computed, took_s)
-        self._metrics.first_token.labels(call.route.name).observe(
-            self._timer.now() - call.received_at
-        )
-
-    def _count_run(self, call: RoutedCall, progress: _Progress) -> None:
-        """Counts the request for the usage report, once."""
-        if not progress.counted:
-            progress.counted = True
-            self._windows.count(call.organisation_name)
-
     async def _answer_failure(
         self,
         call: RoutedCall,
-        progress: _Progress,
+        progress: CallProgress,
         failure: Failure,
         output: AnswerOutput,
     ) -> None:
@@ -500,7 +318,7 @@
             # The connection is closed without the end of the body.
             return
         if progress.kept is not None:
-            await _send_whole(output, progress.kept)
+            await send_whole(output, progress.kept)
             return
         if failure.run is not RunState.NOT_RUN:
             timed_out = failure.code in (
@@ -517,7 +335,7 @@
         await output.refuse(REFUSED, failure, again_s)
 
     def _log_end(
-        self, call: RoutedCall, progress: _Progress, failure: Failure
+        self, call: RoutedCall, progress: CallProgress, failure: Failure
     ) -> None:
         ok = failure.code is ResultCode.OK
         log_event(
@@ -535,34 +353,7 @@
         )
 
 
-async def _send_whole(output: AnswerOutput, kept: KeptAnswer) -> None:
-    await output.start(kept.status, kept.headers)
-    await output.write(kept.body)
-    await output.finish()
-
-
-def _check_head(
-    call: RoutedCall, status: int, head: AnswerHead
-) -> Failure | None:
-    """Returns what is wrong with an answer before its body is read."""
-    if head.attempt_id and head.attempt_id != call.head.attempt_id:
-        return Failure(
-            ResultCode.SERVER_CUT,
-            f"answer of request {head.attempt_id}",
-            RunState.MAY_HAVE_RUN,
-        )
-    if head.not_run:
-        return Failure(ResultCode.SERVER_REFUSED, f"status {status}")
-    if status in SUCCESS and not (head.stamped and head.attempt_id):
-        return Failure(
-            ResultCode.SERVER_ERROR,
-            "success without proof of origin",
-            RunState.MAY_HAVE_RUN,
-        )
-    return None
-
-
-def _worst(progress: _Progress) -> Failure:
+def _worst(progress: CallProgress) -> Failure:
     """Returns the final failure, with what all attempts together prove."""
     failure = progress.failure or Failure(ResultCode.NO_BACKEND_SERVER)
     if progress.runs and failure.run is RunState.NOT_RUN:
@@ -585,9 +376,3 @@
         expected_s = placed.placement.first_event_s * SILENCE_FACTOR
         return min(max(expected_s, LEAST_SILENCE_S), remaining_s)
     return call.route.latency_target_s * PLAIN_SILENCE_TARGETS or inf
-
-
-def _reusable_s(head: AnswerHead) -> float | None:
-    if head.closes:
-        return None
-    return DEFAULT_IDLE_S if head.idle_s is None else head.idle_s
--- a/wasabiwing/capacity_plan.py
+++ b/wasabiwing/capacity_plan.py
@@ -104,13 +104,13 @@
         return min(self.ready[key], self.wanted[key])
 
 
-def servers_needed(demand: float) -> int:
-    """Returns the servers for a demand in servers' computing time."""
-    return max(ceil(demand / TARGET_USE), LEAST_SERVERS)
+def servers_busy(demand: float) -> int:
+    """Returns the servers that a demand in servers' time keeps busy."""
+    return ceil(demand / TARGET_USE)
 
 
 def plan_servers(
-    needed: int,
+    busy: int,
     zones: Sequence[str],
     limits: ScaleLimits,
     counts: Sequence[ServerCount],
@@ -119,12 +119,14 @@
 ) -> tuple[ServerOrder, ...]:
     """Returns the numbers that should change.
 
-    In ``dry_zones`` no more reclaimable servers can be had at present.
+    ``busy`` servers can just bear the load. In ``dry_zones`` no more
+    reclaimable servers can be had at present.
     """
     cheapest = sorted(
         zones, key=lambda zone: (limits.price_by_zone.get(zone, 1.0), zone)
     )
     plan = _Plan(cheapest, counts)
+    needed = max(busy, LEAST_SERVERS)
     target = needed + ceil(needed * SPARE_SHARE) - LEAST_FIRM
     if limits.reclaimable_price > 0:
         wet = [zone for zone in cheapest if zone not in dry_zones]
@@ -132,6 +134,9 @@
     else:
         _grow(plan, False, cheapest, target + LEAST_FIRM, limits)
     missing = max(needed - plan.safe(), LEAST_FIRM - plan.total(False))
+    if dry_zones:
+        # Reclaims come in waves: while none are to be had, the rest may go.
+        missing = max(missing, busy - plan.total(False))
     _grow(plan, False, cheapest, plan.total(False) + missing, limits)
     for zone in cheapest:
         while plan.in_zone(zone) < limits.least:
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -15,6 +15,7 @@
 from anyio import Event
 from anyio import open_signal_receiver
 
+from wasabiwing.answer_relay import AnswerRelay
 from wasabiwing.asgi import bind
 from wasabiwing.asgi import serve
 from wasabiwing.attempt_watch import AttemptWatch
@@ -169,11 +170,20 @@
             platform.codec,
             placement,
             self.connections,
+            AnswerRelay(
+                timer,
+                platform.codec,
+                self._loads,
+                watch,
+                self._rates,
+                self._shared.windows,
+                metrics.gateway,
+                directory.mark_cold,
+            ),
             self._loads,
             watch,
             self._prompts,
             self._rates,
-            self._shared.windows,
             self._shared.demand,
             self._reports,
             metrics.gateway,
@@ -182,7 +192,6 @@
                 bounds.retry_reserve,
                 lambda: self.nodes.count,
             ),
-            directory.mark_cold,
             random,
         )
         self.callers = CallerHttp(
--- a/wasabiwing/node_reports.py
+++ b/wasabiwing/node_reports.py
@@ -1,12 +1,16 @@
 """What the nodes tell each other several times a second.
 
 Every node sends its report to every other one. Reports carry totals and not
-differences, so that a lost one costs nothing but time.
+differences, so that a lost one costs nothing but time. Load pattern: many
+nodes on narrow links, where a report to all others at once would hold up the
+events of streams. So a report goes to a part of the nodes at a time, and how
+many a node gets per second does not grow with their number.
 """
 
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass
+from math import ceil
 
 from wasabiwing.demand import Demand
 from wasabiwing.messages import Envelope
@@ -32,12 +36,16 @@
 # caps may be exceeded by what arrives in that time.
 REPORT_PERIOD_S = 0.25
 
-# Above this number, reports become rarer, so that the messages that a node
-# gets per second stay the same.
+# Nodes that get a report at the same time; where there are more, they take
+# turns.
 FULL_RATE_NODES = 13
 
-# A node that was not heard for this long counts as silent, in seconds.
-SILENCE_S = 1.5
+# Reports that may be missed before a node counts as silent.
+MISSED_REPORTS = 6
+
+# Counts of usage windows are in one report out of so many, up to
+# ``FULL_RATE_NODES`` nodes; they are due seconds later.
+WINDOWS_EVERY = 4
 
 # Reports go on to a node without a lease for this long after its last one,
 # in seconds.
@@ -75,26 +83,27 @@
         self._nodes = nodes
         self._heard_at_by_node: dict[str, float] = {}
         self._inbox_by_heard: dict[str, str] = {}
-        self._placements: deque[PromptPlacement] = deque(
+        # Placements with the time at which they were made.
+        self._placements: deque[tuple[float, PromptPlacement]] = deque(
             maxlen=MOST_PLACEMENTS
         )
-        self._sent_at = 0.0
+        self._turn = 0
 
     def note_placement(
         self, server_id: str, parts: Sequence[PromptPart]
     ) -> None:
         """Tells the other nodes where a prompt's shared parts are."""
-        self._placements.append(
-            PromptPlacement(
-                server_id, tuple((part.id, part.tokens) for part in parts)
-            )
+        placement = PromptPlacement(
+            server_id, tuple((part.id, part.tokens) for part in parts)
         )
+        self._placements.append((self._timer.now(), placement))
 
     def heard_share(self) -> float:
         """Returns the share of the nodes, with this one, heard from."""
+        period_s = REPORT_PERIOD_S * self._groups()
+        since = self._timer.now() - period_s * MISSED_REPORTS
         heard = sum(
-            self.heard_since(node_id, self._timer.now() - SILENCE_S)
-            for node_id in self._nodes.peers()
+            self.heard_since(node_id, since) for node_id in self._nodes.peers()
         )
         return (heard + 1) / self._nodes.count
 
@@ -103,16 +112,24 @@
         return self._heard_at_by_node.get(node_id, 0.0) >= moment
 
     async def send(self, shared: SharedState) -> None:
-        """Sends the report to all other nodes if it is due."""
-        now = self._timer.now()
-        crowd = max(self._nodes.count / FULL_RATE_NODES, 1.0)
-        if now - self._sent_at < REPORT_PERIOD_S * crowd * 0.9:
+        """Sends the report to the nodes whose turn it is."""
+        groups = self._groups()
+        self._turn += 1
+        receivers = [
+            inbox
+            for number, inbox in enumerate(sorted(self._receivers()))
+            if number % groups == self._turn % groups
+        ]
+        if not receivers:
             return
-        self._sent_at = now
-        report = self._build(shared)
-        for inbox in self._receivers():
+        report = self._build(shared, groups)
+        for inbox in receivers:
             self._transport.send(inbox, report)
 
+    def _groups(self) -> int:
+        """Returns how many groups of nodes take turns."""
+        return ceil(self._nodes.count / FULL_RATE_NODES)
+
     def _receivers(self) -> set[str]:
         """Returns the inboxes of all other nodes.
 
@@ -166,9 +183,12 @@
                 [PromptPart(*part) for part in placement.parts],
             )
 
-    def _build(self, shared: SharedState) -> NodeReport:
-        placements = tuple(self._placements)
-        self._placements.clear()
+    def _build(self, shared: SharedState, groups: int) -> NodeReport:
+        period_s = REPORT_PERIOD_S * groups
+        # A little longer than a round, so that no group misses one.
+        since = self._timer.now() - period_s * 1.2
+        rounds = self._turn // groups
+        with_windows = rounds % max(WINDOWS_EVERY // groups, 1) == 0
         return NodeReport(
             self._life,
             tuple(
@@ -178,12 +198,17 @@
             tuple(
                 WindowUse(item.window, item.organisation, item.count)
                 for item in shared.windows.own_counts()
+                if with_windows
             ),
             tuple(
                 ServerUse(server_id, load.pending_by_class, load.running)
                 for server_id, load in shared.loads.own_load().items()
             ),
-            placements,
+            tuple(
+                placement
+                for placed_at, placement in self._placements
+                if placed_at >= since
+            ),
             tuple(shared.demand.own().items()),
             shared.store.revision,
         )
--- a/wasabiwing/ports.py
+++ b/wasabiwing/ports.py
@@ -57,17 +57,12 @@
     value: bytes | None
 
 
-class ConfigStore(Protocol):
-    """The platform's key-value service."""
+class LeaseStore(Protocol):
+    """Single keys and leases of the key-value service."""
 
     async def get(self, key: str) -> Result[StoredValue | None, Failure]:
         """Reads one key."""
 
-    async def list_prefix(
-        self, prefix: str
-    ) -> Result[tuple[StoredValue, ...], Failure]:
-        """Reads all keys with a prefix, in order."""
-
     async def swap(
         self,
         key: str,
@@ -93,6 +88,15 @@
     async def keep_alive(self, lease_id: int) -> Result[Lease, Failure]:
         """Extends a lease; ``LEASE_LOST`` when it has expired."""
 
+
+class ConfigStore(LeaseStore, Protocol):
+    """The platform's key-value service with streaming watches."""
+
+    async def list_prefix(
+        self, prefix: str
+    ) -> Result[tuple[StoredValue, ...], Failure]:
+        """Reads all keys with a prefix, in order."""
+
     async def revoke_lease(self, lease_id: int) -> Result[None, Failure]:
         """Ends a lease; its keys are deleted."""
 
@@ -123,33 +127,6 @@
     revision: int
 
 
-class LeaseStore(Protocol):
-    """What a lease holder needs of the key-value service."""
-
-    async def get(self, key: str) -> Result[StoredValue | None, Failure]:
-        """Reads one key."""
-
-    async def swap(
-        self,
-        key: str,
-        expected_revision: int,
-        value: bytes,
-        lease_id: int = 0,
-    ) -> Result[SwapResult, Failure]:
-        """Writes a key if its revision is still the expected one."""
-
-    async def delete(
-        self, key: str, expected_revision: int
-    ) -> Result[SwapResult, Failure]:
-        """Deletes a key if its revision is still the expected one."""
-
-    async def grant_lease(self, ttl_s: float) -> Result[Lease, Failure]:
-        """Creates a lease."""
-
-    async def keep_alive(self, lease_id: int) -> Result[Lease, Failure]:
-        """Extends a lease; ``LEASE_LOST`` when it has expired."""
-
-
 class FollowedStore(LeaseStore, Protocol):
     """A key-value service whose changes are read call by call."""
 
--- a/wasabiwing/server_orders.py
+++ b/wasabiwing/server_orders.py
@@ -15,7 +15,7 @@
 from wasabiwing.capacity_plan import plan_servers
 from wasabiwing.capacity_plan import ServerCount
 from wasabiwing.capacity_plan import ServerOrder
-from wasabiwing.capacity_plan import servers_needed
+from wasabiwing.capacity_plan import servers_busy
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.demand import Demand
@@ -114,9 +114,9 @@
             if zone not in self._view.evacuated_zones
         ]
         demand = self._demand.total(service)
-        needed = self._needed(service, servers_needed(demand))
+        busy = self._needed(service, servers_busy(demand))
         may_shrink = now - self._grown_at > SHRINK_PAUSE_S
-        orders = plan_servers(needed, zones, limits, counts, dry, may_shrink)
+        orders = plan_servers(busy, zones, limits, counts, dry, may_shrink)
         for order in orders:
             sent = await self._send(stamp, service, order, demand)
             if isinstance(sent, Err):
