Pass over servers that accept no connection

Change: a connection that was not accepted does not count as an offer; all other servers may be tried.

--- a/tests/test_node_path.py
+++ b/tests/test_node_path.py
@@ -9,6 +9,7 @@
 from tests.node_deployment import configuration_document
 from tests.node_deployment import Deployment
 from tests.node_deployment import deployment
+from tests.node_deployment import free_endpoint
 from tests.node_deployment import POLL_S
 from wasabiwing.http_client import find_header
 from wasabiwing_platform_standins.server import SeenRequest
@@ -163,6 +164,20 @@
             assert (reply.status, reply.body) == (500, b"failed")
             assert len(all_seen(*servers)) == 2
 
+    async def test_servers_that_accept_no_connection_are_passed_over(
+        self,
+    ) -> None:
+        """Found on the bench, ghcso-sketchline, incident inc-ed48."""
+        async with deployment() as found:
+            await found.add_server("desk", ServerStandIn("server-1"))
+            for number in range(2, 20):
+                name = f"server-{number}"
+                found.address_by_server[name] = str(free_endpoint())
+                found.register(name, "desk")
+            await found.wait_ready()
+            for _ in range(4):
+                assert (await found.call("/book/1")).status == 200
+
     async def test_address_of_another_server_does_not_get_the_request(
         self,
     ) -> None:
--- a/wasabiwing/call_forwarding.py
+++ b/wasabiwing/call_forwarding.py
@@ -158,10 +158,11 @@
         reason = "budget used up"
         budgets = self._retry_budgets
         if failure.run is RunState.NOT_RUN:
-            allowed = progress.offers < MOST_OFFERS
-            # A connection that was not accepted has put no load on a server.
+            # A connection that was not accepted has put no load on a server,
+            # so all others may be tried.
             free = failure.code is ResultCode.CONNECT_FAILED
-            again = allowed and (free or budgets.take(call.service))
+            allowed = free or progress.offers < MOST_OFFERS
+            again = free or (allowed and budgets.take(call.service))
             reason = "not run" if allowed else "offered often enough"
         elif not call.route.repeatable:
             again = False
@@ -215,8 +216,8 @@
             failed = failure is not None
             if failure is not None and failure.run is RunState.NOT_RUN:
                 progress.runs -= 1
-                progress.offers += 1
                 if failure.code is not ResultCode.CONNECT_FAILED:
+                    progress.offers += 1
                     failed = None
         finally:
             self._loads.note_ended(server.id, call.head.attempt_id, failed)
