Do not repeat an attempt that was done when it was told to end

Its caller had the answer, and another attempt would have followed. Change: only an attempt that did not get to its end counts as ended early.

--- a/tests/test_attempt_watch.py
+++ b/tests/test_attempt_watch.py
@@ -1,5 +1,6 @@
 """Tests of when a silent attempt is ended."""
 
+from anyio import CancelScope
 import pytest
 
 from wasabiwing.attempt_watch import AttemptWatch
@@ -38,14 +39,14 @@
         found = Watched()
         with found.watch.watch("server", 0, PATIENCE_S) as attempt:
             await found.pass_time(PATIENCE_S + SERVER_SILENCE_S, False)
-        assert attempt.silent
+        assert attempt.ended_early
 
     async def test_attempt_at_a_busy_server_goes_on(self) -> None:
         """Found on the bench, bagline, quiet-1: retries doubled the load."""
         found = Watched()
         with found.watch.watch("server", 0, PATIENCE_S) as attempt:
             await found.pass_time(10 * PATIENCE_S, True)
-        assert not attempt.silent
+        assert not attempt.ended_early
 
     async def test_request_that_a_server_forgot_is_ended(self) -> None:
         found = Watched()
@@ -56,7 +57,7 @@
                     found.watch.note_started(later)
             assert not forgotten.silent
             await found.pass_time(PATIENCE_S, True)
-        assert forgotten.silent
+        assert forgotten.ended_early
 
     async def test_more_urgent_requests_may_go_first(self) -> None:
         found = Watched()
@@ -66,4 +67,14 @@
                 with found.watch.watch("server", 0, PATIENCE_S) as urgent:
                     found.watch.note_started(urgent)
             await found.pass_time(PATIENCE_S, True)
-        assert not waiting.silent
+        assert not waiting.ended_early
+
+    async def test_attempt_that_was_done_is_not_taken_for_silent(self) -> None:
+        """Its caller has the answer; another attempt would be a second one."""
+        found = Watched()
+        with found.watch.watch("server", 0, PATIENCE_S) as done:
+            await found.timer.advance(PATIENCE_S + SERVER_SILENCE_S)
+            with CancelScope(shield=True):
+                await found.watch.check()
+        assert done.silent
+        assert not done.ended_early
--- a/wasabiwing/attempt_watch.py
+++ b/wasabiwing/attempt_watch.py
@@ -41,9 +41,18 @@
     heard_at: float
     started: bool = False
     overtaken: int = 0
+    # Whether the attempt was told to end.
     silent: bool = False
     scope: CancelScope = field(default_factory=CancelScope)
 
+    @property
+    def ended_early(self) -> bool:
+        """Whether the attempt did not get to its end.
+
+        An attempt that was told to end may have been done already.
+        """
+        return self.scope.cancelled_caught
+
 
 class AttemptWatch:
     """The running attempts of one node that may be repeated."""
@@ -57,7 +66,7 @@
     def watch(
         self, server_id: str, urgency: int, patience_s: float
     ) -> Iterator[WatchedAttempt]:
-        """Leaves the block early, with ``silent`` set, after a silence."""
+        """Leaves the block early, as ``ended_early``, after a silence."""
         now = self._timer.now()
         attempt = WatchedAttempt(server_id, urgency, now, patience_s, now)
         self._running.append(attempt)
--- a/wasabiwing/call_forwarding.py
+++ b/wasabiwing/call_forwarding.py
@@ -206,7 +206,7 @@
                 failure = await self._exchange(
                     call, placed, progress, output, watched
                 )
-            if watched.silent:
+            if watched.ended_early:
                 progress.cutter.drop_rest()
                 failure = Failure(
                     ResultCode.SERVER_TIMEOUT,
