--- a/wasabiwing/log_writer.py
+++ b/wasabiwing/log_writer.py
@@ -71,13 +71,13 @@
         except Full:
             self._left_out[event] += 1
 
-    def close(self) -> None:
-        """Writes what is left, unless the reader stalls."""
+    def close(self, timeout_s: float = CLOSE_TIMEOUT_S) -> None:
+        """Writes what is left, unless the reader stalls for so long."""
         try:
-            self._queue.put(None, timeout=CLOSE_TIMEOUT_S)
+            self._queue.put(None, timeout=timeout_s)
         except Full:
             return
-        self._thread.join(CLOSE_TIMEOUT_S)
+        self._thread.join(timeout_s)
 
     def _tell_left_out(self, event: object, message: Message) -> None:
         count = self._left_out.get(event, 0)
