--- a/tests/test_log_writer.py
+++ b/tests/test_log_writer.py
@@ -13,7 +13,6 @@
 from wasabiwing.log_writer import LogWriter
 from wasabiwing.log_writer import QUEUE_LINES
 
-
 # Longer than the thread ever waits for a processor.
 PATIENCE_S = 60.0
 
