Hold the ports of a test's addresses until the test ends

Cause: test_servers_that_accept_no_connection_are_passed_over failed once (404 "no such page" instead of 200). Its 18 addresses that nobody listens at were ports bound and closed again; a stand-in of a test beside it had got one of them, as the answer shows, which only stand-ins give.

Change: the sockets stay bound, without listening, until the test ends. A connection is refused, a node with such an address can still listen there, and no other test gets the port. The check is unchanged.

--- a/tests/node_deployment.py
+++ b/tests/node_deployment.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Mapping
 from contextlib import asynccontextmanager
+from contextlib import ExitStack
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -129,6 +130,8 @@
     tasks: TaskGroup
     client: HttpClient
     settings: NodeSettings
+    # Sockets whose ports are held until the end.
+    held: ExitStack
     stop: Event = field(default_factory=Event)
     stopped: Event = field(default_factory=Event)
     address_by_server: dict[str, str] = field(default_factory=dict)
@@ -200,11 +203,13 @@
         return address_of(listener)
 
 
-def free_endpoint() -> Endpoint:
-    """Returns an address whose port was free just now."""
-    listener = bind(HOST, 0)
-    port = int(address_of(listener).rpartition(":")[2])
-    listener.close()
+def hold_endpoint(held: ExitStack) -> Endpoint:
+    """Returns an address that refuses connections until somebody listens.
+
+    Its port is held until ``held`` is closed, so that no other test gets it.
+    """
+    holder = held.enter_context(bind(HOST, 0))
+    port = int(address_of(holder).rpartition(":")[2])
     return Endpoint(HOST, port)
 
 
@@ -212,34 +217,41 @@
 async def deployment(configured: bool = True) -> AsyncIterator[Deployment]:
     """Runs the stand-ins around a node, which is started later."""
     client = HttpClient()
-    async with create_task_group() as tasks:
-        timer = SystemTimer()
-        store = StoreStandIn(timer)
-        cloud = CloudStandIn()
-        store_listener = bind(HOST, 0)
-        cloud_listener = bind(HOST, 0)
-        tasks.start_soon(serve, store.application(), store_listener, Event())
-        tasks.start_soon(serve, cloud.application(), cloud_listener, Event())
-        node_settings = NodeSettings(
-            node_id="node-1",
-            availability_zone="zone-a",
-            region="region-1",
-            availability_zones=("zone-a", "zone-b"),
-            callers=free_endpoint(),
-            readiness=free_endpoint(),
-            inbox=free_endpoint(),
-            store=_endpoint(address_of(store_listener)),
-            cloud=_endpoint(address_of(cloud_listener)),
-            meters_usage=True,
-            orders_servers=True,
-            first_start=True,
-            bounds=BOUNDS,
-        )
-        found = Deployment(store, cloud, tasks, client, node_settings)
-        if configured:
-            found.configure(configuration_document())
-        yield found
-        tasks.cancel_scope.cancel()
+    with ExitStack() as held:
+        async with create_task_group() as tasks:
+            timer = SystemTimer()
+            store = StoreStandIn(timer)
+            cloud = CloudStandIn()
+            store_listener = bind(HOST, 0)
+            cloud_listener = bind(HOST, 0)
+            tasks.start_soon(
+                serve, store.application(), store_listener, Event()
+            )
+            tasks.start_soon(
+                serve, cloud.application(), cloud_listener, Event()
+            )
+            node_settings = NodeSettings(
+                node_id="node-1",
+                availability_zone="zone-a",
+                region="region-1",
+                availability_zones=("zone-a", "zone-b"),
+                callers=hold_endpoint(held),
+                readiness=hold_endpoint(held),
+                inbox=hold_endpoint(held),
+                store=_endpoint(address_of(store_listener)),
+                cloud=_endpoint(address_of(cloud_listener)),
+                meters_usage=True,
+                orders_servers=True,
+                first_start=True,
+                bounds=BOUNDS,
+            )
+            found = Deployment(
+                store, cloud, tasks, client, node_settings, held
+            )
+            if configured:
+                found.configure(configuration_document())
+            yield found
+            tasks.cancel_scope.cancel()
     await client.close()
 
 
--- a/tests/test_node_path.py
+++ b/tests/test_node_path.py
@@ -9,7 +9,7 @@
 from tests.node_deployment import configuration_document
 from tests.node_deployment import Deployment
 from tests.node_deployment import deployment
-from tests.node_deployment import free_endpoint
+from tests.node_deployment import hold_endpoint
 from tests.node_deployment import POLL_S
 from wasabiwing.http_client import find_header
 from wasabiwing_platform_standins.server import SeenRequest
@@ -172,7 +172,9 @@
             await found.add_server("desk", ServerStandIn("server-1"))
             for number in range(2, 20):
                 name = f"server-{number}"
-                found.address_by_server[name] = str(free_endpoint())
+                found.address_by_server[name] = str(
+                    hold_endpoint(found.held)
+                )
                 found.register(name, "desk")
             await found.wait_ready()
             for _ in range(4):
