Refuse requests whose headers exceed the operator's limit

Cause: the HTTP parser has no limit on headers, and the limit of the configuration was read but not used, so a caller could make a node keep any amount.

Test: test_headers_above_the_limit_are_refused; on the code before it failed (200 instead of 431).

--- a/tests/test_node_path.py
+++ b/tests/test_node_path.py
@@ -6,11 +6,13 @@
 from msgspec.json import encode
 import pytest
 
+from tests.examples import error_of
 from tests.node_deployment import configuration_document
 from tests.node_deployment import Deployment
 from tests.node_deployment import deployment
 from tests.node_deployment import hold_endpoint
 from tests.node_deployment import POLL_S
+from wasabiwing.codes import ResultCode
 from wasabiwing.http_client import find_header
 from wasabiwing_platform_standins.server import SeenRequest
 from wasabiwing_platform_standins.server import ServerFault
@@ -99,6 +101,21 @@
             assert (await found.call("/read/1", body=too_long)).status == 413
             assert server.runs == 1
 
+    async def test_headers_above_the_limit_are_refused(self) -> None:
+        async with deployment() as found:
+            server = ServerStandIn("server-1")
+            await found.add_server("desk", server)
+            await found.wait_ready()
+            fitting = {"X-Note": "x" * 8_000, "X-More": "x" * 8_000}
+            assert (await found.call("/read/1", headers=fitting)).status == 200
+            too_long = {**fitting, "X-Last": "x" * 384}
+            reply = await found.call("/read/1", headers=too_long)
+            assert reply.status == 431
+            assert error_of(reply)["code"] == ResultCode.HEADERS_TOO_LARGE
+            # The connection that carried them is not used again.
+            assert (await found.call("/read/1")).status == 200
+            assert server.runs == 2
+
     async def test_nothing_is_denied_before_the_configuration_is_known(
         self,
     ) -> None:
@@ -172,9 +189,7 @@
             await found.add_server("desk", ServerStandIn("server-1"))
             for number in range(2, 20):
                 name = f"server-{number}"
-                found.address_by_server[name] = str(
-                    hold_endpoint(found.held)
-                )
+                found.address_by_server[name] = str(hold_endpoint(found.held))
                 found.register(name, "desk")
             await found.wait_ready()
             for _ in range(4):
--- a/wasabiwing/caller_http.py
+++ b/wasabiwing/caller_http.py
@@ -48,12 +48,16 @@
 # configuration yet.
 STARTUP_RETRY_S = 0.5
 
+# Colon, space and line end of a header line.
+HEADER_SEPARATOR_BYTES = 4
+
 STATUS_BY_CODE = {
     ResultCode.CONFIGURATION_MISSING: 503,
     ResultCode.MALFORMED_REQUEST: 400,
     ResultCode.UNKNOWN_ROUTE: 404,
     ResultCode.UNKNOWN_ORGANISATION: 401,
     ResultCode.REQUEST_TOO_LARGE: 413,
+    ResultCode.HEADERS_TOO_LARGE: 431,
     ResultCode.OVERLOADED: 429,
 }
 
@@ -157,6 +161,11 @@
         limits = RequestLimits()
         if configuration is not None:
             limits = configuration.limits
+        if _header_bytes(scope["headers"]) > limits.header_bytes:
+            # The body is not read; the connection cannot be used again.
+            output = CallerOutput(send, closing=True)
+            await self._refuse(output, Failure(ResultCode.HEADERS_TOO_LARGE))
+            return
         body = await read_body(receive, limits.body_bytes)
         if body is BodyProblem.CALLER_LEFT:
             return
@@ -283,6 +292,14 @@
     return Ok(found)
 
 
+def _header_bytes(headers: RawHeaders) -> int:
+    """Returns the size of headers as they were on the wire, in bytes."""
+    return sum(
+        len(name) + len(value) + HEADER_SEPARATOR_BYTES
+        for name, value in headers
+    )
+
+
 def _target(path: bytes, query: bytes) -> bytes:
     return path + b"?" + query if query else path
 
