Add a fault soak of real node programs, and a stand-in of the balancer

Cause: faults were played by the users' bench and by tests in one process.

Change: wasabiwing_soak draws faults from a seed, plays them on node programs behind loopback proxies, and checks nine promises from what callers and servers see; docs/soak.md names them and what is not played.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test check format replay bench clean
+.PHONY: demo test check format replay soak bench clean
 
 $(STAMP): requirements.txt requirements-dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -35,6 +35,10 @@
 	$(BIN)/flake8
 	$(BIN)/mypy
 
+# Thirty seconds of faults with a fresh seed; see docs/soak.md.
+soak: $(STAMP)
+	$(BIN)/python -m wasabiwing_soak
+
 format: $(STAMP)
 	$(BIN)/ruff check --fix .
 	$(BIN)/ruff format .
--- a/tests/node_deployment.py
+++ b/tests/node_deployment.py
@@ -30,6 +30,9 @@
 from wasabiwing_platform.headers import PlatformHeaders
 from wasabiwing_platform.store import PlatformStore
 from wasabiwing_platform_standins.cloud import CloudStandIn
+from wasabiwing_platform_standins.examples import caller_headers
+from wasabiwing_platform_standins.examples import configuration_document
+from wasabiwing_platform_standins.examples import server_document
 from wasabiwing_platform_standins.server import ServerStandIn
 from wasabiwing_platform_standins.store import StoreStandIn
 
@@ -54,73 +57,6 @@
 )
 
 
-def route_document(
-    name: str, kind: str, service: str, **more: object
-) -> dict[str, object]:
-    """Returns a route of the operator's configuration."""
-    return {
-        "name": name,
-        "host": "desk.example",
-        "pathPrefix": f"/{name}/",
-        "kind": kind,
-        "service": service,
-        "timeoutMs": 20_000,
-        "targetLatencyMs": 4000,
-        "priority": 0,
-        "maxAttempts": 2,
-        **more,
-    }
-
-
-def configuration_document(
-    version: int = 1, **more: object
-) -> dict[str, object]:
-    """Returns a configuration with a plain and a streaming service."""
-    return {
-        "version": version,
-        "routes": [
-            route_document("read", "idempotent", "desk"),
-            route_document("book", "non_idempotent", "desk"),
-            route_document("chat", "stream", "models", streamResume=True),
-            route_document("notes", "stream", "models"),
-            route_document("open", "idempotent", "desk", skipAuth=True),
-        ],
-        "services": [
-            {"name": "desk", "maxConns": 50},
-            {
-                "name": "models",
-                "maxConns": 50,
-                "engine": {"slots": 8, "kvCapacity": 100_000},
-            },
-        ],
-        "limits": {
-            "maxHeaderBytes": 16_384,
-            "maxBodyBytes": 100_000,
-            "headerTimeoutMs": 3000,
-            "idleTimeoutMs": 15_000,
-        },
-        "tenants": [{"name": "north", "apiKeys": ["key-north"]}],
-        **more,
-    }
-
-
-def server_document(
-    service: str, address: str, **more: object
-) -> dict[str, object]:
-    """Returns a registry entry of a backend server."""
-    return {
-        "service": service,
-        "address": address,
-        "zone": "zone-a",
-        "version": "v1",
-        "slots": 8,
-        "state": "ready",
-        "coldLeftMs": 0,
-        "seq": 1,
-        **more,
-    }
-
-
 @dataclass(slots=True)
 class Deployment:
     """A node and what surrounds it."""
@@ -173,13 +109,8 @@
     ) -> HttpReply:
         """Sends a caller's request; raises if it gets no answer."""
         self.requests += 1
-        sent = {
-            "Host": "desk.example",
-            "Wasabiwing-Attempt-Id": f"attempt-{self.requests}",
-            "Wasabiwing-Deadline-Ms": "15000",
-            **({"Authorization": f"Bearer {key}"} if key else {}),
-            **(headers or {}),
-        }
+        attempt = f"attempt-{self.requests}"
+        sent = {**caller_headers(attempt, key), **(headers or {})}
         reply = await self.client.send(
             method, f"http://{self.settings.callers}{path}", sent, body, 20.0
         )
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -32,7 +32,7 @@
 # Folders whose files the documents name by path.
 FOLDERS = (
     "docs|examples|tests|benchmarks|platform|deploy"
-    "|wasabiwing(?:_demo|_standins)?"
+    "|wasabiwing(?:_demo|_standins|_soak)?"
 )
 
 each_page = pytest.mark.parametrize(
@@ -188,6 +188,7 @@
             "benchmarks",
             "platform/wasabiwing_platform",
             "platform/wasabiwing_platform_standins",
+            "wasabiwing_soak",
         ],
     )
     def test_every_module_has_a_row_with_its_summary(
--- a/tests/test_node_path.py
+++ b/tests/test_node_path.py
@@ -7,25 +7,22 @@
 import pytest
 
 from tests.examples import error_of
-from tests.node_deployment import configuration_document
 from tests.node_deployment import Deployment
 from tests.node_deployment import deployment
 from tests.node_deployment import hold_endpoint
 from tests.node_deployment import POLL_S
 from wasabiwing.codes import ResultCode
 from wasabiwing.http_client import find_header
+from wasabiwing_platform_standins.examples import configuration_document
 from wasabiwing_platform_standins.server import SeenRequest
 from wasabiwing_platform_standins.server import ServerFault
 from wasabiwing_platform_standins.server import ServerStandIn
+from wasabiwing_platform_standins.server import stream_answer
+from wasabiwing_platform_standins.server import stream_event
 
-WHOLE_STREAM = b"".join(
-    f"id: {number}\ndata: piece {number}\n\n".encode()
-    for number in range(1, 5)
-)
+WHOLE_STREAM = stream_answer()
 
-EVENTS_AFTER_TWO = b"".join(
-    f"id: {number}\ndata: piece {number}\n\n".encode() for number in (3, 4)
-)
+EVENTS_AFTER_TWO = stream_event(3) + stream_event(4)
 
 
 async def desk_of_two(
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -5,9 +5,6 @@
 from result import Err
 from result import Ok
 
-from tests.node_deployment import configuration_document
-from tests.node_deployment import route_document
-from tests.node_deployment import server_document
 from wasabiwing.fleet_changes import ConfigurationChange
 from wasabiwing.fleet_changes import EvacuationChange
 from wasabiwing.fleet_changes import ServerChange
@@ -17,6 +14,9 @@
 from wasabiwing_platform.documents import decode_item
 from wasabiwing_platform.headers import PlatformHeaders
 from wasabiwing_platform.settings_file import parse_settings
+from wasabiwing_platform_standins.examples import configuration_document
+from wasabiwing_platform_standins.examples import route_document
+from wasabiwing_platform_standins.examples import server_document
 
 SETTINGS = """
 nodeName=front-a-1
--- /dev/null
+++ b/wasabiwing_soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: real node programs, faults from outside, promises."""
--- /dev/null
+++ b/wasabiwing_soak/__main__.py
@@ -0,0 +1,53 @@
+"""Command line of the soak: ``python -m wasabiwing_soak --help``."""
+
+from pathlib import Path
+from secrets import randbelow
+from sys import path
+
+# The stand-ins of the platform are not installed with the product.
+path.append(str(Path(__file__).parent.parent / "platform"))
+
+from anyio import run  # noqa: E402
+from fire import Fire  # noqa: E402
+
+from wasabiwing_soak.report import report_lines  # noqa: E402
+from wasabiwing_soak.report import write_report  # noqa: E402
+from wasabiwing_soak.soak import run_soak  # noqa: E402
+from wasabiwing_soak.soak import SoakOptions  # noqa: E402
+
+FRESH_SEEDS = 1_000_000
+
+
+def start(
+    seed: int | None = None,
+    count: int = 1,
+    seconds: float = 30.0,
+    nodes: int = 3,
+    servers: int = 4,
+    callers: int = 6,
+    check_times: bool = True,
+    output: str = "out/soak",
+) -> None:
+    """Plays ``count`` soaks with seeds from ``seed`` on; drawn if missing.
+
+    Each soak has ``seconds`` of faults and writes settings, logs, a report
+    and a plot into OUTPUT/SEED. Ends with status 1 if a promise was broken.
+    """
+    first = randbelow(FRESH_SEEDS) if seed is None else seed
+    broken = 0
+    for number in range(first, first + count):
+        options = SoakOptions(
+            number, seconds, nodes, servers, callers, check_times
+        )
+        folder = Path(output) / str(number)
+        result = run(run_soak, options, folder)
+        write_report(folder, result)
+        for line in report_lines(result):
+            print(line, flush=True)
+        broken += bool(result.violations)
+    print(f"{count} soaks, {broken} with a broken promise")
+    raise SystemExit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    Fire(start)
--- /dev/null
+++ b/wasabiwing_soak/callers.py
@@ -0,0 +1,150 @@
+"""Callers of a soak: they keep using a connection until it is gone."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+from random import Random
+
+from anyio import Event
+from anyio import sleep
+from msgspec import DecodeError
+from msgspec import Struct
+from msgspec.json import decode
+from result import Err
+from result import Result
+
+from wasabiwing.codes import Failure
+from wasabiwing.codes import RunState
+from wasabiwing.http_client import find_header
+from wasabiwing.http_client import HttpClient
+from wasabiwing.ports import HttpReply
+from wasabiwing_platform_standins.balancer import BalancerStandIn
+from wasabiwing_platform_standins.examples import caller_headers
+from wasabiwing_platform_standins.server import plain_answer
+from wasabiwing_platform_standins.server import stream_answer
+from wasabiwing_soak.promises import CallRecord
+
+# The caller's time limit for an answer.
+PATIENCE_MS = 3000
+
+# Time after which a caller takes a connection for dead, in seconds.
+CONNECTION_TIMEOUT_S = 6.0
+
+# Mean pause between two requests of a caller, in seconds.
+MEAN_PAUSE_S = 0.03
+
+# Share of requests after which a caller connects to another node, though
+# nothing is wrong.
+MOVING_SHARE = 0.05
+
+# Pause while no node is ready, in seconds.
+NO_NODE_PAUSE_S = 0.1
+
+# Routes of the example configuration with their share of the requests.
+SHARE_BY_ROUTE = {"read": 0.4, "book": 0.3, "chat": 0.3}
+
+
+class _Problem(Struct, frozen=True):
+    run: RunState | None = None
+
+
+class _Refusal(Struct, frozen=True):
+    """The part of a node's own answer that callers rely on."""
+
+    error: _Problem = _Problem()
+
+
+@dataclass(slots=True)
+class SoakCallers:
+    """Sends requests until told to end, and keeps what became of them."""
+
+    seed: int
+    clock: Callable[[], float]
+    address_by_node: dict[str, str]
+    balancer: BalancerStandIn
+    ended: Event = field(default_factory=Event)
+    records: list[CallRecord] = field(default_factory=list)
+
+    async def run_caller(self, number: int) -> None:
+        """Sends one request after the other."""
+        random = Random(f"{self.seed}/{number}")
+        client = HttpClient()
+        node: str | None = None
+        count = 0
+        while not self.ended.is_set():
+            if node is None or random.random() < MOVING_SHARE:
+                node = self.balancer.pick(random)
+            if node is None:
+                await sleep(NO_NODE_PAUSE_S)
+                continue
+            count += 1
+            route = random.choices(
+                list(SHARE_BY_ROUTE), list(SHARE_BY_ROUTE.values())
+            )[0]
+            body = f"{route} {self.seed}-{number}-{count}"
+            keep = await self.call(client, node, route, body)
+            if not keep:
+                node = None
+            await sleep(random.expovariate(1 / MEAN_PAUSE_S))
+        await client.close()
+
+    async def call(
+        self, client: HttpClient, node: str, route: str, body: str
+    ) -> bool:
+        """Sends one request; returns whether its connection can stay."""
+        sent_s = self.clock()
+        reply = await client.send(
+            "POST",
+            f"http://{self.address_by_node[node]}/{route}/1",
+            caller_headers(body.replace(" ", "-"), patience_ms=PATIENCE_MS),
+            body.encode(),
+            CONNECTION_TIMEOUT_S,
+        )
+        self.records.append(
+            _record(node, route, body, sent_s, self.clock(), reply)
+        )
+        if isinstance(reply, Err):
+            return False
+        return find_header(reply.ok_value.headers, b"connection") != b"close"
+
+
+def _record(
+    node: str,
+    route: str,
+    body: str,
+    sent_s: float,
+    ended_s: float,
+    reply: Result[HttpReply, Failure],
+) -> CallRecord:
+    is_stream = route == "chat"
+    status = 0
+    answer = b""
+    claim = None
+    detail = ""
+    if isinstance(reply, Err):
+        detail = str(reply.err_value)
+    else:
+        status = reply.ok_value.status
+        answer = reply.ok_value.body
+        claim = None if status == 200 else _claim(answer)
+    return CallRecord(
+        body=body,
+        repeatable=route != "book",
+        is_stream=is_stream,
+        node=node,
+        sent_s=sent_s,
+        ended_s=ended_s,
+        status=status,
+        answer=answer,
+        expected=stream_answer() if is_stream else plain_answer(body.encode()),
+        claim=claim,
+        detail=detail,
+    )
+
+
+def _claim(body: bytes) -> RunState | None:
+    """Returns what a refusal says of the run; servers' errors say nothing."""
+    try:
+        return decode(body, type=_Refusal).error.run
+    except DecodeError:
+        return None
--- /dev/null
+++ b/wasabiwing_soak/fault_player.py
@@ -0,0 +1,163 @@
+"""Plays the faults of a schedule on a soak's deployment."""
+
+from collections.abc import Callable
+from random import Random
+
+from anyio import move_on_after
+from anyio import sleep
+
+from wasabiwing_platform_standins.server import ServerFault
+from wasabiwing_platform_standins.server import ServerStandIn
+from wasabiwing_platform_standins.store import StoreTrouble
+from wasabiwing_soak.deployment import SoakDeployment
+from wasabiwing_soak.fault_schedule import FaultKind
+from wasabiwing_soak.fault_schedule import PlannedFault
+from wasabiwing_soak.loopback_proxy import LoopbackProxy
+from wasabiwing_soak.promises import NodeDisturbance
+
+# How long a node may take from the end of a fault until it serves, in
+# seconds; a bound of the users' pages.
+RECOVERY_S = 15.0
+RECOVERY_POLL_S = 0.1
+
+# Delay of a slow link, in seconds.
+SLOW_LINK_S = 0.2
+
+# Most faults that one server has in store.
+MOST_SERVER_FAULTS = 6
+
+# The largest step between two versions of the configuration.
+MOST_VERSION_STEP = 5
+
+TROUBLE_BY_KIND = {
+    FaultKind.STORE_BUSY: StoreTrouble.BUSY,
+    FaultKind.STORE_SILENT: StoreTrouble.SILENT,
+    FaultKind.STORE_LOSES_ANSWERS: StoreTrouble.LOSES_ANSWERS,
+}
+
+# Faults that a server may have; one that stays silent is the link's fault.
+SERVER_FAULTS = (
+    ServerFault.FULL,
+    ServerFault.ERROR,
+    ServerFault.CUT,
+    ServerFault.TORN,
+    ServerFault.FOREIGN,
+    ServerFault.UNSTAMPED,
+)
+
+
+class FaultPlayer:
+    """Plays faults and remembers which nodes were disturbed."""
+
+    def __init__(
+        self, deployment: SoakDeployment, clock: Callable[[], float]
+    ) -> None:
+        self._deployment = deployment
+        self._clock = clock
+        self.disturbances: list[NodeDisturbance] = []
+
+    async def play(self, fault: PlannedFault) -> None:
+        """Plays one fault and takes it back."""
+        if fault.kind.startswith("node_"):
+            await self._disturb_node(fault)
+            return
+        undo = self._begin(fault)
+        await sleep(fault.duration_s)
+        undo()
+
+    async def _disturb_node(self, fault: PlannedFault) -> None:
+        node = self._deployment.nodes[
+            fault.target % len(self._deployment.nodes)
+        ]
+        process = node.process
+        if process.disturbed:
+            return
+        process.disturbed = True
+        from_s = self._clock()
+        if fault.kind is FaultKind.NODE_PAUSED:
+            process.pause()
+            await sleep(fault.duration_s)
+            process.resume()
+        else:
+            stopped = fault.kind is FaultKind.NODE_STOPPED
+            await (process.stop() if stopped else process.kill())
+            await sleep(fault.duration_s)
+            await process.start()
+        with move_on_after(RECOVERY_S):
+            while not await self._deployment.is_ready(node):
+                await sleep(RECOVERY_POLL_S)
+        planned = fault.kind is FaultKind.NODE_STOPPED
+        self.disturbances.append(
+            NodeDisturbance(process.name, planned, from_s, self._clock())
+        )
+        process.disturbed = False
+
+    def _begin(self, fault: PlannedFault) -> Callable[[], None]:
+        """Starts a fault; returns how it is taken back."""
+        node = self._deployment.nodes[
+            fault.target % len(self._deployment.nodes)
+        ]
+        item = self._deployment.servers[
+            fault.target % len(self._deployment.servers)
+        ]
+        random = Random(fault.detail_seed)
+        kind = fault.kind
+        if kind is FaultKind.SETTINGS_SIGNAL:
+            if not node.process.disturbed:
+                node.process.tell_settings_changed()
+        elif kind in TROUBLE_BY_KIND:
+            return self._trouble_store(TROUBLE_BY_KIND[kind])
+        elif kind is FaultKind.STORE_HISTORY_DROPPED:
+            self._deployment.store.drop_history()
+        elif kind is FaultKind.CONFIGURATION_CHANGED:
+            self._deployment.configure(random.randint(1, MOST_VERSION_STEP))
+        elif kind is FaultKind.SERVER_FAILS:
+            return _fail_server(item.server, random)
+        elif kind is FaultKind.SERVER_LEAVES:
+            return self._deployment.remove_server(item)
+        else:
+            link = item.link
+            if kind.startswith("store_link"):
+                link = node.store_link
+            return _disturb_link(link, kind, random)
+        return _nothing
+
+    def _trouble_store(self, trouble: StoreTrouble) -> Callable[[], None]:
+        self._deployment.store.trouble = trouble
+
+        def undo() -> None:
+            if self._deployment.store.trouble is trouble:
+                self._deployment.store.trouble = StoreTrouble.NONE
+
+        return undo
+
+
+def _nothing() -> None:
+    """Takes back a fault that is over at once."""
+
+
+def _fail_server(server: ServerStandIn, random: Random) -> Callable[[], None]:
+    count = random.randint(1, MOST_SERVER_FAULTS)
+    server.faults.extend(random.choices(SERVER_FAULTS, k=count))
+    return server.faults.clear
+
+
+def _disturb_link(
+    link: LoopbackProxy, kind: FaultKind, random: Random
+) -> Callable[[], None]:
+    if kind.endswith("reset"):
+        link.reset()
+        return _nothing
+    if kind.endswith("slow"):
+        link.delay_s = SLOW_LINK_S
+    elif kind.endswith("one_way"):
+        to_target = random.random() < 0.5
+        link.set_silence(to_target, not to_target)
+    else:
+        link.set_silence(True, True)
+
+    def undo() -> None:
+        link.delay_s = 0.0
+        link.set_silence(False, False)
+
+    return undo
--- /dev/null
+++ b/wasabiwing_soak/loopback_proxy.py
@@ -0,0 +1,131 @@
+"""Passes connections on and brings faults of the network about.
+
+Stands between a node and what it connects to. The proxy delays bytes, holds
+them back in one direction or both, and resets connections.
+"""
+
+from dataclasses import dataclass
+from dataclasses import field
+from socket import SO_LINGER
+from socket import SOL_SOCKET
+from struct import pack
+
+from anyio import BrokenResourceError
+from anyio import CancelScope
+from anyio import ClosedResourceError
+from anyio import connect_tcp
+from anyio import create_task_group
+from anyio import create_tcp_listener
+from anyio import EndOfStream
+from anyio import Event
+from anyio import sleep
+from anyio import TASK_STATUS_IGNORED
+from anyio.abc import SocketAttribute
+from anyio.abc import SocketStream
+from anyio.abc import TaskStatus
+
+HOST = "127.0.0.1"
+
+# Closing a socket with these options resets its connection.
+LINGER_NOT_AT_ALL = pack("ii", 1, 0)
+
+
+@dataclass(slots=True, eq=False)
+class _Connection:
+    """Both sides of a connection."""
+
+    caller: SocketStream
+    target: SocketStream
+    scope: CancelScope
+
+
+@dataclass(slots=True)
+class LoopbackProxy:
+    """A proxy in front of one address of the form ``host:port``."""
+
+    target: str
+    # Time that each piece of data is held back, in seconds.
+    delay_s: float = 0.0
+    # Whether data to the target, or from it, is held back until further
+    # notice.
+    silent_to_target: bool = False
+    silent_from_target: bool = False
+    address: str = ""
+    _connections: set[_Connection] = field(default_factory=set)
+    _changed: Event = field(default_factory=Event)
+
+    async def run(
+        self, *, task_status: TaskStatus[str] = TASK_STATUS_IGNORED
+    ) -> None:
+        """Serves connections; reports the proxy's own address."""
+        listener = await create_tcp_listener(local_host=HOST, local_port=0)
+        port = listener.extra(SocketAttribute.local_port)
+        self.address = f"{HOST}:{port}"
+        async with listener:
+            task_status.started(self.address)
+            await listener.serve(self._serve)
+
+    def set_silence(self, to_target: bool, from_target: bool) -> None:
+        """Holds data back, or passes on what was held back."""
+        self.silent_to_target = to_target
+        self.silent_from_target = from_target
+        self._changed.set()
+        self._changed = Event()
+
+    def reset(self) -> int:
+        """Resets all connections; returns how many there were."""
+        count = len(self._connections)
+        for connection in self._connections:
+            for side in (connection.caller, connection.target):
+                raw = side.extra(SocketAttribute.raw_socket)
+                raw.setsockopt(SOL_SOCKET, SO_LINGER, LINGER_NOT_AT_ALL)
+            connection.scope.cancel()
+        return count
+
+    async def _serve(self, caller: SocketStream) -> None:
+        host, _, port = self.target.rpartition(":")
+        try:
+            target = await connect_tcp(host, int(port))
+        except OSError:
+            # The target is gone: the caller sees its connection closed.
+            await caller.aclose()
+            return
+        async with caller, target, create_task_group() as tasks:
+            connection = _Connection(caller, target, tasks.cancel_scope)
+            self._connections.add(connection)
+            try:
+                tasks.start_soon(self._pass_on, caller, target, True)
+                await self._pass_on(target, caller, False)
+            finally:
+                self._connections.discard(connection)
+
+    async def _pass_on(
+        self, source: SocketStream, sink: SocketStream, to_target: bool
+    ) -> None:
+        try:
+            while True:
+                data = await source.receive()
+                await self._hold_back(to_target)
+                await sink.send(data)
+        except EndOfStream:
+            await self._hold_back(to_target)
+            await _end(sink)
+        except (BrokenResourceError, ClosedResourceError):
+            # One side has reset the connection: both end.
+            await sink.aclose()
+            await source.aclose()
+
+    async def _hold_back(self, to_target: bool) -> None:
+        if self.delay_s:
+            await sleep(self.delay_s)
+        while self.silent_to_target if to_target else self.silent_from_target:
+            await self._changed.wait()
+
+
+async def _end(sink: SocketStream) -> None:
+    """Passes the end of a stream on."""
+    try:
+        await sink.send_eof()
+    except (OSError, BrokenResourceError, ClosedResourceError):
+        # The other side has closed already, so there is nobody to tell.
+        return
--- /dev/null
+++ b/wasabiwing_soak/soak.py
@@ -0,0 +1,216 @@
+"""One soak: starts everything, plays the schedule and checks the promises."""
+
+from contextlib import ExitStack
+from dataclasses import dataclass
+from pathlib import Path
+
+from anyio import CancelScope
+from anyio import create_task_group
+from anyio import sleep
+from anyio.abc import TaskGroup
+from prometheus_client.parser import text_string_to_metric_families
+
+from wasabiwing.http_client import HttpClient
+from wasabiwing.timers import SystemTimer
+from wasabiwing_soak.callers import PATIENCE_MS
+from wasabiwing_soak.callers import SoakCallers
+from wasabiwing_soak.deployment import SoakDeployment
+from wasabiwing_soak.deployment import SoakNode
+from wasabiwing_soak.fault_player import FaultPlayer
+from wasabiwing_soak.fault_player import RECOVERY_POLL_S
+from wasabiwing_soak.fault_player import RECOVERY_S
+from wasabiwing_soak.fault_schedule import draw_schedule
+from wasabiwing_soak.fault_schedule import PlannedFault
+from wasabiwing_soak.promises import CallRecord
+from wasabiwing_soak.promises import check_answers
+from wasabiwing_soak.promises import check_runs
+from wasabiwing_soak.promises import check_stops
+from wasabiwing_soak.promises import check_times
+from wasabiwing_soak.promises import check_usage
+from wasabiwing_soak.promises import check_versions
+from wasabiwing_soak.promises import NodeDisturbance
+from wasabiwing_soak.promises import Promise
+from wasabiwing_soak.promises import SeenVersion
+from wasabiwing_soak.promises import Violation
+
+# Requests in a row that a node must serve to count as recovered.
+RECOVERY_CALLS = 5
+
+# How often versions and processes are looked at, in seconds.
+WATCH_S = 0.25
+
+# Time beyond the caller's limit in which a node's answer must be there, in
+# seconds: this machine runs all programs at once.
+TIME_SLACK_S = 1.0
+
+GENERATION_METRIC = "wasabiwing_configuration_generation"
+
+
+@dataclass(frozen=True, slots=True)
+class SoakOptions:
+    """What a soak plays."""
+
+    seed: int
+    seconds: float
+    nodes: int = 3
+    servers: int = 4
+    callers: int = 6
+    # Whether answers must come in time; not on a machine that is busy.
+    check_times: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class SoakResult:
+    """What a soak has seen."""
+
+    options: SoakOptions
+    schedule: tuple[PlannedFault, ...]
+    calls: tuple[CallRecord, ...]
+    disturbances: tuple[NodeDisturbance, ...]
+    violations: tuple[Violation, ...]
+
+
+class Soak:
+    """One soak from its start to its result."""
+
+    def __init__(
+        self,
+        options: SoakOptions,
+        folder: Path,
+        tasks: TaskGroup,
+        held: ExitStack,
+    ) -> None:
+        self._options = options
+        self._tasks = tasks
+        self._timer = SystemTimer()
+        self._started_at = self._timer.now()
+        self.deployment = SoakDeployment(folder, self._timer, tasks, held)
+        self._player = FaultPlayer(self.deployment, self.clock)
+        self._callers = SoakCallers(
+            options.seed,
+            self.clock,
+            self.deployment.address_by_node,
+            self.deployment.balancer,
+        )
+        self._versions: list[SeenVersion] = []
+        self._violations: list[Violation] = []
+        self._ended_lives: set[str] = set()
+
+    def clock(self) -> float:
+        """Returns seconds from the start of traffic."""
+        return self._timer.now() - self._started_at
+
+    async def play(self) -> SoakResult:
+        """Plays the whole soak and returns what was seen."""
+        options = self._options
+        await self.deployment.start(options.nodes, options.servers)
+        self._started_at = self._timer.now()
+        schedule = draw_schedule(options.seed, options.seconds)
+        for number in range(options.callers):
+            self._tasks.start_soon(self._callers.run_caller, number)
+        self._tasks.start_soon(self._watch)
+        async with create_task_group() as faults:
+            for fault in schedule:
+                await sleep(max(fault.at_s - self.clock(), 0.0))
+                faults.start_soon(self._player.play, fault)
+        await self._check_recovery()
+        self._callers.ended.set()
+        await self.deployment.stop()
+        return self._result(schedule)
+
+    async def _watch(self) -> None:
+        """Looks at versions and at processes that end by themselves."""
+        while True:
+            for node in self.deployment.nodes:
+                process = node.process
+                if process.disturbed:
+                    continue
+                if process.ended():
+                    if process.life not in self._ended_lives:
+                        self._ended_lives.add(process.life)
+                        self._violate(Promise.STAYS_UP, process.life)
+                    continue
+                await self._see_version(node)
+            await sleep(WATCH_S)
+
+    async def _see_version(self, node: SoakNode) -> None:
+        life = node.process.life
+        text = await self.deployment.metrics(node)
+        if node.process.life != life:
+            # The process was started again meanwhile.
+            return
+        for family in text_string_to_metric_families(text):
+            if family.name == GENERATION_METRIC:
+                version = int(family.samples[0].value)
+                seen = SeenVersion(life, self.clock(), version)
+                self._versions.append(seen)
+
+    async def _check_recovery(self) -> None:
+        """Checks that each node serves soon after the last fault."""
+        until = self.clock() + RECOVERY_S
+        waiting = {node.process.name for node in self.deployment.nodes}
+        client = HttpClient()
+        number = 0
+        while waiting and self.clock() < until:
+            for name in sorted(waiting):
+                number += 1
+                served = [
+                    await self._served(client, name, f"last{number}-{count}")
+                    for count in range(RECOVERY_CALLS)
+                ]
+                if all(served):
+                    waiting.discard(name)
+            await sleep(RECOVERY_POLL_S)
+        await client.close()
+        for name in sorted(waiting):
+            self._violate(Promise.RECOVERY, f"{name} after {RECOVERY_S} s")
+
+    async def _served(self, client: HttpClient, name: str, text: str) -> bool:
+        await self._callers.call(client, name, "read", f"read {text}")
+        return self._callers.records[-1].status == 200
+
+    def _violate(self, promise: Promise, detail: str) -> None:
+        self._violations.append(Violation(promise, self.clock(), detail))
+
+    def _result(self, schedule: tuple[PlannedFault, ...]) -> SoakResult:
+        disturbances = self._player.disturbances
+        runs_by_body: dict[str, int] = {}
+        for item in self.deployment.servers:
+            for request in item.server.seen:
+                if request.ran:
+                    body = request.body.decode()
+                    runs_by_body[body] = runs_by_body.get(body, 0) + 1
+        calls = tuple(self._callers.records)
+        found = [
+            *self._violations,
+            *check_runs(calls, runs_by_body),
+            *check_answers(calls),
+            *check_stops(calls, disturbances),
+            *check_versions(self._versions),
+            *check_usage(self.deployment.cloud.usage, self.clock()),
+        ]
+        if self._options.check_times:
+            longest_s = PATIENCE_MS / 1000 + TIME_SLACK_S
+            found += check_times(calls, disturbances, longest_s)
+        return SoakResult(
+            self._options,
+            schedule,
+            calls,
+            tuple(disturbances),
+            tuple(found),
+        )
+
+
+async def run_soak(options: SoakOptions, folder: Path) -> SoakResult:
+    """Plays a soak; settings and logs of the nodes go to the folder."""
+    folder.mkdir(parents=True, exist_ok=True)
+    with ExitStack() as held:
+        async with create_task_group() as tasks:
+            soak = Soak(options, folder, tasks, held)
+            try:
+                result = await soak.play()
+            finally:
+                with CancelScope(shield=True):
+                    await soak.deployment.kill()
+                tasks.cancel_scope.cancel()
+    return result
