Log what the load balancer is told about readiness

Change: event 109 READINESS_CHANGED when the answer of the readiness page changes, with stopping, whether servers are known, and the configuration in force.

Test: test_what_the_load_balancer_is_told_is_logged_once; the event is new, so it cannot pass on the code before.

--- a/tests/test_node_path.py
+++ b/tests/test_node_path.py
@@ -12,6 +12,7 @@
 from tests.node_deployment import hold_endpoint
 from tests.node_deployment import POLL_S
 from wasabiwing.codes import ResultCode
+from wasabiwing.events import Event
 from wasabiwing.http_client import find_header
 from wasabiwing_platform_standins.examples import configuration_document
 from wasabiwing_platform_standins.server import SeenRequest
@@ -369,3 +370,23 @@
             await found.stopped.wait()
             leases = [key for key in found.store.keys() if "/lease/" in key]
             assert leases == []
+
+    async def test_what_the_load_balancer_is_told_is_logged_once(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        told: list[tuple[object, object, object]] = []
+
+        def record(event: Event, node: str, **fields: object) -> None:
+            if event is Event.READINESS_CHANGED:
+                told.append(
+                    (fields["ready"], fields["stopping"], fields["version"])
+                )
+
+        monkeypatch.setattr("wasabiwing.node.log_event", record)
+        async with deployment() as found:
+            await found.wait_ready()
+            assert await found.readiness_status() == 200
+            found.stop.set()
+            while await found.readiness_status() == 200:
+                await sleep(POLL_S)
+            assert told == [(True, False, 1), (False, True, 1)]
--- a/wasabiwing/events.py
+++ b/wasabiwing/events.py
@@ -27,6 +27,7 @@
     SETTINGS_RELOADED = 106
     LINES_LEFT_OUT = 107
     PROCESS_SUSPENDED = 108
+    READINESS_CHANGED = 109
     # 2xx: requests.
     ROUTE_DECISION = 200
     REQUEST_ADMITTED = 201
@@ -98,6 +99,9 @@
     Event.SETTINGS_RELOADED: "The settings file was read again.",
     Event.LINES_LEFT_OUT: "Lines of one event were left out, with a count.",
     Event.PROCESS_SUSPENDED: "The process stood still for a while.",
+    Event.READINESS_CHANGED: (
+        "The load balancer was told something new, and why."
+    ),
     Event.ROUTE_DECISION: (
         "A backend server was chosen; candidates, scores and filters."
     ),
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -205,6 +205,7 @@
             random,
         )
         self.duties = self._build_duties(settings, platform, random)
+        self._told_ready = False
         self.view.on_configuration(self._on_configuration)
         self.view.on_server_renewed(self._on_server_renewed)
         timer.subscribe(REPORT_PERIOD_S, self._send_report)
@@ -217,6 +218,22 @@
         """Whether the load balancer may send new connections."""
         return self.view.loaded and not self.callers.stopping
 
+    def tell_readiness(self) -> bool:
+        """Returns what the load balancer is told, and logs a change."""
+        ready = self.ready
+        if ready != self._told_ready:
+            self._told_ready = ready
+            configuration = self.view.configuration
+            log_event(
+                LogEvent.READINESS_CHANGED,
+                self._node_id,
+                ready=ready,
+                stopping=self.callers.stopping,
+                servers_known=self.view.directory.loaded,
+                version=configuration.version if configuration else None,
+            )
+        return ready
+
     def register(self, messages: MessageRouter) -> None:
         """Takes over the messages of other nodes."""
 
@@ -338,7 +355,7 @@
         tasks.start_soon(_reload_on_signal, platform)
         tasks.start_soon(
             serve,
-            readiness_application(lambda: node.ready, metrics.registry),
+            readiness_application(node.tell_readiness, metrics.registry),
             readiness,
             never,
         )
