Let gateways know each other before a request crashes servers in a test

It began 0.2 s after the deployment was healthy, and gateways that do not know each other yet count crashes apart. Shown by runs: right after the start one of the two gateways knew of one gateway only (health page, 2 of 2 runs); with nodes that never join, the test saw 4 crashes without load; with all messages 50 ms late it passed (6 of 6), with 300 ms it failed, as its judgement takes 150 ms.

Ruled out: messages that are slower than the caller's repeats, up to 50 ms.

Change: the test waits until all gateways know each other, as the tests of streams and of handover do. The bound of two crashes is unchanged.

--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -17,6 +17,7 @@
 from tests.network import bench
 from tests.policy_examples import policy_bench
 from tests.policy_examples import PolicyBench
+from tests.stream_caller import directory_known
 from tests.test_facts import start
 from wasabiwing.admission import Admission
 from wasabiwing.calls import AttemptOutcome
@@ -251,6 +252,8 @@
     ) -> None:
         """Guards against a caller whose repeats empty a pool."""
         async with running_deployment(CONFIGURATION, 2) as deployment:
+            # Gateways that do not know each other yet count crashes apart.
+            await directory_known(deployment)
             deployment.store.down = store_down
             engines = deployment.engine_by_id.values()
             for engine in engines:
