Let the stand-in of backend servers start cold and crash when overrun

Change: until a given time the stand-in bears a rate, and crashes at twice that rate, as the platform's servers do "well above" theirs. A test sends 80 requests in 1.6 s to a warm and a cold server; another crashes the stand-in.

No change in the product.

--- a/tests/test_node_path.py
+++ b/tests/test_node_path.py
@@ -1,6 +1,7 @@
 """A request's way through a node of the users' platform, with faults."""
 
 from anyio import create_task_group
+from anyio import current_time
 from anyio import move_on_after
 from anyio import sleep
 from msgspec.json import encode
@@ -351,6 +352,49 @@
 
 
 @pytest.mark.anyio
+class TestColdServers:
+    """Servers that come back and bear little."""
+
+    async def test_a_cold_server_gets_what_it_bears(self) -> None:
+        """The stand-in crashes like the platform's servers."""
+        async with deployment() as found:
+            warm = ServerStandIn("server-1", work_s=0.05)
+            cold = ServerStandIn("server-2", work_s=0.05, cold_per_s=5.0)
+            document = configuration_document()
+            services = document["services"]
+            assert isinstance(services, list)
+            services[0]["coldPerS"] = 5.0
+            found.configure(document)
+            await found.add_server("desk", warm)
+            cold.cold_until = current_time() + 60.0
+            await found.add_server("desk", cold, coldLeftMs=60_000)
+            await found.wait_ready()
+            statuses: list[int] = []
+
+            async def call() -> None:
+                statuses.append((await found.call("/read/1")).status)
+
+            async with create_task_group() as tasks:
+                for _ in range(80):
+                    tasks.start_soon(call)
+                    await sleep(0.02)
+            assert statuses == [200] * 80
+            assert not cold.crashed
+            assert 1 <= cold.runs < warm.runs
+
+    async def test_the_stand_in_crashes_at_twice_its_rate(self) -> None:
+        async with deployment() as found:
+            cold = ServerStandIn("server-1", cold_per_s=5.0)
+            cold.cold_until = current_time() + 60.0
+            await found.add_server("desk", cold)
+            await found.wait_ready()
+            for _ in range(10):
+                assert (await found.call("/read/1")).status == 200
+            assert not cold.crashed
+            assert (await found.call("/read/1")).status == 502
+            assert cold.crashed
+
+
 class TestPlannedStop:
     """A node that is asked to stop."""
 
