--- a/wasabiwing_soak/fault_player.py
+++ b/wasabiwing_soak/fault_player.py
@@ -29,6 +29,30 @@
 # The largest step between two versions of the configuration.
 MOST_VERSION_STEP = 5
 
+NODE_KINDS = frozenset(
+    {FaultKind.NODE_STOPPED, FaultKind.NODE_KILLED, FaultKind.NODE_PAUSED}
+)
+
+STORE_LINK_KINDS = frozenset(
+    {
+        FaultKind.STORE_LINK_SILENT,
+        FaultKind.STORE_LINK_ONE_WAY,
+        FaultKind.STORE_LINK_SLOW,
+        FaultKind.STORE_LINK_RESET,
+    }
+)
+
+# What a fault of a link does; all others silence it both ways.
+RESETTING_KINDS = frozenset(
+    {FaultKind.STORE_LINK_RESET, FaultKind.SERVER_LINK_RESET}
+)
+SLOWING_KINDS = frozenset(
+    {FaultKind.STORE_LINK_SLOW, FaultKind.SERVER_LINK_SLOW}
+)
+ONE_WAY_KINDS = frozenset(
+    {FaultKind.STORE_LINK_ONE_WAY, FaultKind.SERVER_LINK_ONE_WAY}
+)
+
 TROUBLE_BY_KIND = {
     FaultKind.STORE_BUSY: StoreTrouble.BUSY,
     FaultKind.STORE_SILENT: StoreTrouble.SILENT,
@@ -58,7 +82,7 @@
 
     async def play(self, fault: PlannedFault) -> None:
         """Plays one fault and takes it back."""
-        if fault.kind.startswith("node_"):
+        if fault.kind in NODE_KINDS:
             await self._disturb_node(fault)
             return
         undo = self._begin(fault)
@@ -117,7 +141,7 @@
             return self._deployment.remove_server(item)
         else:
             link = item.link
-            if kind.startswith("store_link"):
+            if kind in STORE_LINK_KINDS:
                 link = node.store_link
             return _disturb_link(link, kind, random)
         return _nothing
@@ -145,12 +169,12 @@
 def _disturb_link(
     link: LoopbackProxy, kind: FaultKind, random: Random
 ) -> Callable[[], None]:
-    if kind.endswith("reset"):
+    if kind in RESETTING_KINDS:
         link.reset()
         return _nothing
-    if kind.endswith("slow"):
+    if kind in SLOWING_KINDS:
         link.delay_s = SLOW_LINK_S
-    elif kind.endswith("one_way"):
+    elif kind in ONE_WAY_KINDS:
         to_target = random.random() < 0.5
         link.set_silence(to_target, not to_target)
     else:
