Limit the time that a caller's headers may take

Cause: the HTTP library has no such limit, so a caller that sends headers byte by byte held its connection for ever; the operator's limit was not read.

Change: from the first byte of a request its headers have the configured time; then the caller gets 408, the connection ends, and the log has code 110. A connection on which an earlier answer is under way is left alone until that has ended.

Test: test_slow_headers_end_their_connection_only; without the limit it ends in its timeout, with it the caller beside it is served.

--- a/tests/node_deployment.py
+++ b/tests/node_deployment.py
@@ -19,7 +19,7 @@
 from wasabiwing.http_client import HttpClient
 from wasabiwing.metrics import NodeMetrics
 from wasabiwing.node import NodePlatform
-from wasabiwing.node import run_node
+from wasabiwing.node_program import run_node
 from wasabiwing.node_settings import Endpoint
 from wasabiwing.node_settings import NodeBounds
 from wasabiwing.node_settings import NodeSettings
--- a/tests/test_node_fleet.py
+++ b/tests/test_node_fleet.py
@@ -1,11 +1,14 @@
 """A node amid a changing fleet: servers, configurations and its own stop."""
 
+from anyio import connect_tcp
 from anyio import create_task_group
 from anyio import current_time
+from anyio import fail_after
 from anyio import sleep
 from msgspec.json import encode
 import pytest
 
+from tests.examples import PATIENCE_S
 from tests.node_deployment import deployment
 from tests.node_deployment import POLL_S
 from wasabiwing.events import Event
@@ -173,3 +176,38 @@
             while await found.readiness_status() == 200:
                 await sleep(POLL_S)
             assert told == [(True, False, 1), (False, True, 1)]
+
+
+class TestSlowCallers:
+    """Callers that take their time."""
+
+    async def test_slow_headers_end_their_connection_only(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        codes: list[object] = []
+
+        def record(event: Event, node: str, **fields: object) -> None:
+            if event is Event.REQUEST_REFUSED:
+                codes.append(fields["code"])
+
+        monkeypatch.setattr("wasabiwing.node.log_event", record)
+        async with deployment() as found:
+            limits = {"headerTimeoutMs": 200, "idleTimeoutMs": 15_000}
+            found.configure(configuration_document(limits=limits))
+            await found.add_server("desk", ServerStandIn("server-1"))
+            await found.wait_ready()
+            callers = found.settings.callers
+            stream = await connect_tcp(callers.host, callers.port)
+            async with stream:
+                await stream.send(b"POST /read/1 HTTP/1.1\r\nHost: desk")
+                # Another caller is served meanwhile.
+                assert (await found.call("/read/1")).status == 200
+                answer = b""
+                with fail_after(PATIENCE_S):
+                    async for data in stream:
+                        answer += data
+            assert answer.startswith(b"HTTP/1.1 408 ")
+            assert codes == ["HEADERS_TOO_SLOW"]
+            # A connection in use is no slow header.
+            await sleep(0.5)
+            assert (await found.call("/read/1")).status == 200
--- a/wasabiwing/asgi.py
+++ b/wasabiwing/asgi.py
@@ -25,6 +25,7 @@
 from msgspec.json import encode
 from uvicorn import Config
 from uvicorn import Server
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
@@ -252,6 +253,7 @@
     listener: socket,
     stop: Event,
     idle_timeout_s: Callable[[], float] | None = None,
+    protocol: type[HttpToolsProtocol] = HttpToolsProtocol,
 ) -> None:
     """Serves HTTP on a bound socket until ``stop`` is set.
 
@@ -261,6 +263,7 @@
     """
     config = Config(
         application,
+        http=protocol,
         log_config=None,
         access_log=False,
         server_header=False,
--- a/wasabiwing/codes.py
+++ b/wasabiwing/codes.py
@@ -37,6 +37,7 @@
     QUARANTINED = 107
     REQUEST_TOO_LARGE = 108
     HEADERS_TOO_LARGE = 109
+    HEADERS_TOO_SLOW = 110
     # 2xx: the system did not serve a correct request.
     OVERLOADED = 200
     DEADLINE_UNREACHABLE = 201
@@ -108,6 +109,7 @@
     ),
     ResultCode.REQUEST_TOO_LARGE: "The request body exceeds the limit.",
     ResultCode.HEADERS_TOO_LARGE: "The headers exceed the limit.",
+    ResultCode.HEADERS_TOO_SLOW: "The headers took longer than the limit.",
     ResultCode.OVERLOADED: "No capacity is free within the queue limits.",
     ResultCode.DEADLINE_UNREACHABLE: "The deadline cannot be met.",
     ResultCode.NO_BACKEND_SERVER: "No backend server may take the request.",
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -9,20 +9,15 @@
 from dataclasses import dataclass
 from random import Random
 from random import SystemRandom
-from signal import SIGHUP
-
-from anyio import create_task_group
-from anyio import Event
-from anyio import open_signal_receiver
 
 from wasabiwing.answer_relay import AnswerRelay
-from wasabiwing.asgi import bind
-from wasabiwing.asgi import serve
 from wasabiwing.attempt_watch import AttemptWatch
 from wasabiwing.attempt_watch import WATCH_PERIOD_S
 from wasabiwing.call_forwarding import CallForwarder
 from wasabiwing.call_placement import CallPlacement
 from wasabiwing.caller_http import CallerHttp
+from wasabiwing.codes import ResultCode
+from wasabiwing.codes import RunState
 from wasabiwing.demand import Demand
 from wasabiwing.duties import Duties
 from wasabiwing.duties import RENEWAL_SHARE
@@ -38,7 +33,6 @@
 from wasabiwing.messages import Envelope
 from wasabiwing.messages import NodeReport
 from wasabiwing.metrics import NodeMetrics
-from wasabiwing.nng_transport import open_transport
 from wasabiwing.node_registry import NodeRegistry
 from wasabiwing.node_reports import NodeReports
 from wasabiwing.node_reports import REPORT_PERIOD_S
@@ -48,7 +42,6 @@
 from wasabiwing.ports import Transport
 from wasabiwing.prefill_rates import PrefillRates
 from wasabiwing.prompt_cache import PromptCacheIndex
-from wasabiwing.readiness_http import readiness_application
 from wasabiwing.retries import ServiceRetryBudgets
 from wasabiwing.routed_calls import CallCodec
 from wasabiwing.server_connections import ServerConnections
@@ -58,7 +51,6 @@
 from wasabiwing.service_configuration import RequestLimits
 from wasabiwing.service_configuration import ServiceConfiguration
 from wasabiwing.store_progress import StoreProgress
-from wasabiwing.timers import SystemTimer
 from wasabiwing.timers import TimerService
 from wasabiwing.usage_caps import CapTolerance
 from wasabiwing.usage_caps import UsageCaps
@@ -77,10 +69,6 @@
 # How often a stopping node looks whether its requests have ended.
 STOP_POLL_S = 0.05
 
-# Part of the time until the process is killed in which requests may end;
-# closing what is left takes the rest.
-DRAIN_SHARE = 0.88
-
 # A pause between two ticks beyond this many seconds means that the process
 # or its VM stood still.
 SUSPENSION_S = 1.0
@@ -242,12 +230,23 @@
 
         messages.register(NodeReport, receive)
 
-    def idle_timeout_s(self) -> float:
-        """Returns how long callers may keep idle connections."""
+    @property
+    def limits(self) -> RequestLimits:
+        """Returns what callers may send, and how long they may take."""
         configuration = self.view.configuration
         if configuration is None:
-            return RequestLimits().idle_timeout_s
-        return configuration.limits.idle_timeout_s
+            return RequestLimits()
+        return configuration.limits
+
+    def note_slow_headers(self) -> None:
+        """Logs a caller whose headers took too long."""
+        log_event(
+            LogEvent.REQUEST_REFUSED,
+            self._node_id,
+            code=ResultCode.HEADERS_TOO_SLOW.name,
+            run=RunState.NOT_RUN.value,
+            limit_s=self.limits.header_timeout_s,
+        )
 
     async def drain(self, longest_s: float) -> None:
         """Waits until the load balancer and all requests are done."""
@@ -326,71 +325,3 @@
             )
             await self.connections.drop_all()
         await self.connections.close_expired()
-
-
-async def run_node(
-    settings: NodeSettings,
-    platform: NodePlatform,
-    metrics: NodeMetrics,
-    stop: Event,
-) -> None:
-    """Runs a node until ``stop`` is set and its requests have ended."""
-    timer = SystemTimer()
-    listener = bind(settings.callers.host, settings.callers.port)
-    readiness = bind(settings.readiness.host, settings.readiness.port)
-    inbox = f"tcp://{settings.inbox}"
-    never = Event()
-    async with (
-        open_transport(settings.node_id, inbox) as transport,
-        create_task_group() as tasks,
-    ):
-        node = Node(settings, platform, timer, transport, metrics)
-        messages = MessageRouter(settings.node_id, transport)
-        node.register(messages)
-        drained = Event()
-        tasks.start_soon(timer.run)
-        tasks.start_soon(messages.run)
-        tasks.start_soon(node.follower.run)
-        tasks.start_soon(_drain_when_stopped, settings, node, stop, drained)
-        tasks.start_soon(_reload_on_signal, platform)
-        tasks.start_soon(
-            serve,
-            readiness_application(node.tell_readiness, metrics.registry),
-            readiness,
-            never,
-        )
-        log_event(
-            LogEvent.PROGRAM_STARTED,
-            settings.node_id,
-            program="wasabiwing-node",
-            callers=str(settings.callers),
-            inbox=str(settings.inbox),
-            first_start=settings.first_start,
-        )
-        await serve(
-            node.callers.application(),
-            listener,
-            drained,
-            node.idle_timeout_s,
-        )
-        tasks.cancel_scope.cancel()
-    log_event(LogEvent.PROGRAM_STOPPED, settings.node_id)
-
-
-async def _drain_when_stopped(
-    settings: NodeSettings, node: Node, stop: Event, drained: Event
-) -> None:
-    await stop.wait()
-    log_event(
-        LogEvent.PROGRAM_STOPPING,
-        settings.node_id,
-        running=node.callers.running,
-    )
-    await node.drain(settings.bounds.stop_grace_s * DRAIN_SHARE)
-    drained.set()
-
-
-async def _reload_on_signal(platform: NodePlatform) -> None:
-    with open_signal_receiver(SIGHUP) as signals:
-        async for _ in signals:
-            await platform.reload()
--- /dev/null
+++ b/wasabiwing/node_program.py
@@ -0,0 +1,96 @@
+"""Runs a node: sockets, tasks and signals around its parts."""
+
+from signal import SIGHUP
+
+from anyio import create_task_group
+from anyio import Event
+from anyio import open_signal_receiver
+
+from wasabiwing.asgi import bind
+from wasabiwing.asgi import serve
+from wasabiwing.events import Event as LogEvent
+from wasabiwing.events import log_event
+from wasabiwing.header_timeout import limit_header_time
+from wasabiwing.message_router import MessageRouter
+from wasabiwing.metrics import NodeMetrics
+from wasabiwing.nng_transport import open_transport
+from wasabiwing.node import Node
+from wasabiwing.node import NodePlatform
+from wasabiwing.node_settings import NodeSettings
+from wasabiwing.readiness_http import readiness_application
+from wasabiwing.timers import SystemTimer
+
+# Part of the time until the process is killed in which requests may end;
+# closing what is left takes the rest.
+DRAIN_SHARE = 0.88
+
+
+async def run_node(
+    settings: NodeSettings,
+    platform: NodePlatform,
+    metrics: NodeMetrics,
+    stop: Event,
+) -> None:
+    """Runs a node until ``stop`` is set and its requests have ended."""
+    timer = SystemTimer()
+    listener = bind(settings.callers.host, settings.callers.port)
+    readiness = bind(settings.readiness.host, settings.readiness.port)
+    inbox = f"tcp://{settings.inbox}"
+    never = Event()
+    async with (
+        open_transport(settings.node_id, inbox) as transport,
+        create_task_group() as tasks,
+    ):
+        node = Node(settings, platform, timer, transport, metrics)
+        messages = MessageRouter(settings.node_id, transport)
+        node.register(messages)
+        drained = Event()
+        tasks.start_soon(timer.run)
+        tasks.start_soon(messages.run)
+        tasks.start_soon(node.follower.run)
+        tasks.start_soon(_drain_when_stopped, settings, node, stop, drained)
+        tasks.start_soon(_reload_on_signal, platform)
+        tasks.start_soon(
+            serve,
+            readiness_application(node.tell_readiness, metrics.registry),
+            readiness,
+            never,
+        )
+        log_event(
+            LogEvent.PROGRAM_STARTED,
+            settings.node_id,
+            program="wasabiwing-node",
+            callers=str(settings.callers),
+            inbox=str(settings.inbox),
+            first_start=settings.first_start,
+        )
+        await serve(
+            node.callers.application(),
+            listener,
+            drained,
+            lambda: node.limits.idle_timeout_s,
+            limit_header_time(
+                lambda: node.limits.header_timeout_s, node.note_slow_headers
+            ),
+        )
+        tasks.cancel_scope.cancel()
+    log_event(LogEvent.PROGRAM_STOPPED, settings.node_id)
+
+
+async def _drain_when_stopped(
+    settings: NodeSettings, node: Node, stop: Event, drained: Event
+) -> None:
+    await stop.wait()
+    log_event(
+        LogEvent.PROGRAM_STOPPING,
+        settings.node_id,
+        running=node.callers.running,
+    )
+    await node.drain(settings.bounds.stop_grace_s * DRAIN_SHARE)
+    drained.set()
+
+
+async def _reload_on_signal(platform: NodePlatform) -> None:
+    with open_signal_receiver(SIGHUP) as signals:
+        async for _ in signals:
+            await platform.reload()
--- a/wasabiwing/service_configuration.py
+++ b/wasabiwing/service_configuration.py
@@ -98,11 +98,13 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestLimits:
-    """What callers may send and how long they may stay idle."""
+    """What callers may send, and how long they may take or stay idle."""
 
     header_bytes: int = 16_384
     body_bytes: int = 4_194_304
     idle_timeout_s: float = 15.0
+    # Longest time from a request's first byte to the end of its headers.
+    header_timeout_s: float = 10.0
 
 
 @dataclass(frozen=True, slots=True)
