--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from anyio import create_task_group
+from anyio.abc import TaskGroup
 import pytest
 
 from tests.network import bench
@@ -99,9 +100,14 @@
     """Several nodes with one store and one cloud, stepped by hand."""
 
     def __init__(
-        self, timer: FakeTimer, network: FakeNetwork, seed: int
+        self,
+        timer: FakeTimer,
+        network: FakeNetwork,
+        tasks: TaskGroup,
+        seed: int,
     ) -> None:
         self.timer = timer
+        self._tasks = tasks
         self.random = Random(seed)
         self.store = LeaseStoreFake(timer)
         self.cloud = CloudFake(timer)
@@ -111,6 +117,13 @@
         # Whether each step brings a request.
         self.traffic = False
 
+    def add(self, number: int) -> None:
+        """Starts a node."""
+        address = f"tcp://10.0.0.{number}:7000"
+        node = NodeUnderTest(number, self, address)
+        self.nodes.append(node)
+        self._tasks.start_soon(node.receive)
+
     def holders(self) -> list[str]:
         """Returns the nodes that believe to hold the duties."""
         return [
@@ -162,12 +175,9 @@
 async def fleet(count: int, seed: int = 1) -> AsyncIterator[Fleet]:
     """Runs some nodes on a fake network."""
     async with bench(seed) as found:
-        nodes = Fleet(found.timer, found.network, seed)
+        nodes = Fleet(found.timer, found.network, found.tasks, seed)
         for number in range(count):
-            address = f"tcp://10.0.0.{number}:7000"
-            node = NodeUnderTest(number, nodes, address)
-            nodes.nodes.append(node)
-            found.tasks.start_soon(node.receive)
+            nodes.add(number)
         yield nodes
 
 
@@ -266,6 +276,27 @@
             }
             assert found[window] == {"north": 3}
 
+    async def test_counts_outlive_a_restart_of_all_nodes_in_turn(
+        self,
+    ) -> None:
+        """Found on the bench, bagline, incident inc-c12f."""
+        async with fleet(2) as nodes:
+            await nodes.run(1.0)
+            window = nodes.nodes[0].windows.window_now()
+            for node in nodes.nodes:
+                for _ in range(4):
+                    node.windows.count("north")
+            await nodes.run(0.5)
+            for number in range(2, 6):
+                nodes.add(number)
+                await nodes.run(1.0)
+                await nodes.nodes.pop(0).duties.resign()
+            await nodes.run(WINDOW_S + DUE_S)
+            found = {
+                number: counts for _, number, counts in nodes.cloud.reports
+            }
+            assert found[window] == {"north": 8}
+
     @pytest.mark.parametrize("seed", range(6))
     async def test_two_reports_of_a_window_never_differ(
         self, seed: int
