--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -13,10 +13,16 @@
 from wasabiwing.codes import RunState
 from wasabiwing.duty_port import DutyStamp
 from wasabiwing.ports import Lease
+from wasabiwing.ports import StoreChanges
 from wasabiwing.ports import StoredValue
+from wasabiwing.ports import StoreSnapshot
 from wasabiwing.ports import SwapResult
+from wasabiwing.ports import WatchEvent
 from wasabiwing.timers import FakeTimer
 
+# How often a waiting watch of the fake looks for changes, in seconds.
+WATCH_STEP_S = 0.02
+
 
 @dataclass(slots=True)
 class _Item:
@@ -34,6 +40,13 @@
         self._end_by_lease: dict[int, float] = {}
         self._ttl_by_lease: dict[int, float] = {}
         self.revision = 0
+        self.events: list[WatchEvent] = []
+
+    def put(self, key: str, value: bytes | None) -> int:
+        """Writes or removes (``None``) a key of the operator or a server."""
+        current = self.item_by_key.get(key)
+        expected = 0 if current is None else current.revision
+        return self.swap(key, expected, value, 0).unwrap().revision
 
     def expire(self) -> None:
         """Ends leases whose time is over."""
@@ -45,6 +58,9 @@
                     if item.lease == lease:
                         del self.item_by_key[key]
                         self.revision += 1
+                        self.events.append(
+                            WatchEvent(key, self.revision, None)
+                        )
 
     def stored(self, key: str) -> StoredValue | None:
         """Returns an item."""
@@ -69,6 +85,7 @@
             self.item_by_key.pop(key, None)
         else:
             self.item_by_key[key] = _Item(value, self.revision, lease)
+        self.events.append(WatchEvent(key, self.revision, value))
         return Ok(SwapResult(True, self.revision))
 
     def grant(self, ttl_s: float) -> Lease:
@@ -144,6 +161,42 @@
         return done
 
 
+class FollowedStoreLink(StoreLink):
+    """One node's way to a store that it also follows; counts the calls."""
+
+    def __init__(self, store: LeaseStoreFake, timer: FakeTimer) -> None:
+        super().__init__(store)
+        self._timer = timer
+        self.reads = 0
+        self.watches = 0
+
+    async def snapshot(self, prefix: str) -> Result[StoreSnapshot, Failure]:
+        self.reads += 1
+        if self.cut:
+            return Err(Failure(ResultCode.STORE_UNAVAILABLE))
+        self.store.expire()
+        values = tuple(
+            StoredValue(key, item.value, item.revision)
+            for key, item in self.store.item_by_key.items()
+        )
+        return Ok(StoreSnapshot(values, self.store.revision))
+
+    async def changes(
+        self, prefix: str, after: int, wait_s: float
+    ) -> Result[StoreChanges, Failure]:
+        self.watches += 1
+        until = self._timer.now() + wait_s
+        while not self.cut:
+            self.store.expire()
+            events = tuple(
+                event for event in self.store.events if event.revision > after
+            )
+            if events or self._timer.now() >= until:
+                return Ok(StoreChanges(events, self.store.revision))
+            await self._timer.sleep(WATCH_STEP_S)
+        return Err(Failure(ResultCode.STORE_UNAVAILABLE))
+
+
 @dataclass(slots=True)
 class CloudFake:
     """A ``DutyCalls`` that checks fences and keeps what was accepted."""
--- /dev/null
+++ b/tests/relay_fleet.py
@@ -0,0 +1,280 @@
+"""Many nodes that pass on what the store says, on a fake network."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from random import Random
+
+from anyio import CancelScope
+from anyio.abc import TaskGroup
+from msgspec.json import encode
+from result import Ok
+from result import Result
+
+from tests.network import bench
+from tests.network import FakeNetwork
+from tests.platform_fakes import FollowedStoreLink
+from tests.platform_fakes import LeaseStoreFake
+from wasabiwing.demand import Demand
+from wasabiwing.fleet_changes import ConfigurationChange
+from wasabiwing.fleet_changes import EvacuationChange
+from wasabiwing.fleet_changes import FleetChange
+from wasabiwing.fleet_changes import ServerChange
+from wasabiwing.fleet_follower import FleetFollower
+from wasabiwing.fleet_follower import FleetView
+from wasabiwing.fleet_relay import FleetRelay
+from wasabiwing.fleet_relay import PUSH_PERIOD_S
+from wasabiwing.message_router import MessageRouter
+from wasabiwing.messages import Envelope
+from wasabiwing.messages import FleetContent
+from wasabiwing.messages import FleetRequest
+from wasabiwing.messages import HeadPush
+from wasabiwing.messages import NodeReport
+from wasabiwing.node_registry import node_lease_name
+from wasabiwing.node_registry import NodeRecord
+from wasabiwing.node_registry import NodeRegistry
+from wasabiwing.node_reports import NodeReports
+from wasabiwing.node_reports import REPORT_PERIOD_S
+from wasabiwing.node_reports import SharedState
+from wasabiwing.prefill_rates import PrefillRates
+from wasabiwing.presence import Presence
+from wasabiwing.presence import PRESENCE_PERIOD_S
+from wasabiwing.prompt_cache import PromptCacheIndex
+from wasabiwing.server_directory import RegisteredServer
+from wasabiwing.server_directory import ServerDirectory
+from wasabiwing.server_loads import ServerLoads
+from wasabiwing.service_configuration import RequestLimits
+from wasabiwing.service_configuration import ServiceConfiguration
+from wasabiwing.store_progress import StoreProgress
+from wasabiwing.timers import FakeTimer
+from wasabiwing.usage_caps import CapTolerance
+from wasabiwing.usage_caps import UsageCaps
+from wasabiwing.usage_windows import UsageWindows
+from wasabiwing.zone_heads import ZoneHeads
+
+ZONES = ("zone-a", "zone-b", "zone-c")
+STEP_S = 0.05
+BEAT_S = 1.2
+LARGE_VM = 20
+
+
+def decode(key: str, value: bytes | None) -> Result[FleetChange | None, str]:
+    """Reads versions, evacuations and servers of the test."""
+    if key == "configuration" and value is not None:
+        version = int(value.split()[0])
+        return Ok(
+            ConfigurationChange(
+                ServiceConfiguration(version, (), {}, RequestLimits())
+            )
+        )
+    if key.startswith("out/"):
+        return Ok(EvacuationChange(key[4:], value is not None))
+    if key.startswith("servers/"):
+        server_id = key.removeprefix("servers/")
+        if value is None:
+            return Ok(ServerChange(server_id, None))
+        state, _ = value.decode().split()
+        return Ok(ServerChange(server_id, server(server_id, state)))
+    return Ok(None)
+
+
+def server(server_id: str, state: str) -> RegisteredServer:
+    """Returns a server's entry."""
+    return RegisteredServer(
+        server_id,
+        "models",
+        "10.0.0.1:80",
+        ZONES[0],
+        "v1",
+        16,
+        draining=state == "draining",
+    )
+
+
+class RelayNode:
+    """The parts of a node that know the fleet."""
+
+    def __init__(self, fleet: "RelayFleet", number: int, life: int) -> None:
+        timer = fleet.timer
+        self.id = f"node-{number:03}"
+        self.zone = ZONES[number % len(ZONES)]
+        capacity = LARGE_VM if number < fleet.large else 5
+        inbox = f"{self.id}:7000"
+        record = NodeRecord(self.id, inbox, self.zone, capacity)
+        self.link = FollowedStoreLink(fleet.store, timer)
+        self.nodes = NodeRegistry(self.id)
+        self.directory = ServerDirectory(timer)
+        self.view = FleetView(self.id, self.directory)
+        progress = StoreProgress(timer)
+        self.follower = FleetFollower(
+            self.id,
+            timer,
+            self.link,
+            decode,
+            self.view,
+            self.nodes,
+            progress,
+            Random(number),
+        )
+        self.heads = ZoneHeads(record, timer, self.nodes)
+        self.transport = fleet.network.open(self.id, f"tcp://{inbox}")
+        name = f"{self.id}/{life}"
+        self.reports = NodeReports(
+            name, timer, self.transport, self.nodes, self.heads
+        )
+        self.shared = SharedState(
+            UsageCaps(
+                timer,
+                True,
+                self.reports.heard_share,
+                CapTolerance(8.0, 0.0, 0.0),
+            ),
+            UsageWindows(timer, name, 5.0),
+            ServerLoads(timer, PrefillRates()),
+            PromptCacheIndex(),
+            Demand(timer),
+            progress,
+        )
+        self.relay = FleetRelay(
+            self.id,
+            timer,
+            self.transport,
+            self.heads,
+            self.nodes,
+            self.follower,
+            self.directory,
+            self.reports,
+            self.shared,
+        )
+        self.presence = Presence(
+            self.id,
+            node_lease_name(self.id, inbox, self.zone, capacity),
+            timer,
+            self.link,
+        )
+        self.messages = MessageRouter(self.id, self.transport)
+        self.messages.register(HeadPush, self.relay.receive_push)
+        self.messages.register(FleetRequest, self.relay.answer)
+        self.messages.register(FleetContent, self.relay.receive_content)
+        self.messages.register(NodeReport, self._receive_report)
+        self.versions: list[int] = []
+        self.view.on_configuration(
+            lambda found: self.versions.append(found.version)
+        )
+        self.frozen = False
+        self.scope = CancelScope()
+
+    @property
+    def version(self) -> int | None:
+        """Version in force."""
+        configuration = self.view.configuration
+        return None if configuration is None else configuration.version
+
+    def kill(self) -> None:
+        """Ends the process; its entry stays until its lease ends."""
+        self.frozen = True
+        self.transport.paused = True
+        self.scope.cancel()
+
+    async def run(self) -> None:
+        """Runs the node's tasks."""
+        with self.scope:
+            await self.follower.run()
+
+    async def receive(self) -> None:
+        """Reads the inbox."""
+        await self.messages.run()
+
+    async def _receive_report(
+        self, envelope: Envelope, report: NodeReport
+    ) -> None:
+        self.reports.receive(envelope, report, self.shared)
+
+
+class RelayFleet:
+    """Nodes, stepped by hand, with servers that keep writing."""
+
+    def __init__(
+        self,
+        timer: FakeTimer,
+        network: FakeNetwork,
+        tasks: TaskGroup,
+        count: int,
+        large: int,
+    ) -> None:
+        self.timer = timer
+        self.network = network
+        self._tasks = tasks
+        # Nodes on large VMs, which come first.
+        self.large = large
+        self.store = LeaseStoreFake(timer)
+        self.store.put("configuration", b"1")
+        self.state_by_server = {f"server-{n}": "ready" for n in range(6)}
+        self._step = 0
+        self._beat()
+        self.node_by_id: dict[str, RelayNode] = {}
+        for number in range(count):
+            self.start(number)
+
+    @property
+    def nodes(self) -> list[RelayNode]:
+        """All nodes that run."""
+        return [n for n in self.node_by_id.values() if not n.frozen]
+
+    def start(self, number: int, life: int = 1) -> RelayNode:
+        """Starts a node, also one that was there before."""
+        node = RelayNode(self, number, life)
+        self.node_by_id[node.id] = node
+        self._tasks.start_soon(node.run)
+        self._tasks.start_soon(node.receive)
+        return node
+
+    def heads(self, zone: str) -> list[RelayNode]:
+        """Returns the nodes of a zone that act as heads."""
+        return [
+            node
+            for node in self.nodes
+            if node.zone == zone and node.heads.place() is not None
+        ]
+
+    async def run(self, seconds: float) -> None:
+        """Lets time pass."""
+        for _ in range(round(seconds / STEP_S)):
+            await self.timer.advance(STEP_S)
+            self._step += 1
+            if self._due(BEAT_S, 0):
+                self._beat()
+            for number, node in enumerate(self.nodes):
+                if self._due(REPORT_PERIOD_S, number):
+                    await node.reports.send(node.shared)
+                if self._due(PUSH_PERIOD_S, number):
+                    await node.relay.push()
+                if self._due(PRESENCE_PERIOD_S, number):
+                    await node.presence.renew(node.heads.needed)
+        await self.timer.advance(0.0)
+
+    def _due(self, period_s: float, number: int) -> bool:
+        return (self._step + number) % round(period_s / STEP_S) == 0
+
+    def _beat(self) -> None:
+        for server_id, state in self.state_by_server.items():
+            entry = f"{state} {self._step}".encode()
+            self.store.put(f"servers/{server_id}", entry)
+
+
+@asynccontextmanager
+async def relay_fleet(
+    count: int, large: int = 6, seed: int = 1
+) -> AsyncIterator[RelayFleet]:
+    """Runs a fleet that has settled."""
+    async with bench(seed) as found:
+        fleet = RelayFleet(
+            found.timer, found.network, found.tasks, count, large
+        )
+        await fleet.run(6.0)
+        yield fleet
+
+
+def encoded(version: int, routes: int) -> bytes:
+    """Returns a configuration with many routes."""
+    names = [f"route-{number:06}" for number in range(routes)]
+    return f"{version} ".encode() + encode(names)
--- /dev/null
+++ b/tests/test_fleet_relay.py
@@ -0,0 +1,286 @@
+"""Tests of passing on: what nodes know when heads and the store fail."""
+
+from random import Random
+
+import pytest
+
+from tests.relay_fleet import encoded
+from tests.relay_fleet import relay_fleet
+from tests.relay_fleet import RelayFleet
+from tests.relay_fleet import RelayNode
+from tests.relay_fleet import ZONES
+from wasabiwing.node_registry import NodeRecord
+from wasabiwing.service_configuration import OrganisationProfile
+from wasabiwing.zone_heads import choose_heads
+from wasabiwing.zone_heads import HEADS_PER_ZONE
+from wasabiwing.zone_heads import rank_nodes
+
+pytestmark = pytest.mark.anyio
+
+# Time in which a change has to be in force everywhere, in seconds.
+CHANGE_S = 4.0
+
+SERVER_KEYS = {f"servers/server-{number}" for number in range(6)}
+
+# Least time in which a leaving server gets no new work, in seconds.
+DRAIN_S = 4.0
+
+
+def versions(fleet: RelayFleet) -> set[int | None]:
+    """Returns the versions in force."""
+    return {node.version for node in fleet.nodes}
+
+
+def usable(node: RelayNode) -> set[str]:
+    """Returns the servers that get new work from a node."""
+    return {server.id for server in node.view.servers("models")}
+
+
+class TestChoice:
+    """Which nodes are heads."""
+
+    def test_large_vms_come_first_and_all_agree(self) -> None:
+        records = [
+            NodeRecord(f"node-{number}", "", "zone", 20 if number > 7 else 5)
+            for number in range(10)
+        ]
+        ranking = rank_nodes("zone", records)
+        assert set(ranking[:2]) == {"node-8", "node-9"}
+        assert ranking == rank_nodes("zone", records[::-1])
+
+    def test_silent_heads_are_passed_over_and_no_more_asked_about(
+        self,
+    ) -> None:
+        asked: list[str] = []
+
+        def is_silent(node_id: str) -> bool:
+            asked.append(node_id)
+            return node_id == "a"
+
+        assert choose_heads(["a", "b", "c", "d"], is_silent) == ("b", "c")
+        assert asked == ["a", "b", "c"]
+
+
+class TestRest:
+    """A fleet without faults."""
+
+    async def test_only_heads_read_the_store(self) -> None:
+        async with relay_fleet(30) as fleet:
+            before = {node.id: node.link.watches for node in fleet.nodes}
+            await fleet.run(10.0)
+            watching = {
+                node.id
+                for node in fleet.nodes
+                if node.link.watches > before[node.id]
+            }
+            heads = {head.id for zone in ZONES for head in fleet.heads(zone)}
+            assert watching <= heads
+            assert len(heads) == HEADS_PER_ZONE * len(ZONES)
+
+    async def test_calls_do_not_grow_with_the_fleet(self) -> None:
+        calls = []
+        for count in (20, 60):
+            async with relay_fleet(count) as fleet:
+                before = sum(node.link.watches for node in fleet.nodes)
+                await fleet.run(5.0)
+                after = sum(node.link.watches for node in fleet.nodes)
+                calls.append(after - before)
+        assert calls[1] <= calls[0] * 1.2
+
+    async def test_change_reaches_all(self) -> None:
+        async with relay_fleet(30) as fleet:
+            fleet.store.put("configuration", b"2")
+            fleet.store.put("out/zone-a", b"")
+            fleet.state_by_server["server-1"] = "draining"
+            await fleet.run(CHANGE_S)
+            assert versions(fleet) == {2}
+            for node in fleet.nodes:
+                assert node.view.evacuated_zones == {"zone-a"}
+                node.view.evacuated_zones = frozenset()
+                assert "server-1" not in usable(node)
+
+    async def test_large_configuration_reaches_all(self) -> None:
+        async with relay_fleet(30) as fleet:
+            fleet.store.put("configuration", encoded(2, 2000))
+            await fleet.run(CHANGE_S)
+            assert versions(fleet) == {2}
+
+    async def test_heartbeats_are_not_passed_on(self) -> None:
+        async with relay_fleet(30) as fleet:
+            await fleet.run(3.0)
+            head = fleet.heads(ZONES[0])[0]
+            revision = head.follower.log.revision
+            assert revision is not None
+            changes = head.follower.log.changes_since(revision - 40)
+            assert changes is not None
+            assert not [
+                change for change in changes if change.key in SERVER_KEYS
+            ]
+
+    async def test_sums_hold_the_load_of_all_others(self) -> None:
+        async with relay_fleet(30) as fleet:
+            for node in fleet.nodes:
+                node.shared.loads.note_sent("server-1", f"r-{node.id}", 0, 9)
+            await fleet.run(2.0)
+            for node in fleet.nodes:
+                loads = node.shared.loads
+                running = loads.estimate("server-1", "models", 0).running
+                assert running == 30
+
+    async def test_use_of_a_cap_is_deducted_once_by_all(self) -> None:
+        north = OrganisationProfile(
+            "north", frozenset(), None, True, 1, 0.001, 100_000.0
+        )
+        async with relay_fleet(30) as fleet:
+            for node in fleet.nodes:
+                node.shared.caps.admit(north, 1)
+            await fleet.run(2.0)
+            for _ in range(10):
+                for node in fleet.nodes:
+                    node.shared.caps.admit(north, 100)
+                await fleet.run(0.5)
+            await fleet.run(2.0)
+            for node in fleet.nodes:
+                [use] = node.shared.caps.own_use()
+                assert use.level == pytest.approx(70_000.0, abs=100.0)
+
+    async def test_usage_of_all_nodes_is_known_to_heads(self) -> None:
+        async with relay_fleet(30) as fleet:
+            window = fleet.nodes[0].shared.windows.window_now()
+            for node in fleet.nodes:
+                node.shared.windows.count("north")
+            await fleet.run(2.5)
+            for zone in ZONES:
+                for head in fleet.heads(zone):
+                    totals = head.reports.window_totals(
+                        window, head.shared.windows
+                    )
+                    assert totals == {"north": 30}
+                    assert head.reports.heard_share() == 1.0
+
+
+class TestLostHeads:
+    """Heads that are killed, frozen, restarted or cut off."""
+
+    @pytest.mark.parametrize("both", [False, True])
+    async def test_killed_heads_are_replaced_in_time(self, both: bool) -> None:
+        async with relay_fleet(30) as fleet:
+            victims = fleet.heads(ZONES[0])
+            for head in victims[: 2 if both else 1]:
+                head.kill()
+            fleet.store.put("configuration", b"2")
+            fleet.state_by_server["server-1"] = "draining"
+            await fleet.run(CHANGE_S)
+            assert versions(fleet) == {2}
+            assert all("server-1" not in usable(n) for n in fleet.nodes)
+            await fleet.run(4.0)
+            assert len(fleet.heads(ZONES[0])) == HEADS_PER_ZONE
+
+    async def test_counts_outlive_a_killed_node(self) -> None:
+        async with relay_fleet(30) as fleet:
+            heads = {head.id for zone in ZONES for head in fleet.heads(zone)}
+            window = fleet.nodes[0].shared.windows.window_now()
+            victim = next(n for n in fleet.nodes if n.id not in heads)
+            victim.shared.windows.count("north")
+            await fleet.run(2.5)
+            victim.kill()
+            fleet.heads(ZONES[1])[0].kill()
+            await fleet.run(2.0)
+            for zone in ZONES:
+                for head in fleet.heads(zone):
+                    totals = head.reports.window_totals(
+                        window, head.shared.windows
+                    )
+                    assert totals == {"north": 1}
+
+    async def test_cut_heads_learn_from_other_zones(self) -> None:
+        """The store turns both heads of a zone away."""
+        async with relay_fleet(30) as fleet:
+            for head in fleet.heads(ZONES[0]):
+                head.link.cut = True
+            fleet.store.put("configuration", b"2")
+            await fleet.run(2.0)
+            assert versions(fleet) == {2}
+
+    async def test_node_that_hears_nobody_reads_the_store(self) -> None:
+        async with relay_fleet(30) as fleet:
+            lonely = next(
+                node for node in fleet.nodes if node.heads.place() is None
+            )
+            fleet.network.group_by_address[lonely.transport.address] = 1
+            fleet.store.put("configuration", b"2")
+            fleet.state_by_server["server-1"] = "draining"
+            await fleet.run(DRAIN_S)
+            assert lonely.version == 2
+            assert "server-1" not in usable(lonely)
+
+    async def test_turned_away_node_learns_from_others(self) -> None:
+        async with relay_fleet(30) as fleet:
+            away = fleet.nodes[3::2]
+            for node in away:
+                node.link.cut = True
+            fleet.store.put("configuration", b"2")
+            fleet.store.put("out/zone-b", b"")
+            await fleet.run(CHANGE_S)
+            assert versions(fleet) == {2}
+            assert all(
+                node.view.evacuated_zones == {"zone-b"} for node in away
+            )
+
+
+class TestOrder:
+    """Nothing older replaces something newer."""
+
+    async def test_late_messages_change_nothing(self) -> None:
+        async with relay_fleet(20) as fleet:
+            fleet.network.late = 0.2
+            for version in range(2, 12):
+                fleet.store.put("configuration", str(version).encode())
+                await fleet.run(0.7)
+            await fleet.run(10.0)
+            assert versions(fleet) == {11}
+            for node in fleet.nodes:
+                assert node.versions == sorted(node.versions)
+
+    async def test_removed_server_does_not_come_back(self) -> None:
+        async with relay_fleet(20) as fleet:
+            fleet.network.late = 0.2
+            del fleet.state_by_server["server-2"]
+            fleet.store.put("servers/server-2", None)
+            await fleet.run(2.5)
+            for _ in range(20):
+                assert all("server-2" not in usable(n) for n in fleet.nodes)
+                await fleet.run(0.5)
+
+    @pytest.mark.parametrize("seed", range(8))
+    async def test_schedules_of_faults_end_in_one_state(
+        self, seed: int
+    ) -> None:
+        """Kills, restarts, cuts and lost messages, drawn from a seed."""
+        random = Random(seed)
+        async with relay_fleet(18, seed=seed) as fleet:
+            version = 1
+            for life in range(2, 14):
+                node = random.choice(fleet.nodes)
+                fault = random.choice(["restart", "cut", "loss", "lone", ""])
+                if fault == "restart":
+                    node.kill()
+                node.link.cut = fault == "cut"
+                fleet.network.loss = 0.3 if fault == "loss" else 0.0
+                if fault == "lone":
+                    address = node.transport.address
+                    fleet.network.group_by_address[address] = 1
+                version += 1
+                fleet.store.put("configuration", str(version).encode())
+                await fleet.run(random.uniform(0.2, 3.0))
+                if fault == "restart":
+                    fleet.start(int(node.id.removeprefix("node-")), life)
+                node.link.cut = False
+                fleet.network.group_by_address.clear()
+            fleet.network.loss = 0.0
+            await fleet.run(CHANGE_S)
+            assert versions(fleet) == {version}
+            servers = {frozenset(usable(node)) for node in fleet.nodes}
+            assert servers == {frozenset(fleet.state_by_server)}
+            for node in fleet.nodes:
+                assert node.versions == sorted(node.versions)
--- a/tests/test_usage_caps.py
+++ b/tests/test_usage_caps.py
@@ -7,6 +7,7 @@
 from wasabiwing.service_configuration import OrganisationProfile
 from wasabiwing.timers import FakeTimer
 from wasabiwing.usage_caps import CapTolerance
+from wasabiwing.usage_caps import LEVEL_MEMORY_S
 from wasabiwing.usage_caps import UsageCaps
 
 NORTH = OrganisationProfile(
@@ -127,3 +128,30 @@
         admitted_tokens(found, 50, 100)
         await timer.advance(2.0)
         assert admitted_tokens(found, 50, 100) == 500
+
+
+class TestFirstRequest:
+    """A node whose first request of an organisation comes late."""
+
+    def test_what_others_have_used_is_known(self) -> None:
+        timer = FakeTimer()
+        found = caps(timer)
+        found.deduct("north", 1900.0, 100.0)
+        assert admitted_tokens(found, 50, 100) == 100
+
+    @pytest.mark.anyio
+    async def test_an_old_level_is_not_used(self) -> None:
+        timer = FakeTimer()
+        found = caps(timer)
+        found.deduct("north", 1900.0, 100.0)
+        await timer.advance(LEVEL_MEMORY_S + 0.1)
+        assert admitted_tokens(found, 50, 100) == 2000
+
+    def test_corrections_are_given_back(self) -> None:
+        timer = FakeTimer()
+        found = caps(timer)
+        found.admit(NORTH, 100)
+        found.deduct("north", 500.0, 0.0)
+        found.deduct("north", -200.0, 0.0)
+        [use] = found.own_use()
+        assert use.level == 2000.0 - 100.0 - 300.0
--- a/wasabiwing/duties.py
+++ b/wasabiwing/duties.py
@@ -18,7 +18,6 @@
 from wasabiwing.events import log_event
 from wasabiwing.leases import HeldLease
 from wasabiwing.leases import LeaseHolder
-from wasabiwing.node_registry import node_lease_name
 from wasabiwing.node_registry import NodeRegistry
 from wasabiwing.server_orders import ServerOrders
 from wasabiwing.timers import TimerService
@@ -41,21 +40,22 @@
 
 
 class Duties:
-    """This node's lease, its entry in the registry, and its duties."""
+    """The lease of this node's duties, and the work under it."""
 
     def __init__(
         self,
         node_id: str,
-        inbox: str,
         timer: TimerService,
         leases: LeaseHolder,
         nodes: NodeRegistry,
         usage: UsageReporter | None,
         orders: ServerOrders | None,
         random: Random,
+        is_candidate: Callable[[], bool] = lambda: True,
     ) -> None:
         self._node_id = node_id
-        self._own_name = node_lease_name(node_id, inbox)
+        # Whether this node knows enough to hold the duties.
+        self._is_candidate = is_candidate
         self._timer = timer
         self._leases = leases
         self._nodes = nodes
@@ -73,13 +73,13 @@
         await self._leases.extend()
         if self.stopping:
             return
-        if self._leases.held(self._own_name) is None:
-            await self._leases.take(self._own_name)
         if self._usage is None and self._orders is None:
             return
         if self._leases.held(DUTY_LEASE) is not None:
+            if not self._is_candidate():
+                await self._leases.release(DUTY_LEASE)
             return
-        if DUTY_LEASE in self._nodes.held_leases:
+        if DUTY_LEASE in self._nodes.held_leases or not self._is_candidate():
             return
         await self._timer.sleep(self._random.random() * ELECTION_SPREAD_S)
         if DUTY_LEASE not in self._nodes.held_leases:
@@ -89,7 +89,6 @@
         """Gives everything up, so that others need not wait."""
         self.stopping = True
         await self._leases.release(DUTY_LEASE)
-        await self._leases.release(self._own_name)
 
     async def work(self) -> None:
         """Does what is due if this node holds the duties."""
--- a/wasabiwing/events.py
+++ b/wasabiwing/events.py
@@ -87,6 +87,7 @@
     SERVERS_REFUSED = 714
     USAGE_REPORTED = 715
     USAGE_WITHHELD = 716
+    PRESENCE_FAILED = 717
 
 
 TEXT_BY_EVENT: dict[Event, str] = {
@@ -160,6 +161,7 @@
     Event.SERVERS_ORDERED: "A number of backend servers was ordered.",
     Event.SERVERS_REFUSED: "An order for backend servers was refused.",
     Event.USAGE_REPORTED: "The usage of a window was reported.",
+    Event.PRESENCE_FAILED: "The node's entry was not written or taken out.",
     Event.USAGE_WITHHELD: "The usage of a window was not reported, and why.",
 }
 
--- a/wasabiwing/fleet_follower.py
+++ b/wasabiwing/fleet_follower.py
@@ -1,10 +1,13 @@
 """Follows configuration, backend servers and nodes in the platform's store.
 
-One watch over all keys serves a node. What is known stays in use while the
-store is away; a configuration older than the one in force is never taken.
+A node either watches all keys itself or learns changes from other nodes. What
+is known stays in use while the store is away; a configuration older than the
+one in force is never taken.
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
+from math import inf
 from random import Random
 
 from result import Err
@@ -19,11 +22,13 @@
 from wasabiwing.fleet_changes import EvacuationChange
 from wasabiwing.fleet_changes import FleetChange
 from wasabiwing.fleet_changes import ServerChange
+from wasabiwing.fleet_log import FleetLog
 from wasabiwing.leases import LEASE_PREFIX
 from wasabiwing.node_registry import NodeRegistry
 from wasabiwing.ports import FollowedStore
 from wasabiwing.ports import StoreChanges
 from wasabiwing.ports import StoredValue
+from wasabiwing.ports import WatchEvent
 from wasabiwing.server_directory import RegisteredServer
 from wasabiwing.server_directory import ServerDirectory
 from wasabiwing.service_configuration import ServiceConfiguration
@@ -34,6 +39,9 @@
 # may have gone silent, and a server's leaving must be known within two.
 WATCH_WAIT_S = 2.5
 
+# Wait of a watch on which other nodes depend, in seconds.
+SHARED_WATCH_WAIT_S = 1.0
+
 # Wait of a watch after a failure, in seconds: the store may still swallow
 # calls, and each must end soon.
 CAUTIOUS_WAIT_S = 0.4
@@ -42,10 +50,19 @@
 # groups.
 BATCH_PAUSE_S = 0.35
 
+# The same where several nodes watch for all others, each at its own moments.
+SHARED_BATCH_PAUSE_S = 0.6
+
 # Pause after a failed call, in seconds; spread, so that nodes do not return
 # to a store at the same moment.
 RETRY_PAUSE_S = 0.3
 
+# The pause grows to this many seconds while the store is away.
+LONGEST_RETRY_PAUSE_S = 1.0
+
+# How often a node that does not watch looks whether it has to, in seconds.
+ROLE_PERIOD_S = 0.2
+
 Decode = Callable[[str, bytes | None], Result[FleetChange | None, str]]
 
 
@@ -124,6 +141,12 @@
                 active=change.active,
             )
 
+    def has_news(self, change: FleetChange) -> bool:
+        """Whether a change says more than that a server lives."""
+        if not isinstance(change, ServerChange) or change.entry is None:
+            return True
+        return self.directory.has_news(change.entry)
+
     def _change_server(self, change: ServerChange) -> None:
         if change.problem:
             log_event(
@@ -181,36 +204,80 @@
         self._nodes = nodes
         self._random = random
         self._connected = True
+        self._failures = 0
+        self.log = FleetLog()
+        # Moment at which the log was last known to be the newest.
+        self.current_at = -inf
+        # Whether this node has to watch the store now, and whether other
+        # nodes depend on it.
+        self.must_watch: Callable[[], bool] = lambda: True
+        self.shares_watch: Callable[[], bool] = lambda: False
 
     async def run(self) -> None:
         """Follows the store until cancelled."""
-        revision: int | None = None
         while True:
-            if revision is None:
-                revision = await self._load()
-                continue
-            found = await self._watch(revision)
-            if found is None:
-                continue
-            if isinstance(found, Err):
-                if found.err_value.code is ResultCode.STORE_HISTORY_GONE:
-                    revision = None
-                else:
-                    await self._pause_after(found.err_value)
-                continue
-            self._note_answer()
-            revision = max(found.ok_value.revision, revision)
-            for event in found.ok_value.events:
-                self._progress.note_seen(event.revision)
-                self._apply(event.key, event.value)
-            if found.ok_value.events:
-                await self._timer.sleep(BATCH_PAUSE_S)
+            if self.log.revision is None:
+                await self._load()
+            elif self.must_watch():
+                await self._follow(self.log.revision)
+            else:
+                await self._timer.sleep(ROLE_PERIOD_S)
+
+    def age_s(self) -> float:
+        """Returns for how long changes may have gone unseen, in seconds."""
+        return self._timer.now() - self.current_at
+
+    def take_changes(
+        self, events: Iterable[WatchEvent], revision: int, current_at: float
+    ) -> None:
+        """Takes over changes up to a revision, in order."""
+        for event in self.log.note_changes(events, revision):
+            self._progress.note_seen(event.revision)
+            if self._apply(event.key, event.value):
+                self.log.note_recent(event)
+        self.current_at = max(self.current_at, current_at)
+
+    def take_all(
+        self,
+        values: tuple[StoredValue, ...],
+        revision: int,
+        current_at: float,
+    ) -> None:
+        """Takes over a complete listing unless it is older."""
+        if not self.log.replace_all(values, revision):
+            return
+        for stored in values:
+            self._progress.note_seen(stored.revision)
+        self._replace_all(values)
+        self.current_at = max(self.current_at, current_at)
+
+    async def _follow(self, revision: int) -> None:
+        """Waits for changes once and takes them over."""
+        found = await self._watch(revision)
+        if found is None:
+            return
+        if isinstance(found, Err):
+            if found.err_value.code is ResultCode.STORE_HISTORY_GONE:
+                await self._load()
+            else:
+                await self._pause_after(found.err_value)
+            return
+        self._note_answer()
+        changes = found.ok_value
+        self.take_changes(changes.events, changes.revision, self._timer.now())
+        if changes.events:
+            shared = self.shares_watch()
+            await self._timer.sleep(
+                SHARED_BATCH_PAUSE_S if shared else BATCH_PAUSE_S
+            )
 
     async def _watch(
         self, revision: int
     ) -> Result[StoreChanges, Failure] | None:
         """Waits for changes; ``None`` if the call lagged behind."""
-        wait_s = WATCH_WAIT_S if self._connected else CAUTIOUS_WAIT_S
+        wait_s = SHARED_WATCH_WAIT_S if self.shares_watch() else WATCH_WAIT_S
+        if not self._connected:
+            wait_s = CAUTIOUS_WAIT_S
         with self._progress.begin_call():
             return await self._store.changes("", revision, wait_s)
         log_event(
@@ -221,18 +288,15 @@
         )
         return None
 
-    async def _load(self) -> int | None:
-        """Reads everything; returns the revision to follow from."""
+    async def _load(self) -> None:
+        """Reads everything."""
         found = await self._store.snapshot("")
         if isinstance(found, Err):
             await self._pause_after(found.err_value)
-            return None
+            return
         self._note_answer()
         snapshot = found.ok_value
-        for stored in snapshot.values:
-            self._progress.note_seen(stored.revision)
-        self._replace_all(snapshot.values)
-        return snapshot.revision
+        self.take_all(snapshot.values, snapshot.revision, self._timer.now())
 
     def _replace_all(self, values: tuple[StoredValue, ...]) -> None:
         value_by_key = {stored.key: stored.value for stored in values}
@@ -256,13 +320,17 @@
             self._view.apply(EvacuationChange(zone, False))
         self._view.directory.replace_all(entry_by_id)
 
-    def _apply(self, key: str, value: bytes | None) -> None:
+    def _apply(self, key: str, value: bytes | None) -> bool:
+        """Applies a change; returns whether other nodes have to learn it."""
         if key.startswith(LEASE_PREFIX):
             self._nodes.apply(key.removeprefix(LEASE_PREFIX), value)
-            return
+            return True
         change = self._decoded(key, value)
-        if change is not None:
-            self._view.apply(change)
+        if change is None:
+            return False
+        news = self._view.has_news(change)
+        self._view.apply(change)
+        return news
 
     def _decoded(self, key: str, value: bytes | None) -> FleetChange | None:
         decoded = self._decode(key, value)
@@ -278,6 +346,7 @@
 
     async def _pause_after(self, failure: Failure) -> None:
         self._view.directory.note_store_failure()
+        self._failures += 1
         if self._connected:
             self._connected = False
             log_event(
@@ -286,9 +355,19 @@
                 dependency="store",
                 failure=str(failure),
             )
-        await self._timer.sleep(RETRY_PAUSE_S * (1.0 + self._random.random()))
+        await self._timer.sleep(self._retry_pause_s())
+
+    def _retry_pause_s(self) -> float:
+        """Returns the pause after a failure; many nodes spare the store."""
+        pause_s = RETRY_PAUSE_S
+        if self.shares_watch() or not self.must_watch():
+            pause_s = min(
+                RETRY_PAUSE_S * self._failures, LONGEST_RETRY_PAUSE_S
+            )
+        return pause_s * (1.0 + self._random.random())
 
     def _note_answer(self) -> None:
+        self._failures = 0
         self._view.directory.note_store_answer()
         if not self._connected:
             self._connected = True
--- /dev/null
+++ b/wasabiwing/fleet_log.py
@@ -0,0 +1,124 @@
+"""What a node has read of the store, in a form that can be passed on.
+
+The log stands for the store at one revision. It moves forward only: whatever
+is older than its revision is already in it, also if it comes from another
+node.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from collections.abc import Sequence
+from dataclasses import dataclass
+from zlib import compress
+
+from wasabiwing.ports import StoredValue
+from wasabiwing.ports import WatchEvent
+
+# Changes that stay available one by one.
+MOST_RECENT_CHANGES = 512
+
+# A value beyond this many bytes is not part of a short message.
+MOST_SHORT_BYTES = 4096
+
+# Fastest level: a large document is compressed once for all nodes of a zone.
+COMPRESSION_LEVEL = 1
+
+
+@dataclass(frozen=True, slots=True)
+class PackedValue:
+    """A compressed value as it is passed on."""
+
+    key: str
+    content: bytes
+    revision: int
+
+
+class FleetLog:
+    """Keys and values of the store at one revision."""
+
+    def __init__(self) -> None:
+        # Revision of the store that the log stands for; ``None`` while
+        # nothing was read.
+        self.revision: int | None = None
+        self._value_by_key: dict[str, StoredValue] = {}
+        self._packed_by_key: dict[str, PackedValue] = {}
+        self._recent: deque[WatchEvent] = deque(maxlen=MOST_RECENT_CHANGES)
+        # Changes after this revision are all among the recent ones.
+        self._recent_since = 0
+
+    def note_changes(
+        self, events: Iterable[WatchEvent], revision: int
+    ) -> list[WatchEvent]:
+        """Enters changes; returns those that are new."""
+        known = self.revision or 0
+        new = [
+            event
+            for event in events
+            if event.revision > known and not self._is_older(event)
+        ]
+        for event in new:
+            if event.value is None:
+                self._value_by_key.pop(event.key, None)
+                self._packed_by_key.pop(event.key, None)
+            else:
+                self._value_by_key[event.key] = StoredValue(
+                    event.key, event.value, event.revision
+                )
+        self.revision = max(known, revision)
+        return new
+
+    def note_recent(self, event: WatchEvent) -> None:
+        """Keeps a change that other nodes have to learn."""
+        if len(self._recent) == self._recent.maxlen:
+            self._recent_since = self._recent[0].revision
+        self._recent.append(event)
+
+    def replace_all(
+        self, values: Sequence[StoredValue], revision: int
+    ) -> bool:
+        """Takes over a complete listing; false if it is older."""
+        if self.revision is not None and revision < self.revision:
+            return False
+        self._value_by_key = {stored.key: stored for stored in values}
+        self._packed_by_key.clear()
+        self._recent.clear()
+        self._recent_since = revision
+        self.revision = revision
+        return True
+
+    def values(self) -> tuple[StoredValue, ...]:
+        """Returns all values."""
+        return tuple(self._value_by_key.values())
+
+    def keys(self) -> tuple[str, ...]:
+        """Returns all keys."""
+        return tuple(self._value_by_key)
+
+    def changes_since(self, revision: int) -> tuple[WatchEvent, ...] | None:
+        """Returns the changes to learn; ``None`` if some are forgotten."""
+        if revision < self._recent_since:
+            return None
+        return tuple(
+            event for event in self._recent if event.revision > revision
+        )
+
+    def packed_since(self, revision: int) -> tuple[PackedValue, ...]:
+        """Returns the values that were written after a revision."""
+        return tuple(
+            self._packed(stored)
+            for stored in self._value_by_key.values()
+            if stored.revision > revision
+        )
+
+    def _is_older(self, event: WatchEvent) -> bool:
+        """Whether a later page of a listing had a newer value."""
+        stored = self._value_by_key.get(event.key)
+        return stored is not None and stored.revision >= event.revision
+
+    def _packed(self, stored: StoredValue) -> PackedValue:
+        known = self._packed_by_key.get(stored.key)
+        if known is None or known.revision != stored.revision:
+            content = compress(stored.value, COMPRESSION_LEVEL)
+            known = PackedValue(stored.key, content, stored.revision)
+            self._packed_by_key[stored.key] = known
+        return known
--- a/wasabiwing/messages.py
+++ b/wasabiwing/messages.py
@@ -504,8 +504,15 @@
     parts: tuple[tuple[str, int], ...]
 
 
+class LifeWindows(Struct, frozen=True, array_like=True):
+    """Counts of usage windows of a node that is gone."""
+
+    life: str
+    windows: tuple[WindowUse, ...]
+
+
 class NodeReport(Struct, frozen=True, array_like=True, tag=100):
-    """What a node tells all other nodes several times a second."""
+    """What a node tells others several times a second."""
 
     # Names one start of the node.
     life: str
@@ -518,6 +525,77 @@
     demand: tuple[tuple[str, float], ...] = ()
     # Newest change of the store that the node has seen.
     revision: int = 0
+    inherited: tuple[LifeWindows, ...] = ()
+
+
+class ReportSums(Struct, frozen=True, array_like=True):
+    """What the nodes of a zone, or of all zones, report together."""
+
+    # Names one start of the node that added the reports up; the use of caps
+    # counts from there.
+    life: str
+    # Nodes whose reports are in the sums.
+    heard: int
+    caps: tuple[OrganisationUse, ...] = ()
+    windows: tuple[WindowUse, ...] = ()
+    servers: tuple[ServerUse, ...] = ()
+    demand: tuple[tuple[str, float], ...] = ()
+
+
+class PassedChange(Struct, frozen=True, array_like=True):
+    """A change in the store that a head passes on."""
+
+    key: str
+    revision: int
+    # Absent for a removed key.
+    value: bytes | None = None
+    # The value is too long for this message and has to be asked for.
+    omitted: bool = False
+
+
+class HeadPush(Struct, frozen=True, array_like=True, tag=101):
+    """What the head of a zone tells other heads and the zone's nodes."""
+
+    zone: str
+    # Revision of the store that the head knows; 0 for none.
+    revision: int
+    # The changes are complete after this revision.
+    since: int
+    # How long changes may have gone unseen by the head, in milliseconds.
+    age_ms: int
+    # Time since the store last came back, in milliseconds; -1 for never.
+    returned_ms: int = -1
+    changes: tuple[PassedChange, ...] = ()
+    # For other heads.
+    zone_sums: ReportSums | None = None
+    # For the nodes of the zone.
+    fleet_sums: ReportSums | None = None
+
+
+class FleetRequest(Struct, frozen=True, array_like=True, tag=102):
+    """Asks a head for all that changed after a revision; 0 for all."""
+
+    revision: int
+
+
+class PassedValue(Struct, frozen=True, array_like=True):
+    """A key of the store; the content is compressed with zlib."""
+
+    key: str
+    revision: int
+    content: bytes
+
+
+class FleetContent(Struct, frozen=True, array_like=True, tag=103):
+    """Answers a request for changes."""
+
+    # Revision that was asked for.
+    since: int
+    revision: int
+    age_ms: int
+    values: tuple[PassedValue, ...]
+    # All keys that exist.
+    keys: tuple[str, ...]
 
 
 Message = (
@@ -554,6 +632,9 @@
     | JobResult
     | JobAck
     | NodeReport
+    | HeadPush
+    | FleetRequest
+    | FleetContent
 )
 
 M = TypeVar("M", bound=Struct)
--- a/wasabiwing/nng_transport.py
+++ b/wasabiwing/nng_transport.py
@@ -78,6 +78,9 @@
         self._address = address
         self._tasks = tasks
         self._outbox_by_address: dict[str, _Outbox] = {}
+        # The last envelope with its wire form: one message often goes to
+        # many destinations.
+        self._encoded: tuple[Message, int, bytes] | None = None
         self.sent_bytes = 0
         self.received_bytes = 0
         self.dropped_messages = 0
@@ -89,13 +92,13 @@
     def send(
         self, address: str, message: Message, correlation: int = 0
     ) -> None:
-        envelope = Envelope(self._node_id, self._address, correlation, message)
+        data = self._encode(message, correlation)
         outbox = self._outbox_by_address.get(address)
         if outbox is None:
             outbox = _Outbox()
             self._outbox_by_address[address] = outbox
             self._tasks.start_soon(self._serve_destination, address, outbox)
-        if outbox.push(encode_envelope(envelope)):
+        if outbox.push(data):
             self.dropped_messages += 1
 
     async def receive(self) -> Envelope:
@@ -108,6 +111,16 @@
                 continue
             return decoded.ok_value
 
+    def _encode(self, message: Message, correlation: int) -> bytes:
+        known = self._encoded
+        if known and known[0] is message and known[1] == correlation:
+            return known[2]
+        data = encode_envelope(
+            Envelope(self._node_id, self._address, correlation, message)
+        )
+        self._encoded = (message, correlation, data)
+        return data
+
     async def _serve_destination(self, address: str, outbox: _Outbox) -> None:
         with Push0(
             send_timeout=SEND_TIMEOUT_MS,
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -28,11 +28,18 @@
 from wasabiwing.fleet_follower import Decode
 from wasabiwing.fleet_follower import FleetFollower
 from wasabiwing.fleet_follower import FleetView
+from wasabiwing.fleet_relay import FleetRelay
+from wasabiwing.fleet_relay import PUSH_PERIOD_S
 from wasabiwing.leases import LeaseHolder
 from wasabiwing.message_router import MessageRouter
 from wasabiwing.messages import Envelope
+from wasabiwing.messages import FleetContent
+from wasabiwing.messages import FleetRequest
+from wasabiwing.messages import HeadPush
 from wasabiwing.messages import NodeReport
 from wasabiwing.metrics import NodeMetrics
+from wasabiwing.node_registry import node_lease_name
+from wasabiwing.node_registry import NodeRecord
 from wasabiwing.node_registry import NodeRegistry
 from wasabiwing.node_reports import NodeReports
 from wasabiwing.node_reports import REPORT_PERIOD_S
@@ -41,6 +48,8 @@
 from wasabiwing.ports import FollowedStore
 from wasabiwing.ports import Transport
 from wasabiwing.prefill_rates import PrefillRates
+from wasabiwing.presence import Presence
+from wasabiwing.presence import PRESENCE_PERIOD_S
 from wasabiwing.prompt_cache import PromptCacheIndex
 from wasabiwing.retries import ServiceRetryBudgets
 from wasabiwing.routed_calls import CallCodec
@@ -56,6 +65,7 @@
 from wasabiwing.usage_caps import UsageCaps
 from wasabiwing.usage_reporter import UsageReporter
 from wasabiwing.usage_windows import UsageWindows
+from wasabiwing.zone_heads import ZoneHeads
 
 SEED_BITS = 64
 
@@ -120,7 +130,16 @@
             progress,
             random,
         )
-        self._reports = NodeReports(life, timer, transport, self.nodes)
+        record = NodeRecord(
+            node_id,
+            str(settings.inbox),
+            settings.availability_zone,
+            settings.capacity,
+        )
+        self._heads = ZoneHeads(record, timer, self.nodes)
+        self._reports = NodeReports(
+            life, timer, transport, self.nodes, self._heads
+        )
         self._rates = PrefillRates()
         self._loads = ServerLoads(timer, self._rates)
         self._prompts = PromptCacheIndex()
@@ -139,6 +158,28 @@
             Demand(timer),
             progress,
         )
+        self._relay = FleetRelay(
+            node_id,
+            timer,
+            transport,
+            self._heads,
+            self.nodes,
+            self.follower,
+            directory,
+            self._reports,
+            self._shared,
+        )
+        self._presence = Presence(
+            node_id,
+            node_lease_name(
+                node_id,
+                record.inbox,
+                record.availability_zone,
+                record.capacity,
+            ),
+            timer,
+            platform.store,
+        )
         self.connections = ServerConnections(timer, metrics.count_connect)
         placement = CallPlacement(
             node_id,
@@ -197,6 +238,8 @@
         self.view.on_configuration(self._on_configuration)
         self.view.on_server_renewed(self._on_server_renewed)
         timer.subscribe(REPORT_PERIOD_S, self._send_report)
+        timer.subscribe(PUSH_PERIOD_S, self._relay.push)
+        timer.subscribe(PRESENCE_PERIOD_S, self._renew_presence)
         timer.subscribe(bounds.lease_s * RENEWAL_SHARE, self.duties.renew)
         timer.subscribe(WORK_PERIOD_S, self.duties.work)
         timer.subscribe(EXPIRY_PERIOD_S, self._check_connections)
@@ -229,6 +272,9 @@
             self._reports.receive(envelope, report, self._shared)
 
         messages.register(NodeReport, receive)
+        messages.register(HeadPush, self._relay.receive_push)
+        messages.register(FleetRequest, self._relay.answer)
+        messages.register(FleetContent, self._relay.receive_content)
 
     @property
     def limits(self) -> RequestLimits:
@@ -253,6 +299,7 @@
         self.callers.stopping = True
         started_at = self._timer.now()
         await self.duties.resign()
+        await self._presence.leave()
         while self._timer.now() - started_at < longest_s:
             noticed = self._timer.now() - started_at > READINESS_NOTICE_S
             if noticed and self.callers.running == 0:
@@ -273,7 +320,6 @@
                 platform.cloud,
                 self._shared.windows,
                 self._reports,
-                self.nodes,
                 settings.bounds.usage_due_s,
             )
         if platform.cloud is not None and settings.orders_servers:
@@ -290,13 +336,13 @@
         )
         return Duties(
             node_id,
-            str(settings.inbox),
             self._timer,
             leases,
             self.nodes,
             usage,
             orders,
             random,
+            self._may_hold_duties,
         )
 
     def _on_configuration(self, configuration: ServiceConfiguration) -> None:
@@ -310,6 +356,13 @@
         self._prompts.forget(server_id)
         self._loads.forget(server_id)
 
+    def _may_hold_duties(self) -> bool:
+        """With many nodes only heads know what the duties need."""
+        return not self._heads.needed or self._heads.place() is not None
+
+    async def _renew_presence(self) -> None:
+        await self._presence.renew(self._heads.needed)
+
     async def _send_report(self) -> None:
         await self._reports.send(self._shared)
 
--- a/wasabiwing/node_registry.py
+++ b/wasabiwing/node_registry.py
@@ -1,78 +1,109 @@
 """The nodes of a deployment, as their leases in the store show them.
 
-Each node holds a lease whose name carries its id and inbox address. A lease
-that ends takes the node out, so no failure detector of our own is needed at
-this size.
+Each node holds a lease whose name carries its id, inbox address, zone and
+capacity. A lease that ends takes the node out.
 """
 
+from collections import defaultdict
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 NODE_LEASE_PREFIX = "node/"
 
 
-def node_lease_name(node_id: str, inbox: str) -> str:
+@dataclass(frozen=True, slots=True)
+class NodeRecord:
+    """One node of the deployment."""
+
+    id: str
+    # ``host:port``.
+    inbox: str
+    availability_zone: str = ""
+    # Processor time of the VM, in tenths of a core.
+    capacity: int = 0
+
+
+def node_lease_name(
+    node_id: str, inbox: str, availability_zone: str = "", capacity: int = 0
+) -> str:
     """Returns the name of a node's lease; ``inbox`` is ``host:port``."""
-    return f"{NODE_LEASE_PREFIX}{node_id}@{inbox}"
+    place = f"{availability_zone}/{capacity}"
+    return f"{NODE_LEASE_PREFIX}{node_id}@{inbox}/{place}"
 
 
 class NodeRegistry:
-    """Inbox addresses of all nodes by node id."""
+    """Records of all nodes by node id."""
 
     def __init__(self, own_id: str) -> None:
         self._own_id = own_id
-        self._inbox_by_id: dict[str, str] = {}
+        self._record_by_id: dict[str, NodeRecord] = {}
+        self._ids_by_zone: dict[str, list[str]] | None = None
         # Names of all leases that somebody holds.
         self.held_leases: frozenset[str] = frozenset()
 
     @property
     def count(self) -> int:
         """Number of nodes, with this one."""
-        return len(self._inbox_by_id.keys() | {self._own_id})
+        own = self._own_id not in self._record_by_id
+        return len(self._record_by_id) + own
 
     def node_ids(self) -> list[str]:
         """Returns all nodes, with this one, in order."""
-        return sorted(self._inbox_by_id.keys() | {self._own_id})
+        return sorted(self._record_by_id.keys() | {self._own_id})
+
+    def get(self, node_id: str) -> NodeRecord | None:
+        """Returns a node's record."""
+        return self._record_by_id.get(node_id)
 
     def peers(self) -> dict[str, str]:
         """Returns the inboxes of the other nodes by node id."""
         return {
-            node_id: inbox
-            for node_id, inbox in self._inbox_by_id.items()
+            node_id: record.inbox
+            for node_id, record in self._record_by_id.items()
             if node_id != self._own_id
         }
 
+    def ids_by_zone(self) -> dict[str, list[str]]:
+        """Returns the registered nodes of each zone."""
+        if self._ids_by_zone is None:
+            found: dict[str, list[str]] = defaultdict(list)
+            for record in self._record_by_id.values():
+                found[record.availability_zone].append(record.id)
+            self._ids_by_zone = dict(found)
+        return self._ids_by_zone
+
     def apply(self, lease_name: str, value: bytes | None) -> None:
         """Takes over a change of a lease; ``None`` means that it ended."""
         if value is None:
             self.held_leases -= {lease_name}
         else:
             self.held_leases |= {lease_name}
-        parsed = _parse(lease_name)
-        if parsed is None:
+        record = _parse(lease_name)
+        if record is None:
             return
-        node_id, inbox = parsed
         if value is not None:
-            self._inbox_by_id[node_id] = inbox
-        elif self._inbox_by_id.get(node_id) == inbox:
-            del self._inbox_by_id[node_id]
+            self._record_by_id[record.id] = record
+        elif self._record_by_id.get(record.id) == record:
+            del self._record_by_id[record.id]
+        self._ids_by_zone = None
 
     def replace_all(self, lease_names: Iterable[str]) -> None:
         """Takes over a complete listing of leases."""
         self.held_leases = frozenset(lease_names)
-        parsed = [_parse(name) for name in self.held_leases]
-        self._inbox_by_id = {
-            node_id: inbox
-            for item in parsed
-            if item is not None
-            for node_id, inbox in [item]
+        records = [_parse(name) for name in sorted(self.held_leases)]
+        self._record_by_id = {
+            record.id: record for record in records if record is not None
         }
+        self._ids_by_zone = None
 
 
-def _parse(lease_name: str) -> tuple[str, str] | None:
+def _parse(lease_name: str) -> NodeRecord | None:
     if not lease_name.startswith(NODE_LEASE_PREFIX):
         return None
-    name = lease_name.removeprefix(NODE_LEASE_PREFIX)
-    node_id, separator, inbox = name.rpartition("@")
+    parts = lease_name.removeprefix(NODE_LEASE_PREFIX).split("/")
+    node_id, separator, inbox = parts[0].rpartition("@")
     if not separator or not node_id:
         return None
-    return node_id, inbox
+    if len(parts) != 3 or not parts[2].isdigit():
+        return NodeRecord(node_id, inbox)
+    return NodeRecord(node_id, inbox, parts[1], int(parts[2]))
--- a/wasabiwing/node_reports.py
+++ b/wasabiwing/node_reports.py
@@ -1,27 +1,35 @@
 """What the nodes tell each other several times a second.
 
-Every node sends its report to every other one. Reports carry totals and not
-differences, so that a lost one costs nothing but time. Load pattern: many
-nodes on narrow links, where a report to all others at once would hold up the
-events of streams. So a report goes to a part of the nodes at a time, and how
-many a node gets per second does not grow with their number.
+Up to ``MOST_DIRECT_NODES`` nodes each send their report to all others.
+Load pattern: more nodes, on narrow links, where that would hold up the events
+of streams. Then a node reports to the heads of its zone, which add the
+reports up, tell each other, and tell the nodes the sum. Reports carry totals
+and not differences, so that a lost one costs nothing but time.
 """
 
 from collections import deque
+from collections.abc import Iterable
 from collections.abc import Sequence
 from dataclasses import dataclass
-from math import ceil
+from math import inf
 
 from wasabiwing.demand import Demand
 from wasabiwing.messages import Envelope
+from wasabiwing.messages import HeadPush
+from wasabiwing.messages import LifeWindows
 from wasabiwing.messages import NodeReport
 from wasabiwing.messages import OrganisationUse
 from wasabiwing.messages import PromptPlacement
+from wasabiwing.messages import ReportSums
 from wasabiwing.messages import ServerUse
 from wasabiwing.messages import WindowUse
 from wasabiwing.node_registry import NodeRegistry
 from wasabiwing.ports import Transport
 from wasabiwing.prompt_cache import PromptCacheIndex
+from wasabiwing.report_sums import add_load
+from wasabiwing.report_sums import AlignedTotals
+from wasabiwing.report_sums import HeadSums
+from wasabiwing.report_sums import without_own
 from wasabiwing.routed_calls import PromptPart
 from wasabiwing.server_loads import PeerLoad
 from wasabiwing.server_loads import ServerLoads
@@ -31,20 +39,24 @@
 from wasabiwing.usage_caps import UsageCaps
 from wasabiwing.usage_windows import UsageWindows
 from wasabiwing.usage_windows import WindowCount
+from wasabiwing.zone_heads import ZoneHeads
 
-# Time between two reports in seconds, up to ``FULL_RATE_NODES`` nodes. Usage
-# caps may be exceeded by what arrives in that time.
+# Time between two reports in seconds. Usage caps may be exceeded by what
+# arrives in that time.
 REPORT_PERIOD_S = 0.25
 
-# Nodes that get a report at the same time; where there are more, they take
-# turns.
-FULL_RATE_NODES = 13
+# A node reports to the heads of its zone once in so many periods.
+HEAD_REPORT_EVERY = 2
 
 # Reports that may be missed before a node counts as silent.
 MISSED_REPORTS = 6
 
-# Counts of usage windows are in one report out of so many, up to
-# ``FULL_RATE_NODES`` nodes; they are due seconds later.
+# Counts of a node that is not heard for this long are told by the others, in
+# seconds: two of its reports are missing.
+INHERITED_AFTER_S = 0.6
+
+# Counts of usage windows are in one report out of so many; they are due
+# seconds later.
 WINDOWS_EVERY = 4
 
 # Reports go on to a node without a lease for this long after its last one,
@@ -54,6 +66,13 @@
 # Placements that one report carries at most.
 MOST_PLACEMENTS = 64
 
+# Time after which sums of all zones contain every report sent before, in
+# seconds: from node to head, from head to head, and the way.
+SUMS_DELAY_S = 1.0
+
+# Name of the sum of all other nodes among the loads.
+FLEET = "fleet"
+
 
 @dataclass(frozen=True, slots=True)
 class SharedState:
@@ -76,18 +95,29 @@
         timer: TimerService,
         transport: Transport,
         nodes: NodeRegistry,
+        heads: ZoneHeads,
     ) -> None:
         self._life = life
         self._timer = timer
         self._transport = transport
         self._nodes = nodes
+        self._heads = heads
         self._heard_at_by_node: dict[str, float] = {}
+        self._heard_at_by_life: dict[str, float] = {}
         self._inbox_by_heard: dict[str, str] = {}
         # Placements with the time at which they were made.
         self._placements: deque[tuple[float, PromptPlacement]] = deque(
             maxlen=MOST_PLACEMENTS
         )
         self._turn = 0
+        self._sums = HeadSums(heads.zone, timer)
+        self._fleet_used = AlignedTotals()
+        # Own use by organisation that is in the sums taken over so far.
+        self._own_counted: dict[str, float] = {}
+        self._last_sent: NodeReport | None = None
+        # Nodes in the sums that a head last told, and when it did.
+        self._told_heard = 0
+        self._told_at = 0.0
 
     def note_placement(
         self, server_id: str, parts: Sequence[PromptPart]
@@ -100,8 +130,9 @@
 
     def heard_share(self) -> float:
         """Returns the share of the nodes, with this one, heard from."""
-        period_s = REPORT_PERIOD_S * self._groups()
-        since = self._timer.now() - period_s * MISSED_REPORTS
+        since = self._timer.now() - REPORT_PERIOD_S * MISSED_REPORTS
+        if self._heads.needed:
+            return self._heard_share_of_sums(since)
         heard = sum(
             self.heard_since(node_id, since) for node_id in self._nodes.peers()
         )
@@ -111,48 +142,49 @@
         """Whether a report of another node arrived after a moment."""
         return self._heard_at_by_node.get(node_id, 0.0) >= moment
 
+    def all_heard_since(self, moment: float) -> bool:
+        """Whether what all other nodes did before a moment is known here."""
+        if not self._heads.needed:
+            return all(
+                self.heard_since(node_id, moment)
+                for node_id in self._nodes.peers()
+            )
+        if self._timer.now() < moment + SUMS_DELAY_S:
+            return False
+        return self._heard_by_heads(moment) >= self._nodes.count
+
+    def window_totals(
+        self, window: int, windows: UsageWindows
+    ) -> dict[str, int]:
+        """Returns the requests of a usage window in all nodes."""
+        if not self._heads.needed:
+            return windows.totals(window)
+        return windows.fleet_totals(window, self._heads.zone, self._sums.lives)
+
     async def send(self, shared: SharedState) -> None:
-        """Sends the report to the nodes whose turn it is."""
-        groups = self._groups()
+        """Sends the report; called every ``REPORT_PERIOD_S``."""
         self._turn += 1
-        receivers = [
-            inbox
-            for number, inbox in enumerate(sorted(self._receivers()))
-            if number % groups == self._turn % groups
-        ]
+        if self._heads.needed:
+            if self._turn % HEAD_REPORT_EVERY == 0:
+                self._send_to_heads(shared)
+            return
+        receivers = sorted(self._receivers())
         if not receivers:
             return
-        report = self._build(shared, groups)
+        report = self._build(shared, self._turn % WINDOWS_EVERY == 0)
         for inbox in receivers:
             self._transport.send(inbox, report)
 
-    def _groups(self) -> int:
-        """Returns how many groups of nodes take turns."""
-        return ceil(self._nodes.count / FULL_RATE_NODES)
-
-    def _receivers(self) -> set[str]:
-        """Returns the inboxes of all other nodes.
-
-        A node whose lease lapsed in an outage of the store is still there
-        while it is heard.
-        """
-        since = self._timer.now() - LAPSED_MEMORY_S
-        registered = {
-            f"tcp://{inbox}" for inbox in self._nodes.peers().values()
-        }
-        heard = {
-            inbox
-            for node_id, inbox in self._inbox_by_heard.items()
-            if self.heard_since(node_id, since)
-        }
-        return registered | heard
-
     def receive(
         self, envelope: Envelope, report: NodeReport, shared: SharedState
     ) -> None:
         """Takes over another node's report."""
+        if self._heads.needed:
+            self._take_for_zone(envelope.sender, report, shared)
+            return
         now = self._timer.now()
         self._heard_at_by_node[envelope.sender] = now
+        self._heard_at_by_life[report.life] = now
         self._inbox_by_heard[envelope.sender] = envelope.reply_to
         shared.caps.note_peer(
             report.life,
@@ -161,13 +193,11 @@
                 for item in report.caps
             ],
         )
-        shared.windows.note_peer(
-            report.life,
-            [
-                WindowCount(item.window, item.organisation, item.count)
-                for item in report.windows
-            ],
-        )
+        shared.windows.note_peer(report.life, _window_counts(report.windows))
+        for inherited in report.inherited:
+            shared.windows.note_peer(
+                inherited.life, _window_counts(inherited.windows)
+            )
         shared.loads.note_peer(
             envelope.sender,
             {
@@ -183,32 +213,236 @@
                 [PromptPart(*part) for part in placement.parts],
             )
 
-    def _build(self, shared: SharedState, groups: int) -> NodeReport:
-        period_s = REPORT_PERIOD_S * groups
-        # A little longer than a round, so that no group misses one.
-        since = self._timer.now() - period_s * 1.2
-        rounds = self._turn // groups
-        with_windows = rounds % max(WINDOWS_EVERY // groups, 1) == 0
+    def receive_push(self, push: HeadPush, shared: SharedState) -> None:
+        """Takes over the sums of a head."""
+        if push.zone_sums is not None:
+            self._take_zone_sums(push.zone, push.zone_sums, shared)
+        if push.fleet_sums is not None:
+            self._take_fleet_sums(push.fleet_sums, shared)
+
+    def zone_sums(self, shared: SharedState) -> ReportSums:
+        """Returns what this zone's nodes report together."""
+        own = self._build(shared, True)
+        self._sums.note_report(_node_of(self._life), own)
+        shared.windows.note_peer(own.life, _window_counts(own.windows))
+        since = self._timer.now() - REPORT_PERIOD_S * MISSED_REPORTS
+        return ReportSums(
+            self._life,
+            self._sums.zone_heard(since),
+            self._cap_sums(self._sums.used_in_zone(), shared),
+            _window_uses(
+                shared.windows.zone_counts(self._heads.zone, self._sums.lives)
+            ),
+            _server_uses(self._sums.zone_load()),
+            tuple(self._sums.zone_demand().items()),
+        )
+
+    def fleet_sums(self, shared: SharedState) -> ReportSums:
+        """Returns what all nodes report together."""
+        loads = self._sums.zone_load()
+        for load_by_server in self._sums.load_by_zone().values():
+            for server_id, load in load_by_server.items():
+                add_load(loads, server_id, load)
+        since = self._timer.now() - REPORT_PERIOD_S * MISSED_REPORTS
+        return ReportSums(
+            self._life,
+            self._heard_by_heads(since),
+            self._cap_sums(self._sums.used_in_fleet(), shared),
+            servers=_server_uses(loads),
+        )
+
+    def _heard_share_of_sums(self, since: float) -> float:
+        count = self._nodes.count
+        heard = 1
+        if self._heads.place() is not None:
+            heard = self._heard_by_heads(since)
+        elif self._told_at >= since:
+            heard = self._told_heard
+        return min(max(heard, 1) / count, 1.0)
+
+    def _heard_by_heads(self, since: float) -> int:
+        """Returns the nodes whose reports this head has in its sums."""
+        return self._sums.zone_heard(since) + self._sums.others_heard(since)
+
+    def _send_to_heads(self, shared: SharedState) -> None:
+        rounds = self._turn // HEAD_REPORT_EVERY
+        report = self._build(shared, rounds % 2 == 0)
+        self._last_sent = report
+        for node_id in self._heads.of_zone(self._heads.zone):
+            inbox = self._heads.inbox(node_id)
+            if inbox is not None and node_id != _node_of(self._life):
+                self._transport.send(inbox, report)
+
+    def _take_for_zone(
+        self, sender: str, report: NodeReport, shared: SharedState
+    ) -> None:
+        """Takes a report as a head of the sender's zone."""
+        record = self._nodes.get(sender)
+        if record is None or record.availability_zone != self._heads.zone:
+            return
+        used = self._sums.note_report(sender, report)
+        level_by_organisation = {
+            use.organisation: use.level for use in report.caps
+        }
+        for organisation, amount in used.items():
+            level = level_by_organisation[organisation]
+            shared.caps.deduct(organisation, amount, level)
+        shared.windows.note_peer(report.life, _window_counts(report.windows))
+
+    def _take_zone_sums(
+        self, zone: str, sums: ReportSums, shared: SharedState
+    ) -> None:
+        """Takes another head's sums and brings the loads up to date."""
+        shared.windows.note_zone(zone, _window_counts(sums.windows))
+        if zone != self._heads.zone:
+            used = self._sums.note_zone(zone, sums)
+            level_by_organisation = {
+                use.organisation: use.level for use in sums.caps
+            }
+            for organisation, amount in used.items():
+                level = level_by_organisation[organisation]
+                shared.caps.deduct(organisation, amount, level)
+        if self._heads.place() is None:
+            return
+        loads = self._sums.load_by_zone()
+        loads[self._heads.zone] = self._sums.zone_load(_node_of(self._life))
+        shared.loads.replace_peers(loads)
+        for name, demand in self._sums.demand_by_zone().items():
+            shared.demand.note_peer(name, demand)
+        own = shared.demand.own()
+        shared.demand.note_peer(
+            self._heads.zone,
+            {
+                service: max(demand - own.get(service, 0.0), 0.0)
+                for service, demand in self._sums.zone_demand().items()
+            },
+        )
+
+    def _take_fleet_sums(self, sums: ReportSums, shared: SharedState) -> None:
+        """Takes the sums of all nodes as a node that is no head."""
+        if self._heads.place() is not None:
+            return
+        self._told_heard = sums.heard
+        self._told_at = self._timer.now()
+        sent = self._last_sent
+        own_use = sent.caps if sent is not None else ()
+        used_by_organisation = {use.organisation: use.used for use in own_use}
+        for use in sums.caps:
+            new = self._fleet_used.note(
+                FLEET, sums.life, use.organisation, use.used
+            )
+            own = used_by_organisation.get(use.organisation, 0.0)
+            counted = self._own_counted.get(use.organisation, 0.0)
+            self._own_counted[use.organisation] = own
+            amount = 0.0 if new is None else new - (own - counted)
+            shared.caps.deduct(use.organisation, amount, use.level)
+        own_load = {}
+        if sent is not None:
+            own_load = {
+                item.server_id: PeerLoad(item.pending_by_class, item.running)
+                for item in sent.servers
+            }
+        load_by_server = {
+            item.server_id: PeerLoad(item.pending_by_class, item.running)
+            for item in sums.servers
+        }
+        shared.loads.replace_peers(
+            {FLEET: without_own(load_by_server, own_load)}
+        )
+
+    def _cap_sums(
+        self, used_by_organisation: dict[str, float], shared: SharedState
+    ) -> tuple[OrganisationUse, ...]:
+        level_by_organisation = {
+            use.organisation: use.level for use in shared.caps.own_use()
+        }
+        return tuple(
+            OrganisationUse(
+                organisation,
+                used,
+                level_by_organisation.get(organisation, inf),
+            )
+            for organisation, used in used_by_organisation.items()
+        )
+
+    def _receivers(self) -> set[str]:
+        """Returns the inboxes of all other nodes.
+
+        A node whose lease lapsed in an outage of the store is still there
+        while it is heard.
+        """
+        since = self._timer.now() - LAPSED_MEMORY_S
+        registered = {
+            f"tcp://{inbox}" for inbox in self._nodes.peers().values()
+        }
+        heard = {
+            inbox
+            for node_id, inbox in self._inbox_by_heard.items()
+            if self.heard_since(node_id, since)
+        }
+        return registered | heard
+
+    def _build(self, shared: SharedState, with_windows: bool) -> NodeReport:
+        # A little longer than a period, so that no report misses one.
+        since = self._timer.now() - REPORT_PERIOD_S * 1.2
+        placements = () if self._heads.needed else tuple(self._placements)
         return NodeReport(
             self._life,
             tuple(
                 OrganisationUse(use.organisation, use.used, use.level)
                 for use in shared.caps.own_use()
             ),
-            tuple(
-                WindowUse(item.window, item.organisation, item.count)
-                for item in shared.windows.own_counts()
-                if with_windows
-            ),
-            tuple(
-                ServerUse(server_id, load.pending_by_class, load.running)
-                for server_id, load in shared.loads.own_load().items()
-            ),
+            _window_uses(shared.windows.own_counts() if with_windows else ()),
+            _server_uses(shared.loads.own_load()),
             tuple(
                 placement
-                for placed_at, placement in self._placements
+                for placed_at, placement in placements
                 if placed_at >= since
             ),
             tuple(shared.demand.own().items()),
             shared.store.revision,
+            self._inherited(shared.windows) if with_windows else (),
         )
+
+    def _inherited(self, windows: UsageWindows) -> tuple[LifeWindows, ...]:
+        """Returns the counts of nodes that are no longer heard.
+
+        Nodes that started later learn them from here.
+        """
+        if self._heads.needed:
+            return ()
+        since = self._timer.now() - INHERITED_AFTER_S
+        for life, heard_at in list(self._heard_at_by_life.items()):
+            if heard_at < since:
+                del self._heard_at_by_life[life]
+        return tuple(
+            LifeWindows(life, _window_uses(counts))
+            for life, counts in windows.counts_by_other_life().items()
+            if life not in self._heard_at_by_life
+        )
+
+
+def _node_of(life: str) -> str:
+    """Returns the node that a life belongs to."""
+    return life.rpartition("/")[0] or life
+
+
+def _window_counts(uses: Iterable[WindowUse]) -> list[WindowCount]:
+    return [
+        WindowCount(item.window, item.organisation, item.count)
+        for item in uses
+    ]
+
+
+def _window_uses(counts: Iterable[WindowCount]) -> tuple[WindowUse, ...]:
+    return tuple(
+        WindowUse(item.window, item.organisation, item.count)
+        for item in counts
+    )
+
+
+def _server_uses(loads: dict[str, PeerLoad]) -> tuple[ServerUse, ...]:
+    return tuple(
+        ServerUse(server_id, load.pending_by_class, load.running)
+        for server_id, load in loads.items()
+    )
--- a/wasabiwing/node_settings.py
+++ b/wasabiwing/node_settings.py
@@ -72,3 +72,5 @@
     bounds: NodeBounds
     # Shortest lifetime of a lease that the store grants.
     least_lease_s: float = 1.0
+    # Processor time of the VM, in tenths of a core.
+    capacity: int = 0
--- a/wasabiwing/server_directory.py
+++ b/wasabiwing/server_directory.py
@@ -16,6 +16,10 @@
 # back, in seconds; from the platform's description of its registry.
 LAPSE_GRACE_S = 2.0
 
+# A cold server is news if it stays cold for this much longer than known, in
+# seconds.
+COLD_NEWS_S = 0.5
+
 
 @dataclass(frozen=True, slots=True)
 class RegisteredServer:
@@ -73,6 +77,28 @@
             self._store_answers = True
             self._store_returned_at = self._timer.now()
 
+    @property
+    def store_returned_at(self) -> float:
+        """Monotonic time of the store's last return; -inf for never."""
+        return self._store_returned_at
+
+    def note_store_return(self, moment: float) -> None:
+        """Notes a return of the store that another node has seen."""
+        self._store_returned_at = max(self._store_returned_at, moment)
+
+    def has_news(self, entry: RegisteredServer) -> bool:
+        """Whether an entry says more than that its server lives.
+
+        A cold server says with each heartbeat for how much longer it is.
+        """
+        known = self._known_by_id.get(entry.id)
+        if known is None or known.gone_at is not None:
+            return True
+        if replace(known.entry, cold_s=entry.cold_s) != entry:
+            return True
+        cold_until = self._timer.now() + entry.cold_s
+        return entry.cold_s > 0 and cold_until > known.cold_until + COLD_NEWS_S
+
     def put(self, entry: RegisteredServer) -> bool:
         """Enters or changes a server; returns whether it starts anew."""
         known = self._known_by_id.get(entry.id)
--- a/wasabiwing/server_loads.py
+++ b/wasabiwing/server_loads.py
@@ -142,6 +142,17 @@
         for server_id, load in load_by_server.items():
             self._server(server_id).load_by_peer[peer_id] = (now, load)
 
+    def replace_peers(
+        self, load_by_server_by_peer: Mapping[str, Mapping[str, PeerLoad]]
+    ) -> None:
+        """Takes over what all other nodes have in flight."""
+        for server in self._server_by_id.values():
+            server.load_by_peer.clear()
+        now = self._timer.now()
+        for peer_id, load_by_server in load_by_server_by_peer.items():
+            for server_id, load in load_by_server.items():
+                self._server(server_id).load_by_peer[peer_id] = (now, load)
+
     def own_load(self) -> dict[str, PeerLoad]:
         """Returns what this node has in flight, for its reports."""
         return {
--- a/wasabiwing/usage_caps.py
+++ b/wasabiwing/usage_caps.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from dataclasses import dataclass
+from math import inf
 
 from wasabiwing.service_configuration import OrganisationProfile
 from wasabiwing.timers import TimerService
@@ -23,6 +24,9 @@
 RESTART_SHARE = 0.25
 RESTART_TOLERANCE = 0.5
 
+# A level that another node told is used for this long, in seconds.
+LEVEL_MEMORY_S = 2.0
+
 # Shortest time to come back after, in seconds.
 LEAST_RETRY_S = 0.05
 
@@ -92,6 +96,8 @@
         self._bucket_by_organisation: dict[str, _Bucket] = {}
         # Use that was last reported, by node's life and organisation.
         self._used_by_peer: dict[tuple[str, str], float] = {}
+        # Level that another node last told, with the time.
+        self._told_by_organisation: dict[str, tuple[float, float]] = {}
 
     def admit(
         self, organisation: OrganisationProfile, tokens: int | None
@@ -134,16 +140,24 @@
         for use in uses:
             before = self._used_by_peer.get((peer_life, use.organisation))
             self._used_by_peer[(peer_life, use.organisation)] = use.used
-            bucket = self._bucket_by_organisation.get(use.organisation)
-            if bucket is None:
-                continue
-            if not bucket.heard and not self._first_start:
-                bucket.level = min(bucket.level, use.level)
-            elif before is not None:
-                bucket.level -= use.used - before
-            else:
-                bucket.level -= use.used
-            bucket.heard = True
+            amount = use.used if before is None else use.used - before
+            self.deduct(use.organisation, amount, use.level)
+
+    def deduct(self, organisation: str, amount: float, level: float) -> None:
+        """Deducts what other nodes have admitted.
+
+        ``level`` is what is left as another node sees it. A negative amount
+        corrects an earlier one.
+        """
+        self._told_by_organisation[organisation] = (self._timer.now(), level)
+        bucket = self._bucket_by_organisation.get(organisation)
+        if bucket is None:
+            return
+        if not bucket.heard and not self._first_start:
+            bucket.level = min(bucket.level, level)
+        else:
+            bucket.level -= amount
+        bucket.heard = True
 
     def _refill(self, organisation: OrganisationProfile) -> _Bucket:
         now = self._timer.now()
@@ -154,7 +168,13 @@
             restart = organisation.burst * RESTART_SHARE
             restart += tolerance * RESTART_TOLERANCE
             level = full if self._first_start else restart
-            bucket = _Bucket(level, now)
+            told_at, told = self._told_by_organisation.get(
+                organisation.name, (-inf, inf)
+            )
+            heard = now - told_at <= LEVEL_MEMORY_S
+            if heard:
+                level = min(level, told)
+            bucket = _Bucket(level, now, heard=heard)
             self._bucket_by_organisation[organisation.name] = bucket
             return bucket
         added = (now - bucket.refilled_at) * organisation.rate_per_s
--- a/wasabiwing/usage_reporter.py
+++ b/wasabiwing/usage_reporter.py
@@ -21,7 +21,6 @@
 from wasabiwing.duty_port import DutyStamp
 from wasabiwing.events import Event
 from wasabiwing.events import log_event
-from wasabiwing.node_registry import NodeRegistry
 from wasabiwing.node_reports import NodeReports
 from wasabiwing.ports import LeaseStore
 from wasabiwing.timers import TimerService
@@ -52,7 +51,6 @@
         cloud: DutyCalls,
         windows: UsageWindows,
         reports: NodeReports,
-        nodes: NodeRegistry,
         due_s: float,
     ) -> None:
         self._node_id = node_id
@@ -61,7 +59,6 @@
         self._cloud = cloud
         self._windows = windows
         self._reports = reports
-        self._nodes = nodes
         self._due_s = due_s
         # First window that this holder has not reported.
         self._next_window: int | None = None
@@ -105,10 +102,7 @@
             return False
         if now > ended_at + self._due_s * PATIENCE_SHARE:
             return True
-        return all(
-            self._reports.heard_since(node_id, ended_at + SETTLE_S / 2)
-            for node_id in self._nodes.peers()
-        )
+        return self._reports.all_heard_since(ended_at + SETTLE_S / 2)
 
     async def _record(self, window: int) -> Result[Mapping[str, int], Failure]:
         """Returns the counts that stand in the store, and puts them there."""
@@ -116,7 +110,7 @@
         if isinstance(lease, Err):
             return lease
         key = f"{USAGE_PREFIX}{window}"
-        counts = self._windows.totals(window)
+        counts = self._reports.window_totals(window, self._windows)
         value = encode(counts, order="sorted")
         swapped = await self._store.swap(key, 0, value, lease.ok_value)
         if isinstance(swapped, Err):
--- a/wasabiwing/usage_windows.py
+++ b/wasabiwing/usage_windows.py
@@ -5,11 +5,15 @@
 """
 
 from collections import Counter
+from collections.abc import Collection
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 from wasabiwing.timers import TimerService
 
+# Prefix of the name under which the sum of a zone's nodes is kept.
+ZONE_PREFIX = "zone:"
+
 # Windows that are kept after the newest one.
 KEPT_WINDOWS = 8
 
@@ -66,6 +70,21 @@
             .items()
         )
 
+    def counts_by_other_life(self) -> dict[str, list[WindowCount]]:
+        """Returns what is known of other nodes, also of those gone."""
+        counts_by_life: dict[str, list[WindowCount]] = {}
+        oldest = self.window_now() - REPORTED_WINDOWS
+        for window, counts in self._counts.items():
+            for life, by_organisation in counts.items():
+                if life == self._own_life or life.startswith(ZONE_PREFIX):
+                    continue
+                if window > oldest:
+                    counts_by_life.setdefault(life, []).extend(
+                        WindowCount(window, organisation, count)
+                        for organisation, count in by_organisation.items()
+                    )
+        return counts_by_life
+
     def note_peer(self, life: str, counts: Iterable[WindowCount]) -> None:
         """Takes over counts of another node; they only grow."""
         for item in counts:
@@ -74,13 +93,55 @@
                 known[item.organisation], item.count
             )
 
+    def note_zone(self, zone: str, counts: Iterable[WindowCount]) -> None:
+        """Takes over the sum of a zone's nodes; it only grows."""
+        self.note_peer(ZONE_PREFIX + zone, counts)
+
     def totals(self, window: int) -> dict[str, int]:
         """Returns the requests of a window by organisation."""
         total: Counter[str] = Counter()
-        for counts in self._counts.get(window, {}).values():
-            total.update(counts)
+        for life, counts in self._counts.get(window, {}).items():
+            if not life.startswith(ZONE_PREFIX):
+                total.update(counts)
         return dict(total)
 
+    def zone_counts(
+        self, zone: str, lives: Collection[str]
+    ) -> tuple[WindowCount, ...]:
+        """Returns the sum of this zone's nodes, for the other zones."""
+        newest = self.window_now()
+        return tuple(
+            WindowCount(window, organisation, count)
+            for window in range(newest - REPORTED_WINDOWS + 1, newest + 1)
+            for organisation, count in self._zone_total(
+                window, zone, lives
+            ).items()
+        )
+
+    def fleet_totals(
+        self, window: int, zone: str, lives: Collection[str]
+    ) -> dict[str, int]:
+        """Returns the requests of a window in all zones.
+
+        ``lives`` are the nodes of this node's zone; the others are in the
+        sums of their zones.
+        """
+        total = self._zone_total(window, zone, lives)
+        for name, counts in self._counts.get(window, {}).items():
+            if name.startswith(ZONE_PREFIX) and name != ZONE_PREFIX + zone:
+                total.update(counts)
+        return dict(total)
+
+    def _zone_total(
+        self, window: int, zone: str, lives: Collection[str]
+    ) -> Counter[str]:
+        """Returns a zone's sum, with what its other head has seen."""
+        counts_by_life = self._counts.get(window, {})
+        total: Counter[str] = Counter()
+        for life in lives:
+            total.update(counts_by_life.get(life, Counter()))
+        return total | counts_by_life.get(ZONE_PREFIX + zone, Counter())
+
     def oldest_window(self) -> int:
         """Returns the first window that any node has counted in."""
         return min(self._counts, default=self.window_now())
--- /dev/null
+++ b/wasabiwing/zone_heads.py
@@ -0,0 +1,153 @@
+"""Which nodes of a zone read the store and add up reports for the others.
+
+Load pattern: hundreds of small nodes that all need to know the same. Two
+heads in each zone, the largest VMs first, read the store and add up what the
+nodes report; all others hear from them. A head that falls silent is passed
+over at once by everybody who expected to hear it, without any agreement:
+with one head too many a message is sent twice, and with none the nodes read
+the store themselves.
+"""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+
+from wasabiwing.node_registry import NodeRecord
+from wasabiwing.node_registry import NodeRegistry
+from wasabiwing.rendezvous import rank
+from wasabiwing.timers import TimerService
+
+# Up to this many nodes, each talks to all others and reads the store itself.
+MOST_DIRECT_NODES = 13
+
+# Heads of a zone.
+HEADS_PER_ZONE = 2
+
+# A head that was not heard for this long is passed over, in seconds: three
+# of its messages are missing.
+HEAD_SILENCE_S = 1.5
+
+
+def rank_nodes(zone: str, records: Sequence[NodeRecord]) -> list[str]:
+    """Returns the nodes of a zone, the most suitable head first.
+
+    Large VMs come first; among equals a stable hash decides, so that all
+    nodes agree.
+    """
+    place_by_id = {
+        node_id: place
+        for place, node_id in enumerate(
+            rank(zone, [record.id for record in records])
+        )
+    }
+    ordered = sorted(
+        records,
+        key=lambda record: (-record.capacity, place_by_id[record.id]),
+    )
+    return [record.id for record in ordered]
+
+
+def choose_heads(
+    ranking: Sequence[str], is_silent: Callable[[str], bool]
+) -> tuple[str, ...]:
+    """Returns the first nodes of a ranking that are not silent.
+
+    Nodes behind the chosen ones are not asked about.
+    """
+    heads: list[str] = []
+    for node_id in ranking:
+        if len(heads) == HEADS_PER_ZONE:
+            break
+        if not is_silent(node_id):
+            heads.append(node_id)
+    return tuple(heads)
+
+
+class ZoneHeads:
+    """The heads of all zones, as one node sees them."""
+
+    def __init__(
+        self, record: NodeRecord, timer: TimerService, nodes: NodeRegistry
+    ) -> None:
+        self._record = record
+        self._timer = timer
+        self._nodes = nodes
+        self._heard_at_by_node: dict[str, float] = {}
+        # When a node was first expected to act as a head, and when its turn
+        # was last looked at.
+        self._expected_since_by_node: dict[str, float] = {}
+        self._looked_at_by_node: dict[str, float] = {}
+        # Ranking by zone, with the nodes that it was made from.
+        self._ranking_by_zone: dict[str, tuple[list[str], list[str]]] = {}
+
+    @property
+    def needed(self) -> bool:
+        """Whether there are too many nodes for all to talk to all."""
+        return self._nodes.count > MOST_DIRECT_NODES
+
+    @property
+    def zone(self) -> str:
+        """This node's zone."""
+        return self._record.availability_zone
+
+    def note_heard(self, node_id: str) -> None:
+        """Notes a message that only heads send."""
+        self._heard_at_by_node[node_id] = self._timer.now()
+
+    def heard_within(self, node_id: str, seconds: float) -> bool:
+        """Whether a head was heard a short while ago."""
+        heard_at = self._heard_at_by_node.get(node_id)
+        return heard_at is not None and self._timer.now() - heard_at < seconds
+
+    def of_zone(self, zone: str) -> tuple[str, ...]:
+        """Returns the heads of a zone."""
+        return choose_heads(self._ranking(zone), self._is_silent)
+
+    def place(self) -> int | None:
+        """Returns this node's place among its zone's heads, from 0."""
+        if not self.needed:
+            return None
+        heads = self.of_zone(self.zone)
+        own_id = self._record.id
+        return heads.index(own_id) if own_id in heads else None
+
+    def all_heads(self) -> dict[str, tuple[str, ...]]:
+        """Returns the heads by zone."""
+        return {
+            zone: self.of_zone(zone)
+            for zone in sorted(self._nodes.ids_by_zone().keys() | {self.zone})
+        }
+
+    def inbox(self, node_id: str) -> str | None:
+        """Returns the address for messages to a node."""
+        record = self._nodes.get(node_id)
+        return None if record is None else f"tcp://{record.inbox}"
+
+    def _is_silent(self, node_id: str) -> bool:
+        if node_id == self._record.id:
+            return False
+        now = self._timer.now()
+        looked_at = self._looked_at_by_node.get(node_id)
+        if looked_at is None or now - looked_at > HEAD_SILENCE_S:
+            self._expected_since_by_node[node_id] = now
+        self._looked_at_by_node[node_id] = now
+        since = max(
+            self._expected_since_by_node[node_id],
+            self._heard_at_by_node.get(node_id, 0.0),
+        )
+        return now - since > HEAD_SILENCE_S
+
+    def _ranking(self, zone: str) -> list[str]:
+        members = self._nodes.ids_by_zone().get(zone, [])
+        known = self._ranking_by_zone.get(zone)
+        if known is not None and known[0] is members:
+            return known[1]
+        records = {
+            node_id: record
+            for node_id in members
+            if (record := self._nodes.get(node_id)) is not None
+        }
+        if zone == self.zone:
+            records[self._record.id] = self._record
+        ranking = rank_nodes(zone, list(records.values()))
+        self._ranking_by_zone[zone] = (members, ranking)
+        return ranking
