Look at a few servers by hash where many nodes choose

Cause: all nodes see the same loads, up to a second old, and all took the best server of all until the next report; with placements no longer told to all, the shared parts of a prompt were read again wherever it went. Change: two servers by the prompt's last shared part, two more by the request, then all; the first servers of a prompt are presumed to have shared parts.

--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -8,16 +8,24 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from random import Random
 
 from wasabiwing.call_refusal import is_hopeless
 from wasabiwing.call_refusal import is_late
+from wasabiwing.candidate_sets import candidate_sets
+from wasabiwing.candidate_sets import expected_cached_tokens
+from wasabiwing.candidate_sets import look_through
 from wasabiwing.prefill_rates import PrefillRates
 from wasabiwing.prompt_cache import PromptCacheIndex
+from wasabiwing.report_sums import add_load
+from wasabiwing.report_sums import without_own
 from wasabiwing.routed_calls import PromptPart
 from wasabiwing.routed_calls import URGENCY_CLASSES
 from wasabiwing.server_choice import Candidate
 from wasabiwing.server_choice import choose_server
+from wasabiwing.server_choice import Placement
+from wasabiwing.server_loads import PeerLoad
 from wasabiwing.server_loads import ServerLoads
 from wasabiwing.timers import FakeTimer
 from wasabiwing_standins.engine_model import EngineModel
@@ -27,6 +35,8 @@
 
 STEP_S = 0.01
 REPORT_S = 0.25
+# Age of what many nodes know of each other.
+SUMS_S = 0.75
 SERVICE = "models"
 
 
@@ -163,12 +173,40 @@
     node: ReplayNode, prompt: Prompt, servers: Sequence[str], now: float
 ) -> str | None:
     """Places as a node does and refuses nothing."""
-    placement = choose_server(
-        node.candidates(prompt, servers),
+    if not servers:
+        return None
+    return _choose(prompt, node.candidates(prompt, servers)).server_id
+
+
+def _choose(prompt: Prompt, candidates: Sequence[Candidate]) -> Placement:
+    return choose_server(
+        candidates,
         prompt.parts[-2].id,
         1.0 / TOKENS_PER_S,
         FIRST_EVENT_S,
     )
+
+
+def placed_among_many(
+    node: ReplayNode, prompt: Prompt, servers: Sequence[str], now: float
+) -> str | None:
+    """Places as one of many nodes does and refuses nothing."""
+    shared = sum(part.tokens for part in prompt.parts[:-1])
+
+    def candidate_of(server_id: str, place: int | None) -> Candidate:
+        [found] = node.candidates(prompt, [server_id])
+        if place is None:
+            return found
+        expected = expected_cached_tokens(place, shared)
+        uncached = min(found.uncached_tokens, prompt.tokens - expected)
+        return replace(found, uncached_tokens=max(uncached, 1))
+
+    placement = look_through(
+        candidate_sets(prompt.parts[-2].id, prompt.id, servers),
+        candidate_of,
+        lambda candidates: _choose(prompt, candidates),
+        lambda placement: placement.first_event_s <= prompt.kind.target_s,
+    )
     return None if placement is None else placement.server_id
 
 
@@ -242,8 +280,12 @@
     servers: int = 5,
     nodes: int = 7,
     gone_at: tuple[float, int] | None = None,
+    many_nodes: bool = False,
 ) -> Result:
-    """Plays requests; ``gone_at`` takes a number of engines away."""
+    """Plays requests; ``gone_at`` takes a number of engines away.
+
+    Many nodes hear the sum of all loads, late, and nothing of prompts.
+    """
     timer = FakeTimer(0.0)
     engines = [EngineModel(f"server-{number}") for number in range(servers)]
     by_id = {engine.id: engine for engine in engines}
@@ -289,8 +331,12 @@
                 node.loads.note_ended(server_id, request_id, False)
         waiting_events = [item for item in waiting_events if item[0] > now]
         if now >= next_report:
-            next_report = now + REPORT_S
-            _exchange(fleet)
+            if many_nodes:
+                next_report = now + SUMS_S
+                _exchange_sums(fleet)
+            else:
+                next_report = now + REPORT_S
+                _exchange(fleet)
         await timer.advance(STEP_S)
     return result
 
@@ -308,6 +354,16 @@
     engine.submit(QueuedPrompt(urgency_class, now, prompt.id, prompt.parts))
 
 
+def _exchange_sums(fleet: Sequence[ReplayNode]) -> None:
+    total: dict[str, PeerLoad] = {}
+    for node in fleet:
+        for server_id, load in node.loads.own_load().items():
+            add_load(total, server_id, load)
+    for node in fleet:
+        others = without_own(total, node.loads.own_load())
+        node.loads.replace_peers({"fleet": others})
+
+
 def _exchange(fleet: Sequence[ReplayNode]) -> None:
     loads = {node.id: node.loads.own_load() for node in fleet}
     for node in fleet:
--- a/tests/test_load_replay.py
+++ b/tests/test_load_replay.py
@@ -7,6 +7,7 @@
 from tests.load_replay import KINDS
 from tests.load_replay import least_outstanding
 from tests.load_replay import NOTES
+from tests.load_replay import placed_among_many
 from tests.load_replay import placed_only
 from tests.load_replay import prefix_only
 from tests.load_replay import product_policy
@@ -65,6 +66,32 @@
             assert own.worth() > other.worth()
 
 
+@pytest.mark.anyio
+class TestManyNodes:
+    """Sixty nodes that hear the sum of all loads, 0.75 s late."""
+
+    @each_seed
+    async def test_fewer_servers_at_once_keep_first_events_on_time(
+        self, seed: int
+    ) -> None:
+        """All nodes see the same best server until the next report."""
+        prompts = arrivals(seed, 6.0, lambda kind, now: 4.0)
+        own = await replay(prompts, placed_among_many, 8, 60, None, True)
+        for policy in (placed_only, least_outstanding):
+            other = await replay(prompts, policy, 8, 60, None, True)
+            assert own.in_time() > other.in_time()
+            assert own.worth() > other.worth()
+
+    @each_seed
+    async def test_shared_parts_are_computed_less_often_than_at_random(
+        self, seed: int
+    ) -> None:
+        prompts = arrivals(seed, 6.0, lambda kind, now: 4.0)
+        own = await replay(prompts, placed_among_many, 20, 60, None, True)
+        other = await replay(prompts, random_policy(seed), 20, 60, None, True)
+        assert own.computed_tokens < other.computed_tokens
+
+
 @pytest.mark.anyio
 class TestRefusal:
     """What refusing at once gains when there is too much work."""
--- a/wasabiwing/call_placement.py
+++ b/wasabiwing/call_placement.py
@@ -4,6 +4,8 @@
 ``server_choice`` and ``call_refusal``.
 """
 
+from collections.abc import Iterable
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from result import Err
@@ -12,6 +14,9 @@
 
 from wasabiwing.call_refusal import is_hopeless
 from wasabiwing.call_refusal import is_late
+from wasabiwing.candidate_sets import candidate_sets
+from wasabiwing.candidate_sets import expected_cached_tokens
+from wasabiwing.candidate_sets import look_through
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.cold_allowance import ColdAllowance
@@ -22,10 +27,12 @@
 from wasabiwing.routed_calls import RoutedCall
 from wasabiwing.server_choice import Candidate
 from wasabiwing.server_choice import choose_server
+from wasabiwing.server_choice import has_room
 from wasabiwing.server_choice import Placement
 from wasabiwing.server_directory import RegisteredServer
 from wasabiwing.server_loads import ServerLoads
 from wasabiwing.timers import TimerService
+from wasabiwing.zone_heads import MOST_DIRECT_NODES
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +49,16 @@
     version: int
 
 
+@dataclass(frozen=True, slots=True)
+class _Choice:
+    """The best of the servers that were looked at."""
+
+    placement: Placement
+    candidate: Candidate
+    # Why a request would be in vain there.
+    failure: Failure | None
+
+
 class CallPlacement:
     """Chooses servers for one node."""
 
@@ -81,34 +98,13 @@
         open_servers = [
             server for server in untried if self._may_send(call, server)
         ]
-        candidates = [self._candidate(call, server) for server in open_servers]
-        token_s = self._rates.prefill_s(call.service)
-        base_s = self._rates.base_s(call.service)
-        placement = choose_server(
-            candidates, _affinity_key(call), token_s, base_s
-        )
-        if placement is None:
+        if not open_servers:
             cold = ",".join(server.id for server in untried)
             return Err(Failure(ResultCode.OVERLOADED, f"cold: {cold}"))
-        by_id = {candidate.id: candidate for candidate in candidates}
-        chosen = by_id[placement.server_id]
-        now = self._timer.now()
-        remaining_s = call.deadline - now
-        in_time_s = call.route.latency_target_s - (now - call.received_at)
-        if chosen.uncached_tokens and (
-            is_hopeless(placement.first_event_s, remaining_s)
-            or is_late(placement.first_event_s, in_time_s, chosen.load)
-        ):
-            return Err(
-                Failure(
-                    ResultCode.DEADLINE_UNREACHABLE,
-                    f"first event in {placement.first_event_s:.2f} s at"
-                    f" {chosen.id} behind"
-                    f" {chosen.load.pending_tokens:.0f} tokens, wanted in"
-                    f" {in_time_s:.2f} s, given up in {remaining_s:.2f} s",
-                    retry_after_s=placement.first_event_s,
-                )
-            )
+        choice = self._choose(call, open_servers)
+        if choice.failure is not None:
+            return Err(choice.failure)
+        placement, chosen = choice.placement, choice.candidate
         server = next(
             server for server in open_servers if server.id == chosen.id
         )
@@ -125,6 +121,64 @@
             )
         )
 
+    def _choose(
+        self, call: RoutedCall, open_servers: list[RegisteredServer]
+    ) -> _Choice:
+        """Chooses among few servers first where many nodes choose."""
+        server_by_id = {server.id: server for server in open_servers}
+        key = _affinity_key(call)
+        many_nodes = self._nodes.count > MOST_DIRECT_NODES
+        sets: Iterable[list[str]] = [list(server_by_id)]
+        if many_nodes:
+            sets = candidate_sets(
+                key, call.head.attempt_id, list(server_by_id)
+            )
+        choice = look_through(
+            sets,
+            lambda server_id, place: self._candidate(
+                call, server_by_id[server_id], place if many_nodes else None
+            ),
+            lambda candidates: self._judge(call, key, candidates),
+            lambda choice: (
+                choice.failure is None and has_room(choice.candidate)
+            ),
+        )
+        assert choice is not None
+        return choice
+
+    def _judge(
+        self, call: RoutedCall, key: str, candidates: Sequence[Candidate]
+    ) -> _Choice:
+        """Takes the best server, or says why it would be in vain."""
+        placement = choose_server(
+            candidates,
+            key,
+            self._rates.prefill_s(call.service),
+            self._rates.base_s(call.service),
+        )
+        chosen = next(
+            candidate
+            for candidate in candidates
+            if candidate.id == placement.server_id
+        )
+        now = self._timer.now()
+        remaining_s = call.deadline - now
+        in_time_s = call.route.latency_target_s - (now - call.received_at)
+        failure = None
+        if chosen.uncached_tokens and (
+            is_hopeless(placement.first_event_s, remaining_s)
+            or is_late(placement.first_event_s, in_time_s, chosen.load)
+        ):
+            failure = Failure(
+                ResultCode.DEADLINE_UNREACHABLE,
+                f"first event in {placement.first_event_s:.2f} s at"
+                f" {chosen.id} behind"
+                f" {chosen.load.pending_tokens:.0f} tokens, wanted in"
+                f" {in_time_s:.2f} s, given up in {remaining_s:.2f} s",
+                retry_after_s=placement.first_event_s,
+            )
+        return _Choice(placement, chosen, failure)
+
     def _may_send(self, call: RoutedCall, server: RegisteredServer) -> bool:
         if not self._view.directory.is_cold(server.id):
             return True
@@ -136,13 +190,20 @@
         return self._cold.allows(server.id, per_s, self._nodes.node_ids())
 
     def _candidate(
-        self, call: RoutedCall, server: RegisteredServer
+        self, call: RoutedCall, server: RegisteredServer, place: int | None
     ) -> Candidate:
+        """Returns what is known; ``place`` is that in the prompt's set."""
         uncached = 0
         if call.head.prompt_tokens is not None:
             cached = self._prompts.cached_tokens(
                 server.id, call.head.prompt_parts
             )
+            if place is not None:
+                shared = sum(
+                    part.tokens for part in call.head.prompt_parts[:-1]
+                )
+                expected = expected_cached_tokens(place, shared)
+                cached = max(cached, expected)
             uncached = max(call.head.prompt_tokens - cached, 1)
         return Candidate(
             server.id,
--- a/wasabiwing/server_choice.py
+++ b/wasabiwing/server_choice.py
@@ -60,15 +60,13 @@
     affinity_key: str,
     token_s: float,
     base_s: float,
-) -> Placement | None:
-    """Returns the best server, or ``None`` without candidates.
+) -> Placement:
+    """Returns the best server of at least one.
 
     ``token_s`` is the time to compute a prompt token and ``base_s`` the time
     to a first event without a queue, in seconds. ``affinity_key`` names the
     shared part of the prompt.
     """
-    if not candidates:
-        return None
     score_by_id = {
         candidate.id: _score(candidate, token_s) for candidate in candidates
     }
@@ -87,6 +85,12 @@
     )
 
 
+def has_room(candidate: Candidate) -> bool:
+    """Whether a server would begin to work on a request at once."""
+    load = candidate.load
+    return not load.avoided and load.running < candidate.slots
+
+
 def first_event_work_s(candidate: Candidate, token_s: float) -> float:
     """Returns the computing time before the first event, in seconds."""
     tokens = candidate.load.pending_tokens + candidate.uncached_tokens
@@ -100,6 +104,6 @@
     score += load.failures * FAILURE_PENALTY_S
     if not candidate.same_zone:
         score += ZONE_PENALTY_S
-    if load.avoided or load.running >= candidate.slots:
+    if not has_room(candidate):
         score += UNUSABLE_PENALTY_S
     return score
