Count what was given back out of the sums of caps

Heads kept the highest total of each node, so a request that was admitted, refused for want of room and given back stayed deducted for all. Change: the totals of one source at a time are followed, also downwards.

--- a/tests/test_fleet_relay.py
+++ b/tests/test_fleet_relay.py
@@ -144,6 +144,29 @@
                 [use] = node.shared.caps.own_use()
                 assert use.level == pytest.approx(70_000.0, abs=100.0)
 
+    async def test_requests_that_were_given_back_are_not_deducted(
+        self,
+    ) -> None:
+        """Found on the bench, bagline-large, quiet-1: false refusals."""
+        north = OrganisationProfile(
+            "north", frozenset(), None, True, 1, 0.001, 100_000.0
+        )
+        async with relay_fleet(30) as fleet:
+            for node in fleet.nodes:
+                node.shared.caps.admit(north, 1)
+            await fleet.run(2.0)
+            for _ in range(5):
+                for node in fleet.nodes:
+                    node.shared.caps.admit(north, 900)
+                await fleet.run(0.8)
+                for node in fleet.nodes:
+                    node.shared.caps.give_back(north, 900)
+                await fleet.run(0.8)
+            await fleet.run(2.0)
+            for node in fleet.nodes:
+                [use] = node.shared.caps.own_use()
+                assert use.level == pytest.approx(100_000.0, abs=100.0)
+
     async def test_usage_of_all_nodes_is_known_to_heads(self) -> None:
         async with relay_fleet(30) as fleet:
             window = fleet.nodes[0].shared.windows.window_now()
--- a/wasabiwing/node_reports.py
+++ b/wasabiwing/node_reports.py
@@ -111,7 +111,7 @@
         )
         self._turn = 0
         self._sums = HeadSums(heads.zone, timer)
-        self._fleet_used = AlignedTotals()
+        self._fleet_used = AlignedTotals(timer)
         # Own use by organisation that is in the sums taken over so far.
         self._own_counted: dict[str, float] = {}
         self._last_sent: NodeReport | None = None
@@ -327,14 +327,17 @@
         sent = self._last_sent
         own_use = sent.caps if sent is not None else ()
         used_by_organisation = {use.organisation: use.used for use in own_use}
+        change_by_organisation = self._fleet_used.note(
+            FLEET,
+            sums.life,
+            {use.organisation: use.used for use in sums.caps},
+        )
         for use in sums.caps:
-            new = self._fleet_used.note(
-                FLEET, sums.life, use.organisation, use.used
-            )
             own = used_by_organisation.get(use.organisation, 0.0)
             counted = self._own_counted.get(use.organisation, 0.0)
+            change = change_by_organisation.get(use.organisation)
             self._own_counted[use.organisation] = own
-            amount = 0.0 if new is None else new - (own - counted)
+            amount = 0.0 if change is None else change - (own - counted)
             shared.caps.deduct(use.organisation, amount, use.level)
         own_load = {}
         if sent is not None:
--- a/wasabiwing/report_sums.py
+++ b/wasabiwing/report_sums.py
@@ -3,45 +3,66 @@
 Load pattern: hundreds of nodes with a few requests a second each. What a
 node has to know is the sum over all others, so a head passes sums on, and
 what a node gets does not grow with the fleet. Use of caps travels as totals
-that only grow; totals of two heads of a zone are aligned when first seen, so
-that a change of heads costs a fraction of a second of use.
+of one source at a time, so that a lost message costs nothing and a change of
+heads a fraction of a second of use.
 """
 
 from collections import defaultdict
 from collections.abc import Callable
 from collections.abc import Mapping
 from dataclasses import dataclass
+from math import inf
 
 from wasabiwing.messages import NodeReport
 from wasabiwing.messages import ReportSums
 from wasabiwing.server_loads import PeerLoad
 from wasabiwing.timers import TimerService
 
+# A source of totals that is not heard for this long is no longer followed, in
+# seconds.
+SOURCE_SILENCE_S = 1.0
+
 # Reports and sums are used for this long, in seconds.
 SUMS_MEMORY_S = 1.6
 
 
 class AlignedTotals:
-    """Growing totals of one subject that several sources count."""
+    """Totals of several subjects, each counted by one or more sources.
+
+    One source of a subject is followed, and its totals may also fall, when a
+    request is given back. If it falls silent another one takes over, whose
+    earlier counts are left out.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, timer: TimerService) -> None:
+        self._timer = timer
         self._total_by_key: dict[tuple[str, str], float] = defaultdict(float)
-        self._base_by_source: dict[tuple[str, str, str], float] = {}
+        self._last_by_source: dict[tuple[str, str, str], float] = {}
+        # The source that is followed, and when it was last heard.
+        self._source_by_subject: dict[str, tuple[str, float]] = {}
 
     def note(
-        self, subject: str, source: str, key: str, value: float
-    ) -> float | None:
-        """Returns what is new; ``None`` for a source not seen before."""
-        total = self._total_by_key[(subject, key)]
-        base = self._base_by_source.get((subject, source, key))
-        if base is None:
-            self._base_by_source[(subject, source, key)] = value - total
-            return None
-        new = value - base - total
-        if new <= 0:
-            return 0.0
-        self._total_by_key[(subject, key)] = total + new
-        return new
+        self, subject: str, source: str, value_by_key: Mapping[str, float]
+    ) -> dict[str, float]:
+        """Returns by how much the totals of a subject have changed."""
+        followed = self._follows(subject, source)
+        change_by_key = {}
+        for key, value in value_by_key.items():
+            last = self._last_by_source.get((subject, source, key))
+            self._last_by_source[(subject, source, key)] = value
+            if not followed or last is None:
+                continue
+            change_by_key[key] = value - last
+            self._total_by_key[(subject, key)] += value - last
+        return change_by_key
+
+    def _follows(self, subject: str, source: str) -> bool:
+        now = self._timer.now()
+        current, heard_at = self._source_by_subject.get(subject, ("", -inf))
+        if current != source and now - heard_at < SOURCE_SILENCE_S:
+            return False
+        self._source_by_subject[subject] = (source, now)
+        return True
 
     def totals(self, counts: Callable[[str], bool]) -> dict[str, float]:
         """Returns the sum over the subjects that count, by key."""
@@ -68,7 +89,7 @@
         self._timer = timer
         self._told_by_node: dict[str, _Told] = {}
         self._sums_by_zone: dict[str, tuple[float, ReportSums]] = {}
-        self._used = AlignedTotals()
+        self._used = AlignedTotals(timer)
         # Lives of this zone's nodes that were heard.
         self.lives: set[str] = set()
 
@@ -78,19 +99,19 @@
         """Takes a node's report; returns what it has used since the last."""
         self._told_by_node[node_id] = _Told(self._timer.now(), report)
         self.lives.add(report.life)
-        return self._increments(
+        return self._used.note(
             report.life,
-            {use.organisation: use.used for use in report.caps},
             report.life,
+            {use.organisation: use.used for use in report.caps},
         )
 
     def note_zone(self, zone: str, sums: ReportSums) -> dict[str, float]:
         """Takes another zone's sums; returns the use since the last."""
         self._sums_by_zone[zone] = (self._timer.now(), sums)
-        return self._increments(
+        return self._used.note(
             zone,
-            {use.organisation: use.used for use in sums.caps},
             sums.life,
+            {use.organisation: use.used for use in sums.caps},
         )
 
     def heard_since(self, node_id: str, moment: float) -> bool:
@@ -157,15 +178,6 @@
             for zone, sums in self._recent_sums().items()
         }
 
-    def _increments(
-        self, subject: str, used_by_key: Mapping[str, float], source: str
-    ) -> dict[str, float]:
-        noted = {
-            key: self._used.note(subject, source, key, used)
-            for key, used in used_by_key.items()
-        }
-        return {key: new or 0.0 for key, new in noted.items()}
-
     def _recent_reports(self) -> dict[str, NodeReport]:
         oldest = self._timer.now() - SUMS_MEMORY_S
         return {
