Bound answers of servers that send without end

Cause: a plain answer, an event without its end and a reply of another system were read into memory as long as bytes came, and any byte of a stream counted as a sign of life. Change: 4 MB for a plain answer, 32 MB for all that a node holds, 256 KB for an event, 16 MB for a reply; the connection is closed and the caller told that the request may have run. Only whole events keep a stream's attempt alive, so that a stalled server that sends a byte now and then is noticed. After: each place ends within its bound and other requests go on.

--- /dev/null
+++ b/tests/test_endless_servers.py
@@ -0,0 +1,206 @@
+"""Servers that send bytes without end; a hostile peer on a raw socket."""
+
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+from contextlib import asynccontextmanager
+
+from anyio import BrokenResourceError
+from anyio import ClosedResourceError
+from anyio import create_task_group
+from anyio import create_tcp_listener
+from anyio import EndOfStream
+from anyio import fail_after
+from anyio import sleep
+from anyio.abc import SocketAttribute
+from anyio.abc import SocketStream
+import pytest
+
+from tests.examples import PATIENCE_S
+from tests.node_deployment import Deployment
+from tests.node_deployment import deployment
+from tests.node_deployment import POLL_S
+from wasabiwing.event_stream import EventCutter
+from wasabiwing.event_stream import MOST_EVENT_BYTES
+from wasabiwing.http_client import HttpClient
+from wasabiwing.http_client import MOST_REPLY_BYTES
+from wasabiwing.server_connections import AnswerMemory
+from wasabiwing.server_connections import MOST_ANSWER_BYTES
+from wasabiwing.server_connections import MOST_HELD_BYTES
+from wasabiwing_platform_standins.server import ServerStandIn
+
+pytestmark = pytest.mark.anyio
+
+BLOCK = b"x" * 16_384
+
+# Bytes that sockets on both sides may hold beyond what was read.
+SOCKET_BYTES = 16_000_000
+
+# First bytes of an answer, with the id that the request has, and a block
+# that is repeated.
+Answer = tuple[Callable[[bytes], bytes], bytes]
+
+
+def success(more: bytes) -> Callable[[bytes], bytes]:
+    """Returns a head that looks right."""
+
+    def head(attempt_id: bytes) -> bytes:
+        return (
+            b"HTTP/1.1 200 OK\r\n"
+            b"wasabiwing-attempt-id: " + attempt_id + b"\r\n"
+            b"wasabiwing-response-stamp: stamp\r\n" + more
+        )
+
+    return head
+
+
+ENDLESS_ANSWERS: dict[str, Answer] = {
+    "start line": (lambda _: b"HTTP/1.1 200 ", BLOCK),
+    "header": (success(b"x-long: "), BLOCK),
+    "headers": (success(b""), b"x-more: yes\r\n" * 1000),
+    "interim answers": (lambda _: b"", b"HTTP/1.1 102 \r\n\r\n" * 1000),
+    "body without length": (success(b"connection: close\r\n\r\n"), BLOCK),
+    "chunks": (
+        success(b"transfer-encoding: chunked\r\n\r\n"),
+        b"4000\r\n" + BLOCK + b"\r\n",
+    ),
+    "chunk size": (success(b"transfer-encoding: chunked\r\n\r\n"), b"0" * 999),
+    "bytes after the answer": (
+        success(b"content-length: 2\r\n\r\nok"),
+        BLOCK,
+    ),
+}
+
+
+class EndlessServer:
+    """Answers each request with bytes until the caller closes."""
+
+    def __init__(self, answer: Answer) -> None:
+        self._answer = answer
+        self.requests = 0
+        # Connections that the caller has closed, and bytes sent.
+        self.closed = 0
+        self.sent_bytes = 0
+
+    async def serve(self, stream: SocketStream) -> None:
+        """Serves one connection."""
+        async with stream:
+            received = b""
+            while b"\r\n\r\n" not in received:
+                try:
+                    received += await stream.receive()
+                except (EndOfStream, BrokenResourceError):
+                    return
+            self.requests += 1
+            first, block = self._answer
+            name = b"wasabiwing-attempt-id: "
+            attempt_id = b""
+            for line in received.split(b"\r\n"):
+                if line.lower().startswith(name):
+                    attempt_id = line[len(name) :]
+            try:
+                await stream.send(first(attempt_id))
+                while True:
+                    await stream.send(block)
+                    self.sent_bytes += len(block)
+                    await sleep(0)
+            except (BrokenResourceError, ClosedResourceError):
+                self.closed += 1
+
+
+@asynccontextmanager
+async def endless(
+    found: Deployment, service: str, answer: Answer
+) -> AsyncIterator[EndlessServer]:
+    """Runs and registers an endless server."""
+    server = EndlessServer(answer)
+    listener = await create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(SocketAttribute.local_port)
+    async with create_task_group() as tasks:
+        tasks.start_soon(listener.serve, server.serve)
+        found.address_by_server["endless"] = f"127.0.0.1:{port}"
+        found.register("endless", service)
+        yield server
+        tasks.cancel_scope.cancel()
+    await listener.aclose()
+
+
+class TestEndlessServers:
+    """A node in front of servers that never stop sending."""
+
+    @pytest.mark.parametrize("place", ENDLESS_ANSWERS)
+    async def test_plain_answer_is_cut_off_and_others_go_on(
+        self, place: str
+    ) -> None:
+        async with deployment() as found:
+            answer = ENDLESS_ANSWERS[place]
+            async with endless(found, "desk", answer) as server:
+                await found.wait_ready()
+                reply = await found.call("/book/1")
+                right = place == "bytes after the answer"
+                expected = (200,) if right else (502, 504)
+                assert reply.status in expected
+                with fail_after(PATIENCE_S):
+                    while not server.closed:
+                        await sleep(POLL_S)
+                bound = MOST_ANSWER_BYTES + SOCKET_BYTES
+                if place != "interim answers":
+                    assert server.sent_bytes < bound
+                sound = ServerStandIn("sound")
+                await found.add_server("desk", sound)
+                found.store.remove("servers/endless")
+                while not sound.runs:
+                    reply = await found.call("/read/2")
+                    await sleep(POLL_S)
+                assert reply.status == 200
+
+    async def test_event_without_an_end_is_cut_off(self) -> None:
+        async with deployment() as found:
+            head = success(
+                b"content-type: text/event-stream\r\n"
+                b"connection: close\r\n\r\nid: 1\ndata: "
+            )
+            async with endless(found, "models", (head, BLOCK)) as server:
+                await found.wait_ready()
+                reply = await found.call("/chat/1")
+                assert reply.status in (502, 504)
+                with fail_after(PATIENCE_S):
+                    while not server.closed:
+                        await sleep(POLL_S)
+                assert server.sent_bytes < MOST_EVENT_BYTES + SOCKET_BYTES
+
+    async def test_reply_of_another_system_is_cut_off(self) -> None:
+        client = HttpClient()
+        answer = ENDLESS_ANSWERS["body without length"]
+        server = EndlessServer(answer)
+        listener = await create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(SocketAttribute.local_port)
+        async with create_task_group() as tasks:
+            tasks.start_soon(listener.serve, server.serve)
+            reply = await client.send("GET", f"http://127.0.0.1:{port}/")
+            assert reply.is_err()
+            with fail_after(PATIENCE_S):
+                while not server.closed:
+                    await sleep(POLL_S)
+            assert server.sent_bytes < MOST_REPLY_BYTES + SOCKET_BYTES
+            tasks.cancel_scope.cancel()
+        await client.close()
+        await listener.aclose()
+
+
+class TestMemory:
+    """How much a node holds at a time."""
+
+    def test_all_answers_together_are_bounded(self) -> None:
+        memory = AnswerMemory()
+        assert memory.take(MOST_HELD_BYTES)
+        assert not memory.take(1)
+        memory.give_back(MOST_HELD_BYTES)
+        assert memory.take(1)
+
+    def test_an_event_without_an_end_is_noticed(self) -> None:
+        cutter = EventCutter()
+        assert cutter.feed(b"data: " + b"x" * MOST_EVENT_BYTES) == b""
+        assert cutter.overlong
+        cutter = EventCutter()
+        cutter.feed(b"data: " + b"x" * MOST_EVENT_BYTES + b"\n\n")
+        assert not cutter.overlong
--- a/wasabiwing/answer_relay.py
+++ b/wasabiwing/answer_relay.py
@@ -190,11 +190,20 @@
             if isinstance(chunk, Err):
                 cutter.drop_rest()
                 return chunk.err_value
-            watched.heard_at = self._timer.now()
-            self._loads.note_heard(placed.server.id)
             events = cutter.feed(chunk.ok_value)
+            if cutter.overlong:
+                cutter.drop_rest()
+                return Failure(
+                    ResultCode.SERVER_CUT,
+                    "an event without an end",
+                    RunState.MAY_HAVE_RUN,
+                )
             if not events:
                 continue
+            # Only events are a sign of life: a stalled server may send a
+            # byte now and then.
+            watched.heard_at = self._timer.now()
+            self._loads.note_heard(placed.server.id)
             if first:
                 first = False
                 self._note_first_event(call, placed, progress, watched)
--- a/wasabiwing/event_stream.py
+++ b/wasabiwing/event_stream.py
@@ -4,6 +4,9 @@
 middle of an event can go on at another backend server.
 """
 
+# Longest event, in bytes: a server in trouble may send without end.
+MOST_EVENT_BYTES = 262_144
+
 EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
 
 
@@ -14,6 +17,11 @@
         self._pending = b""
         self.last_event_id = last_event_id
 
+    @property
+    def overlong(self) -> bool:
+        """Whether an event has no end within ``MOST_EVENT_BYTES``."""
+        return len(self._pending) > MOST_EVENT_BYTES
+
     def feed(self, data: bytes) -> bytes:
         """Returns the bytes of the events that are whole now."""
         self._pending += data
--- a/wasabiwing/http_client.py
+++ b/wasabiwing/http_client.py
@@ -35,6 +35,10 @@
 # that few requests meet a connection that is being closed.
 KEEPALIVE_EXPIRY_S = 4.0
 
+# Longest reply that is read as a whole, in bytes: well above the largest
+# value of a store, and bounded where a peer sends without end.
+MOST_REPLY_BYTES = 16_777_216
+
 HTTP_ERRORS = (
     NetworkError,
     ProtocolError,
@@ -96,11 +100,21 @@
             yield Err(_failure(error, may_have_left=True))
 
     async def read(self) -> Result[bytes, Failure]:
-        """Reads the rest of the body."""
+        """Reads the rest of the body, up to ``MOST_REPLY_BYTES``."""
         parts: list[bytes] = []
+        size = 0
         async for chunk in self.chunks():
             if isinstance(chunk, Err):
                 return chunk
+            size += len(chunk.ok_value)
+            if size > MOST_REPLY_BYTES:
+                return Err(
+                    Failure(
+                        ResultCode.SERVER_CUT,
+                        f"ended after {size} bytes of reply",
+                        RunState.MAY_HAVE_RUN,
+                    )
+                )
             parts.append(chunk.ok_value)
         return Ok(b"".join(parts))
 
--- a/wasabiwing/server_connections.py
+++ b/wasabiwing/server_connections.py
@@ -57,6 +57,30 @@
 READ_ERRORS = (NetworkError, ProtocolError, TimeoutException)
 
 
+# Longest plain answer, and all plain answers that a node holds at a time, in
+# bytes: a server in trouble may send without end.
+MOST_ANSWER_BYTES = 4_194_304
+MOST_HELD_BYTES = 33_554_432
+
+
+class AnswerMemory:
+    """Memory for plain answers that are not yet whole, of one node."""
+
+    def __init__(self) -> None:
+        self.held_bytes = 0
+
+    def take(self, size: int) -> bool:
+        """Takes memory if there is some left."""
+        if self.held_bytes + size > MOST_HELD_BYTES:
+            return False
+        self.held_bytes += size
+        return True
+
+    def give_back(self, size: int) -> None:
+        """Returns memory that was taken."""
+        self.held_bytes -= size
+
+
 @dataclass(slots=True)
 class _Link:
     """A connection and until when it may be used again."""
@@ -95,13 +119,23 @@
             yield Err(_lost(error))
 
     async def read(self) -> Result[bytes, Failure]:
-        """Reads the whole body."""
+        """Reads the whole body, up to ``MOST_ANSWER_BYTES``."""
+        memory = self._connections.memory
         parts: list[bytes] = []
-        async for chunk in self.chunks():
-            if isinstance(chunk, Err):
-                return chunk
-            parts.append(chunk.ok_value)
-        return Ok(b"".join(parts))
+        size = 0
+        try:
+            async for chunk in self.chunks():
+                if isinstance(chunk, Err):
+                    return chunk
+                part = chunk.ok_value
+                too_long = size + len(part) > MOST_ANSWER_BYTES
+                if too_long or not memory.take(len(part)):
+                    return Err(_too_long(size + len(part)))
+                size += len(part)
+                parts.append(part)
+            return Ok(b"".join(parts))
+        finally:
+            memory.give_back(size)
 
     async def close(self, reusable_s: float | None = None) -> None:
         """Ends the exchange.
@@ -128,6 +162,7 @@
         self._backend = AnyIOBackend()
         self._count_connect = count_connect
         self._idle_by_server: dict[str, list[_Link]] = {}
+        self.memory = AnswerMemory()
 
     async def send(
         self,
@@ -257,6 +292,14 @@
     return bool(data)
 
 
+def _too_long(size: int) -> Failure:
+    return Failure(
+        ResultCode.SERVER_CUT,
+        f"ended after {size} bytes of answer",
+        RunState.MAY_HAVE_RUN,
+    )
+
+
 def _lost(error: Exception) -> Failure:
     code = ResultCode.SERVER_CUT
     if isinstance(error, TimeoutException):
