Presume a third of the first servers busy before any demand is seen

Change: a third, of the number first seen; firm servers for the loss of three zones, which is all there are on the first sites.

--- a/tests/test_capacity_plan.py
+++ b/tests/test_capacity_plan.py
@@ -21,6 +21,8 @@
     price_by_zone={"a": 0.85, "b": 1.2, "c": 1.0},
 )
 
+LARGE_LIMITS = ScaleLimits(1, 32, 4.0, 0.22, LIMITS.price_by_zone)
+
 ALL_DRY = frozenset(ZONES)
 
 Counts = dict[tuple[str, bool], int]
@@ -162,6 +164,21 @@
         wanted = plan(3, zones, dry=ALL_DRY)
         assert total(wanted, False) >= 3
 
+    def test_with_five_zones_a_wave_leaves_two(self) -> None:
+        """Found on the bench, bagline-large, quiet-1.
+
+        Firm servers for the loss of all five zones were ordered.
+        """
+        zones = ("a", "b", "c", "d", "e")
+        counts = [ServerCount(zone, True, 5, 5) for zone in zones]
+        orders = plan_servers(
+            12, zones, LARGE_LIMITS, counts, frozenset("a"), False
+        )
+        firm = sum(order.count for order in orders if not order.reclaimable)
+        kept = 2 * 5
+        assert firm + kept >= 12
+        assert firm < 12
+
     def test_firm_servers_that_boot_are_kept(self) -> None:
         """Found on the bench, ghcso-sketchline, scale-2: orders swung."""
         left: Counts = {("a", True): 1}
--- a/wasabiwing/capacity_plan.py
+++ b/wasabiwing/capacity_plan.py
@@ -33,6 +33,15 @@
 SPARE_SHARE = 0.5
 
 
+# Share of the servers of a deployment that is presumed to be busy before any
+# demand was seen; its operator sizes it for bursts.
+PRESUMED_SHARE = 1.0 / 3.0
+
+# Zones whose reclaimable servers may go before a server that is ordered now
+# has booted.
+ZONES_AT_RISK = 3
+
+
 @dataclass(frozen=True, slots=True)
 class ServerCount:
     """Servers of one kind in one zone."""
@@ -90,10 +99,12 @@
         """Returns the warm reclaimable servers that are wanted."""
         return sum(self._warm(key) for key in self.wanted if key[1])
 
-    def safe(self) -> int:
-        """Returns the wanted servers that stay if a zone is reclaimed."""
-        at_risk = [count for (_, kind), count in self.wanted.items() if kind]
-        return self.total() - max(at_risk, default=0)
+    def safe(self, zones: int = 1) -> int:
+        """Returns the wanted servers that stay if zones are reclaimed."""
+        at_risk = sorted(
+            count for (_, kind), count in self.wanted.items() if kind
+        )
+        return self.total() - sum(at_risk[-zones:])
 
     def safe_ready(self) -> int:
         """Returns the warm servers that stay if a zone is reclaimed."""
@@ -115,7 +126,7 @@
     Load pattern: a fleet whose traffic has not begun. Until demand is seen,
     the number of servers that the operator has started tells most about it.
     """
-    return int(present / (1.0 + SPARE_SHARE))
+    return int(present * PRESUMED_SHARE)
 
 
 def plan_servers(
@@ -144,8 +155,8 @@
         _grow(plan, False, cheapest, target + LEAST_FIRM, limits)
     missing = max(needed - plan.safe(), LEAST_FIRM - plan.total(False))
     if dry_zones:
-        # Reclaims come in waves: while none are to be had, the rest may go.
-        missing = max(missing, busy - plan.total(False))
+        # Reclaims come in waves: while none are to be had, more may go.
+        missing = max(missing, busy - plan.safe(ZONES_AT_RISK))
     _grow(plan, False, cheapest, plan.total(False) + missing, limits)
     for zone in cheapest:
         while plan.in_zone(zone) < limits.least:
--- a/wasabiwing/server_orders.py
+++ b/wasabiwing/server_orders.py
@@ -81,8 +81,9 @@
         self._grown_at = -inf
         # Highest need by service, and when it was last seen.
         self._need_by_service: dict[str, tuple[int, float]] = {}
-        # Most servers seen by service before there was any demand.
-        self._idle_servers_by_service: dict[str, int] = {}
+        # Servers by service when this node first looked; later ones are
+        # there because of its own orders.
+        self._first_count_by_service: dict[str, int] = {}
 
     def begin(self) -> None:
         """Starts over as a new holder of the duty."""
@@ -131,9 +132,8 @@
         if demand > 0:
             return servers_busy(demand)
         present = len(self._view.directory.of_service(service))
-        most = max(self._idle_servers_by_service.get(service, 0), present)
-        self._idle_servers_by_service[service] = most
-        return presumed_busy(most)
+        first = self._first_count_by_service.setdefault(service, present)
+        return presumed_busy(first)
 
     def _needed(self, service: str, needed: int) -> int:
         """Returns the highest need of the last seconds."""
