Contain unexpected errors in messages, ticks and the follower

Cause: an error in the handler of a message, in a tick or in following the store ended the process; a report with another number of urgency classes (an odd or newer release) made every later push of a head fail (test, failing first: ValueError in zip). Change: such errors are logged as TASK_FAILED with their trace and end only what they happened in; loads are read as this release counts them; a listing that is older than what is known is not asked for again at once. After: eight odd messages to all nodes of a fleet of 20 leave it at work.

--- /dev/null
+++ b/tests/test_containment.py
@@ -0,0 +1,107 @@
+"""Malformed messages and unexpected errors end nothing but themselves."""
+
+from anyio import create_task_group
+from anyio import Event
+import pytest
+
+from tests.network import bench
+from tests.relay_fleet import relay_fleet
+from wasabiwing.events import Event as LogEvent
+from wasabiwing.messages import Envelope
+from wasabiwing.messages import FleetContent
+from wasabiwing.messages import HeadPush
+from wasabiwing.messages import Message
+from wasabiwing.messages import NodeReport
+from wasabiwing.messages import OrganisationUse
+from wasabiwing.messages import PassedChange
+from wasabiwing.messages import PassedValue
+from wasabiwing.messages import Ping
+from wasabiwing.messages import ReportSums
+from wasabiwing.messages import ServerUse
+from wasabiwing.timers import SystemTimer
+
+pytestmark = pytest.mark.anyio
+
+# Loads with another number of classes than this release has.
+ODD_LOADS = (ServerUse("server-1", (5,), 1), ServerUse("server-1", (), 2))
+
+ODD_MESSAGES: tuple[Message, ...] = (
+    NodeReport("", servers=ODD_LOADS),
+    NodeReport("life", (OrganisationUse("", float("nan"), float("nan")),)),
+    HeadPush("zone-x", 5, 9, -7, -9),
+    HeadPush(
+        "zone-b", 1, 1, 0, zone_sums=ReportSums("x", -1, servers=ODD_LOADS)
+    ),
+    HeadPush(
+        "zone-a", 1, 1, 0, fleet_sums=ReportSums("x", -1, servers=ODD_LOADS)
+    ),
+    HeadPush("zone-a", 0, 0, 0, changes=(PassedChange("configuration", 0),)),
+    FleetContent(0, 5, 0, (PassedValue("servers/x", 3, b"no zlib"),), ()),
+    FleetContent(0, -5, 0, (), ()),
+)
+
+
+class TestMessages:
+    """What a node makes of messages that no node of this release sends."""
+
+    @pytest.mark.parametrize("message", ODD_MESSAGES)
+    async def test_odd_message_leaves_the_fleet_at_work(
+        self, message: Message
+    ) -> None:
+        async with relay_fleet(20) as fleet:
+            stranger = fleet.network.open("node-001", "tcp://stranger:1")
+            for node in fleet.nodes:
+                stranger.send(node.transport.address, message)
+            await fleet.run(1.0)
+            fleet.store.put("configuration", b"2")
+            await fleet.run(3.0)
+            assert {node.version for node in fleet.nodes} == {2}
+
+    async def test_error_of_a_handler_is_logged_and_the_next_is_run(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        parts: list[object] = []
+
+        def record(event: LogEvent, node: str, **fields: object) -> None:
+            if event is LogEvent.TASK_FAILED:
+                parts.append(fields["part"])
+
+        monkeypatch.setattr("wasabiwing.containment.log_event", record)
+        async with bench() as found:
+            router = found.router("one", "tcp://one:1")
+            handled: list[str] = []
+
+            async def fail_once(envelope: Envelope, message: Ping) -> None:
+                handled.append(envelope.sender)
+                if len(handled) == 1:
+                    raise KeyError("unexpected")
+
+            router.register(Ping, fail_once)
+            sender = found.network.open("two", "tcp://two:1")
+            for _ in range(2):
+                sender.send("tcp://one:1", Ping())
+                await found.timer.advance(0.1)
+            assert len(handled) == 2
+            assert parts == ["Ping"]
+
+
+class TestTicks:
+    """Periodic work that fails."""
+
+    async def test_tick_goes_on_after_an_error(self) -> None:
+        timer = SystemTimer()
+        again = Event()
+        calls = 0
+
+        async def tick() -> None:
+            nonlocal calls
+            calls += 1
+            if calls == 1:
+                raise ValueError("unexpected")
+            again.set()
+
+        timer.subscribe(0.01, tick)
+        async with create_task_group() as tasks:
+            tasks.start_soon(timer.run)
+            await again.wait()
+            tasks.cancel_scope.cancel()
--- a/wasabiwing/fleet_follower.py
+++ b/wasabiwing/fleet_follower.py
@@ -16,6 +16,7 @@
 
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
+from wasabiwing.containment import contain
 from wasabiwing.events import Event
 from wasabiwing.events import log_event
 from wasabiwing.fleet_changes import ConfigurationChange
@@ -216,12 +217,17 @@
     async def run(self) -> None:
         """Follows the store until cancelled."""
         while True:
-            if self.log.revision is None:
-                await self._load()
-            elif self.must_watch():
-                await self._follow(self.log.revision)
-            else:
-                await self._timer.sleep(ROLE_PERIOD_S)
+            if not await contain(self._node_id, "follower", self._step):
+                await self._timer.sleep(RETRY_PAUSE_S)
+
+    async def _step(self) -> None:
+        """Makes one call to the store, or waits until one is needed."""
+        if self.log.revision is None:
+            await self._load()
+        elif self.must_watch():
+            await self._follow(self.log.revision)
+        else:
+            await self._timer.sleep(ROLE_PERIOD_S)
 
     def age_s(self) -> float:
         """Returns for how long changes may have gone unseen, in seconds."""
@@ -297,6 +303,9 @@
         self._note_answer()
         snapshot = found.ok_value
         self.take_all(snapshot.values, snapshot.revision, self._timer.now())
+        if self.log.revision != snapshot.revision:
+            # An older listing; nothing is lost by another call, later.
+            await self._timer.sleep(RETRY_PAUSE_S)
 
     def _replace_all(self, values: tuple[StoredValue, ...]) -> None:
         value_by_key = {stored.key: stored.value for stored in values}
--- a/wasabiwing/message_router.py
+++ b/wasabiwing/message_router.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from functools import partial
 from typing import cast
 from typing import TypeVar
 
+from wasabiwing.containment import contain
 from wasabiwing.events import Event
 from wasabiwing.events import log_event
 from wasabiwing.messages import Envelope
@@ -29,7 +31,7 @@
         self._handler_by_type[kind] = cast(Handler[Message], handler)
 
     async def run(self) -> None:
-        """Reads the inbox until cancelled.
+        """Reads the inbox until cancelled; survives errors of handlers.
 
         Handlers run one after the other; a handler that has to wait for
         another process starts a task of its own.
@@ -45,4 +47,8 @@
                     detail=type(envelope.body).__name__,
                 )
                 continue
-            await handler(envelope, envelope.body)
+            await contain(
+                self._node_id,
+                type(envelope.body).__name__,
+                partial(handler, envelope, envelope.body),
+            )
--- a/wasabiwing/node_reports.py
+++ b/wasabiwing/node_reports.py
@@ -29,6 +29,7 @@
 from wasabiwing.report_sums import add_load
 from wasabiwing.report_sums import AlignedTotals
 from wasabiwing.report_sums import HeadSums
+from wasabiwing.report_sums import read_loads
 from wasabiwing.report_sums import without_own
 from wasabiwing.routed_calls import PromptPart
 from wasabiwing.server_loads import PeerLoad
@@ -200,10 +201,7 @@
             )
         shared.loads.note_peer(
             envelope.sender,
-            {
-                item.server_id: PeerLoad(item.pending_by_class, item.running)
-                for item in report.servers
-            },
+            read_loads(report.servers),
         )
         shared.demand.note_peer(envelope.sender, dict(report.demand))
         shared.store.note_peer(report.revision)
@@ -339,16 +337,8 @@
             self._own_counted[use.organisation] = own
             amount = 0.0 if change is None else change - (own - counted)
             shared.caps.deduct(use.organisation, amount, use.level)
-        own_load = {}
-        if sent is not None:
-            own_load = {
-                item.server_id: PeerLoad(item.pending_by_class, item.running)
-                for item in sent.servers
-            }
-        load_by_server = {
-            item.server_id: PeerLoad(item.pending_by_class, item.running)
-            for item in sums.servers
-        }
+        own_load = read_loads(sent.servers if sent is not None else ())
+        load_by_server = read_loads(sums.servers)
         shared.loads.replace_peers(
             {FLEET: without_own(load_by_server, own_load)}
         )
--- a/wasabiwing/report_sums.py
+++ b/wasabiwing/report_sums.py
@@ -9,12 +9,15 @@
 
 from collections import defaultdict
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 from dataclasses import dataclass
 from math import inf
 
 from wasabiwing.messages import NodeReport
 from wasabiwing.messages import ReportSums
+from wasabiwing.messages import ServerUse
+from wasabiwing.routed_calls import URGENCY_CLASSES
 from wasabiwing.server_loads import PeerLoad
 from wasabiwing.timers import TimerService
 
@@ -146,20 +149,13 @@
             if node_id == without:
                 continue
             for item in report.servers:
-                add_load(
-                    loads,
-                    item.server_id,
-                    PeerLoad(item.pending_by_class, item.running),
-                )
+                add_load(loads, item.server_id, read_load(item))
         return loads
 
     def load_by_zone(self) -> dict[str, dict[str, PeerLoad]]:
         """Returns what the nodes of the other zones have in flight."""
         return {
-            zone: {
-                item.server_id: PeerLoad(item.pending_by_class, item.running)
-                for item in sums.servers
-            }
+            zone: read_loads(sums.servers)
             for zone, sums in self._recent_sums().items()
         }
 
@@ -195,6 +191,21 @@
         }
 
 
+def read_load(item: ServerUse) -> PeerLoad:
+    """Returns a load as this release counts it.
+
+    Another release may know more or fewer classes of urgency.
+    """
+    missing = (0,) * URGENCY_CLASSES
+    pending = (*item.pending_by_class, *missing)[:URGENCY_CLASSES]
+    return PeerLoad(pending, item.running)
+
+
+def read_loads(items: Iterable[ServerUse]) -> dict[str, PeerLoad]:
+    """Returns loads by server."""
+    return {item.server_id: read_load(item) for item in items}
+
+
 def add_load(
     loads: dict[str, PeerLoad], server_id: str, load: PeerLoad
 ) -> None:
--- a/wasabiwing/timers.py
+++ b/wasabiwing/timers.py
@@ -23,6 +23,8 @@
 from anyio.abc import TaskGroup
 from anyio.lowlevel import checkpoint
 
+from wasabiwing.containment import contain
+
 Tick = Callable[[], Awaitable[None]]
 
 # A woken task may wake further tasks; this many rounds of the event loop let
@@ -85,7 +87,7 @@
         due = self.now() + period_s
         while True:
             await sleep(max(due - self.now(), 0.0))
-            await tick()
+            await contain("", f"tick of {tick.__qualname__}", tick)
             # Ticks that were missed during a pause are not made up for.
             due = max(due + period_s, self.now())
 
