--- a/tests/test_server_orders.py
+++ b/tests/test_server_orders.py
@@ -53,7 +53,7 @@
         }
         for number in range(count):
             self.count_by_kind[(ZONES[number % len(ZONES)], False)] += 1
-        self._register()
+        self.register()
 
     @property
     def total(self) -> int:
@@ -66,16 +66,18 @@
         for _ in range(round(seconds / STEP_S)):
             if demand:
                 self.demand.note("models", demand * STEP_S)
+            self.orders.observe()
             (await self.orders.send_missing(STAMP)).unwrap()
             for _, zone, count, kind in self.cloud.orders:
                 self.count_by_kind[(zone, kind)] = count
             self.cloud.orders.clear()
-            self._register()
+            self.register()
             fewest = min(fewest, self.total)
             await self.timer.advance(STEP_S)
         return fewest
 
-    def _register(self) -> None:
+    def register(self) -> None:
+        """Enters the servers in the registry."""
         self.view.directory.replace_all(
             {
                 server_id: RegisteredServer(
@@ -111,6 +113,31 @@
         fewest = await pool.run(16.0, 0.0)
         assert fewest >= count / 3
 
+    async def test_a_later_holder_keeps_what_the_deployment_started_with(
+        self,
+    ) -> None:
+        """Found on the bench, bagline-large, trouble-3.
+
+        The first holder looked before all servers had registered; the second
+        one saw only what the first had left.
+        """
+        pool = Pool(60)
+        later = ServerOrders(
+            "later", pool.timer, pool.cloud, pool.view, pool.demand, ZONES
+        )
+        registered = dict(pool.count_by_kind)
+        pool.count_by_kind = dict.fromkeys(registered, 0)
+        pool.register()
+        for orders in (pool.orders, later):
+            orders.observe()
+        pool.count_by_kind = registered
+        pool.register()
+        for orders in (pool.orders, later):
+            orders.observe()
+        await pool.run(8.0, 0.0)
+        pool.orders = later
+        assert await pool.run(6.0, 0.0) >= 20
+
     async def test_demand_that_is_seen_decides_after_a_while(self) -> None:
         pool = Pool(40)
         await pool.run(16.0, 0.0)
--- a/wasabiwing/duties.py
+++ b/wasabiwing/duties.py
@@ -92,6 +92,8 @@
 
     async def work(self) -> None:
         """Does what is due if this node holds the duties."""
+        if self._orders is not None:
+            self._orders.observe()
         held = self._current()
         if held is None:
             return
--- a/wasabiwing/server_orders.py
+++ b/wasabiwing/server_orders.py
@@ -81,14 +81,30 @@
         self._grown_at = -inf
         # Highest need by service, and when it was last seen.
         self._need_by_service: dict[str, tuple[int, float]] = {}
-        # Servers by service when this node first looked; later ones are
-        # there because of its own orders.
-        self._first_count_by_service: dict[str, int] = {}
+        # Most firm servers seen by service before any demand: those that the
+        # deployment started with. Later holders know them as well.
+        self._started_by_service: dict[str, int] = {}
 
     def begin(self) -> None:
         """Starts over as a new holder of the duty."""
         self._sent_by_key.clear()
 
+    def observe(self) -> None:
+        """Notes what the deployment started with; on every node."""
+        configuration = self._view.configuration
+        if configuration is None:
+            return
+        for profile in configuration.service_by_name.values():
+            service = profile.name
+            if profile.scale is None or self._demand.total(service) > 0:
+                continue
+            firm = sum(
+                not server.reclaimable
+                for server in self._view.directory.of_service(service)
+            )
+            most = max(self._started_by_service.get(service, 0), firm)
+            self._started_by_service[service] = most
+
     async def send_missing(self, stamp: DutyStamp) -> Result[None, Failure]:
         """Sends the orders that the plan asks for."""
         configuration = self._view.configuration
@@ -131,9 +147,7 @@
         """Returns the busy servers, presumed while there is no demand."""
         if demand > 0:
             return servers_busy(demand)
-        present = len(self._view.directory.of_service(service))
-        first = self._first_count_by_service.setdefault(service, present)
-        return presumed_busy(first)
+        return presumed_busy(self._started_by_service.get(service, 0))
 
     def _needed(self, service: str, needed: int) -> int:
         """Returns the highest need of the last seconds."""
