Count use from the start of a node; presume more of a pool busy

Change: reports and sums say how old their node is, and a new one counts from zero; 0.6 of the servers of the start are presumed busy; an entry's revision is taken from the log; nodes that hear heads turn to the store at different times and wait longer after failures. Test, failing first: 30 nodes restarted at once that admit before they report.

--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -144,12 +144,14 @@
             self.directory,
             self.reports,
             self.shared,
+            Random(number),
         )
         self.presence = Presence(
             self.id,
             node_lease_name(self.id, inbox, self.zone, capacity),
             timer,
             self.link,
+            self.follower.log.revision_of,
         )
         self.messages = MessageRouter(self.id, self.transport)
         self.messages.register(HeadPush, self.relay.receive_push)
--- a/tests/test_fleet_relay.py
+++ b/tests/test_fleet_relay.py
@@ -191,6 +191,29 @@
                 # A change of heads may lose a second of use.
                 assert 100_000.0 - used - 100 <= use.level <= 100_000.0
 
+    async def test_use_before_the_first_report_is_deducted(self) -> None:
+        """Found on the bench, bagline-large, trouble-3: QUOTA.
+
+        After a restart of all nodes each forgot what the others had admitted
+        before their first reports.
+        """
+        north = OrganisationProfile(
+            "north", frozenset(), None, True, 1, 0.001, 100_000.0
+        )
+        async with relay_fleet(30) as fleet:
+            for node in fleet.nodes:
+                node.kill()
+            await fleet.run(0.5)
+            for number in range(30):
+                fleet.start(number, 2)
+            await fleet.run(0.1)
+            for node in fleet.nodes:
+                node.shared.caps.admit(north, 1000)
+            await fleet.run(3.0)
+            for node in fleet.nodes:
+                [use] = node.shared.caps.own_use()
+                assert use.level == pytest.approx(70_000.0, abs=100.0)
+
     async def test_usage_of_all_nodes_is_known_to_heads(self) -> None:
         async with relay_fleet(30) as fleet:
             window = fleet.nodes[0].shared.windows.window_now()
--- a/wasabiwing/capacity_plan.py
+++ b/wasabiwing/capacity_plan.py
@@ -35,7 +35,7 @@
 
 # Share of the servers of a deployment that is presumed to be busy before any
 # demand was seen; its operator sizes it for bursts.
-PRESUMED_SHARE = 1.0 / 3.0
+PRESUMED_SHARE = 0.6
 
 # Zones whose reclaimable servers may go before a server that is ordered now
 # has booted.
--- a/wasabiwing/fleet_follower.py
+++ b/wasabiwing/fleet_follower.py
@@ -213,6 +213,8 @@
         # nodes depend on it.
         self.must_watch: Callable[[], bool] = lambda: True
         self.shares_watch: Callable[[], bool] = lambda: False
+        # Whether there are so many nodes that a store in trouble is spared.
+        self.spares_store: Callable[[], bool] = lambda: False
 
     async def run(self) -> None:
         """Follows the store until cancelled."""
@@ -369,7 +371,7 @@
     def _retry_pause_s(self) -> float:
         """Returns the pause after a failure; many nodes spare the store."""
         pause_s = RETRY_PAUSE_S
-        if self.shares_watch() or not self.must_watch():
+        if self.spares_store():
             pause_s = min(
                 RETRY_PAUSE_S * self._failures, LONGEST_RETRY_PAUSE_S
             )
--- a/wasabiwing/fleet_log.py
+++ b/wasabiwing/fleet_log.py
@@ -90,6 +90,11 @@
         """Returns all values."""
         return tuple(self._value_by_key.values())
 
+    def revision_of(self, key: str) -> int:
+        """Returns the revision of a key's value; 0 if there is none."""
+        stored = self._value_by_key.get(key)
+        return 0 if stored is None else stored.revision
+
     def keys(self) -> tuple[str, ...]:
         """Returns all keys."""
         return tuple(self._value_by_key)
--- a/wasabiwing/fleet_relay.py
+++ b/wasabiwing/fleet_relay.py
@@ -8,6 +8,7 @@
 """
 
 from math import inf
+from random import Random
 from zlib import decompressobj
 from zlib import error as ZlibError
 
@@ -51,6 +52,9 @@
 UNHEARD_STALE_S = 1.5
 HEARD_STALE_S = 2.5
 
+# Spread of the last of these over the nodes, in seconds.
+HEARD_STALE_SPREAD_S = 5.0
+
 # A request for missed changes is repeated after this many seconds.
 REQUEST_PAUSE_S = 0.7
 
@@ -75,6 +79,7 @@
         directory: ServerDirectory,
         reports: NodeReports,
         shared: SharedState,
+        random: Random,
     ) -> None:
         self._node_id = node_id
         self._timer = timer
@@ -91,6 +96,11 @@
         self._requested_at = -inf
         follower.must_watch = self.must_watch
         follower.shares_watch = self.shares_watch
+        follower.spares_store = lambda: heads.needed
+        # Nodes that hear heads do not all turn to the store at once.
+        self._heard_stale_s = HEARD_STALE_S + random.uniform(
+            0.0, HEARD_STALE_SPREAD_S
+        )
 
     def must_watch(self) -> bool:
         """Whether this node has to read the store itself now."""
@@ -106,7 +116,9 @@
             self._heads.heard_within(node_id, HEAD_SILENCE_S)
             for node_id in self._heads.of_zone(self._heads.zone)
         )
-        return age_s > (HEARD_STALE_S if hears_a_head else UNHEARD_STALE_S)
+        return age_s > (
+            self._heard_stale_s if hears_a_head else UNHEARD_STALE_S
+        )
 
     def shares_watch(self) -> bool:
         """Whether other nodes rely on this node's watch."""
--- a/wasabiwing/messages.py
+++ b/wasabiwing/messages.py
@@ -526,6 +526,8 @@
     # Newest change of the store that the node has seen.
     revision: int = 0
     inherited: tuple[LifeWindows, ...] = ()
+    # Time since the node started, in seconds; 0 where it is not told.
+    age_s: float = 0.0
 
 
 class ReportSums(Struct, frozen=True, array_like=True):
@@ -540,6 +542,8 @@
     windows: tuple[WindowUse, ...] = ()
     servers: tuple[ServerUse, ...] = ()
     demand: tuple[tuple[str, float], ...] = ()
+    # Time since the node started, in seconds; 0 where it is not told.
+    age_s: float = 0.0
 
 
 class PassedChange(Struct, frozen=True, array_like=True):
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -168,6 +168,7 @@
             directory,
             self._reports,
             self._shared,
+            random,
         )
         self._presence = Presence(
             node_id,
@@ -179,6 +180,7 @@
             ),
             timer,
             platform.store,
+            self.follower.log.revision_of,
         )
         self.connections = ServerConnections(timer, metrics.count_connect)
         placement = CallPlacement(
--- a/wasabiwing/node_reports.py
+++ b/wasabiwing/node_reports.py
@@ -112,6 +112,7 @@
             maxlen=MOST_PLACEMENTS
         )
         self._turn = 0
+        self._started_at = timer.now()
         self._sums = HeadSums(heads.zone, timer)
         self._fleet_used = AlignedTotals(timer)
         # Own use by organisation that is in the sums taken over so far.
@@ -235,6 +236,7 @@
             ),
             _server_uses(self._sums.zone_load()),
             tuple(self._sums.zone_demand().items()),
+            self._age_s(),
         )
 
     def fleet_sums(self, shared: SharedState) -> ReportSums:
@@ -249,6 +251,7 @@
             self._heard_by_heads(since),
             self._cap_sums(self._sums.used_in_fleet(), shared),
             servers=_server_uses(loads),
+            age_s=self._age_s(),
         )
 
     def _heard_share_of_sums(self, since: float) -> float:
@@ -340,6 +343,7 @@
             FLEET,
             sums.life,
             {use.organisation: use.used for use in sums.caps},
+            sums.age_s,
         )
         for use in sums.caps:
             own = used_by_organisation.get(use.organisation, 0.0)
@@ -409,8 +413,12 @@
             tuple(shared.demand.own().items()),
             shared.store.revision,
             self._inherited(shared.windows) if with_windows else (),
+            self._age_s(),
         )
 
+    def _age_s(self) -> float:
+        return self._timer.now() - self._started_at
+
     def _inherited(self, windows: UsageWindows) -> tuple[LifeWindows, ...]:
         """Returns the counts of nodes that are no longer heard.
 
--- a/wasabiwing/presence.py
+++ b/wasabiwing/presence.py
@@ -4,6 +4,7 @@
 renewal is a call to the store, and that a head is gone is noticed without it.
 """
 
+from collections.abc import Callable
 from math import inf
 
 from result import Err
@@ -32,12 +33,19 @@
     """Keeps this node's entry in the store."""
 
     def __init__(
-        self, node_id: str, name: str, timer: TimerService, store: LeaseStore
+        self,
+        node_id: str,
+        name: str,
+        timer: TimerService,
+        store: LeaseStore,
+        known_revision: Callable[[str], int] = lambda key: 0,
     ) -> None:
         self._node_id = node_id
         self._key = LEASE_PREFIX + name
         self._timer = timer
         self._store = store
+        # Revision of a key as far as this node has followed the store.
+        self._known_revision = known_revision
         self._lease_id = 0
         self._ttl_s = 0.0
         self._valid_until = -inf
@@ -84,7 +92,7 @@
             return
         lease = granted.ok_value
         value = self._node_id.encode()
-        expected = self._revision
+        expected = self._revision or self._known_revision(self._key)
         swapped = await self._store.swap(self._key, expected, value, lease.id)
         if not isinstance(swapped, Err) and not swapped.ok_value.swapped:
             # An entry of an earlier start, or of a write without an answer.
--- a/wasabiwing/report_sums.py
+++ b/wasabiwing/report_sums.py
@@ -49,23 +49,31 @@
         self._source_by_subject: dict[str, tuple[str, float]] = {}
 
     def note(
-        self, subject: str, source: str, value_by_key: Mapping[str, float]
+        self,
+        subject: str,
+        source: str,
+        value_by_key: Mapping[str, float],
+        age_s: float,
     ) -> dict[str, float]:
         """Returns by how much the totals of a subject have changed.
 
-        Nothing is returned for a source that is new, not followed, or was
-        not heard for a while: what happened meanwhile may be known otherwise.
+        A source that has just started, ``age_s`` seconds ago, counts from
+        zero. Nothing is returned for one that is older and was not heard
+        before or for a while, since what it counted may be known otherwise,
+        and for one that is not followed.
         """
         followed = self._follows(subject, source)
         now = self._timer.now()
         heard_at = self._heard_at_by_source.get((subject, source), -inf)
         self._heard_at_by_source[(subject, source)] = now
-        followed = followed and now - heard_at < SOURCE_GAP_S
+        has_started = heard_at == -inf and 0.0 < age_s < SOURCE_GAP_S
+        followed = followed and (has_started or now - heard_at < SOURCE_GAP_S)
         change_by_key = {}
         for key, value in value_by_key.items():
-            last = self._last_by_source.get((subject, source, key))
+            # A key that is new within a followed source began at zero.
+            last = self._last_by_source.get((subject, source, key), 0.0)
             self._last_by_source[(subject, source, key)] = value
-            if not followed or last is None:
+            if not followed:
                 continue
             change_by_key[key] = value - last
             self._total_by_key[(subject, key)] += value - last
@@ -118,6 +126,7 @@
             report.life,
             report.life,
             {use.organisation: use.used for use in report.caps},
+            report.age_s,
         )
 
     def note_zone(self, zone: str, sums: ReportSums) -> dict[str, float]:
@@ -127,6 +136,7 @@
             zone,
             sums.life,
             {use.organisation: use.used for use in sums.caps},
+            sums.age_s,
         )
 
     def heard_since(self, node_id: str, moment: float) -> bool:
