Take no old knowledge from others into a node that knows nothing

Cause: a node that has just started, and that the store turns away, took the whole state from any head, also from one that had stood still and might not know yet that a server had left or a key was withdrawn. Change: nothing older than 3 s is taken then; the test fails without the bound.

--- a/tests/test_fleet_relay.py
+++ b/tests/test_fleet_relay.py
@@ -8,6 +8,10 @@
 from tests.relay_fleet import RelayFleet
 from tests.relay_fleet import RelayNode
 from tests.relay_fleet import ZONES
+from wasabiwing.fleet_relay import MOST_FIRST_AGE_S
+from wasabiwing.messages import Envelope
+from wasabiwing.messages import FleetContent
+from wasabiwing.messages import PassedValue
 from wasabiwing.node_registry import NodeRecord
 from wasabiwing.service_configuration import OrganisationProfile
 from wasabiwing.zone_heads import choose_heads
@@ -322,6 +326,36 @@
                 assert all("server-2" not in usable(n) for n in fleet.nodes)
                 await fleet.run(0.5)
 
+    @pytest.mark.parametrize(
+        ("age_s", "taken"), [(0.5, True), (MOST_FIRST_AGE_S + 1.0, False)]
+    )
+    async def test_node_that_knows_nothing_takes_nothing_old(
+        self, age_s: float, taken: bool
+    ) -> None:
+        """Guards against withdrawn keys that are in use again.
+
+        The store turns a restarted node away, and a head that stood still
+        does not know yet what has changed.
+        """
+        async with relay_fleet(20) as fleet:
+            head = fleet.heads(ZONES[0])[0]
+            log = head.follower.log
+            packed = log.packed_since(0)
+            content = FleetContent(
+                0,
+                log.revision or 0,
+                int(age_s * 1000),
+                tuple(
+                    PassedValue(item.key, item.revision, item.content)
+                    for item in packed
+                ),
+                log.keys(),
+            )
+            new = RelayNode(fleet, 19, 2)
+            envelope = Envelope(head.id, head.transport.address, 0, content)
+            await new.relay.receive_content(envelope, content)
+            assert (new.version == 1) is taken
+
     @pytest.mark.parametrize("seed", range(10))
     async def test_schedules_of_faults_end_in_one_state(
         self, seed: int
--- a/wasabiwing/fleet_relay.py
+++ b/wasabiwing/fleet_relay.py
@@ -55,6 +55,11 @@
 # Spread of the last of these over the nodes, in seconds.
 HEARD_STALE_SPREAD_S = 5.0
 
+# A node that has just started takes nothing older than this from another node,
+# in seconds: a head that stood still may not know yet that a server has left
+# or a key was withdrawn.
+MOST_FIRST_AGE_S = 3.0
+
 # A request for missed changes is repeated after this many seconds.
 REQUEST_PAUSE_S = 0.7
 
@@ -207,7 +212,8 @@
         current_at = self._timer.now() - content.age_ms / MILLISECONDS
         log = self._follower.log
         if log.revision is None:
-            if content.since == 0:
+            is_recent = content.age_ms <= MOST_FIRST_AGE_S * MILLISECONDS
+            if content.since == 0 and is_recent:
                 self._follower.take_all(
                     tuple(values), content.revision, current_at
                 )
