--- a/wasabiwing/report_sums.py
+++ b/wasabiwing/report_sums.py
@@ -98,7 +98,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Told:
-    """A report or a sum, with the time at which it arrived."""
+    """A report, with the time at which it arrived."""
 
     at: float
     report: NodeReport
