--- a/wasabiwing/call_forwarding.py
+++ b/wasabiwing/call_forwarding.py
@@ -31,6 +31,7 @@
 from wasabiwing.node_reports import NodeReports
 from wasabiwing.prefill_rates import PrefillRates
 from wasabiwing.prompt_cache import PromptCacheIndex
+from wasabiwing.quarantine import request_digest
 from wasabiwing.retry_budgets import ServiceRetryBudgets
 from wasabiwing.routed_calls import CallCodec
 from wasabiwing.routed_calls import RoutedCall
@@ -231,6 +232,7 @@
                 server=server.id,
                 failure=str(failure),
                 run=failure.run.value,
+                **_content(call, failure),
             )
         return failure
 
@@ -362,6 +364,13 @@
     return failure
 
 
+def _content(call: RoutedCall, failure: Failure) -> dict[str, str]:
+    """Returns what ties the repeats of a request together in the logs."""
+    if failure.code is not ResultCode.SERVER_CUT:
+        return {}
+    return {"digest": request_digest(call)}
+
+
 def _urgency(call: RoutedCall) -> int:
     urgency = call.urgency_class * URGENCY_STEP
     return min(urgency + min(call.organisation_priority, 1), LEAST_URGENT)
--- a/wasabiwing/calls.py
+++ b/wasabiwing/calls.py
@@ -34,6 +34,11 @@
     # Digests of the prompt's leading blocks; empty for plain services.
     prefix_digests: tuple[int, ...] = ()
 
+    @property
+    def content_names(self) -> tuple[str, str]:
+        """Organisation and route, the same in all repeats."""
+        return self.organisation.id, self.route.id
+
 
 @dataclass(frozen=True, slots=True)
 class Choice:
--- a/wasabiwing/quarantine.py
+++ b/wasabiwing/quarantine.py
@@ -10,8 +10,8 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from hashlib import blake2b
+from typing import Protocol
 
-from wasabiwing.calls import Call
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.configuration import BackendServer
@@ -59,10 +59,26 @@
 Probe = Callable[[str], Awaitable[bool]]
 
 
-def request_digest(call: Call) -> str:
-    """Returns the digest of organisation, route and body."""
+class IdentifiedCall(Protocol):
+    """A request with what its repeats have in common."""
+
+    @property
+    def request_id(self) -> str:
+        """Differs between two repeats."""
+
+    @property
+    def content_names(self) -> tuple[str, ...]:
+        """Who asks for what, the same in all repeats."""
+
+    @property
+    def body(self) -> bytes:
+        """Body of the request."""
+
+
+def request_digest(call: IdentifiedCall) -> str:
+    """Returns the digest of what all repeats of a request have in common."""
     digest = blake2b(digest_size=DIGEST_BYTES)
-    for part in (call.organisation.id, call.route.id):
+    for part in call.content_names:
         digest.update(part.encode() + b"\0")
     digest.update(call.body)
     return digest.hexdigest()
@@ -100,7 +116,7 @@
         timer.subscribe(JUDGE_PERIOD_S, self._judge_settled)
         timer.subscribe(EXPIRY_PERIOD_S, self._expire)
 
-    def refusal(self, call: Call) -> Failure | None:
+    def refusal(self, call: IdentifiedCall) -> Failure | None:
         """Returns the refusal of a quarantined request, or ``None``."""
         if not self._facts.all(QUARANTINE_KIND):
             return None
@@ -109,7 +125,7 @@
             return None
         return Failure(ResultCode.QUARANTINED, f"digest {digest}")
 
-    def suspect_digest(self, call: Call) -> str:
+    def suspect_digest(self, call: IdentifiedCall) -> str:
         """Returns the digest of a suspected request; empty for others."""
         if not self._crashes_by_digest:
             return ""
@@ -122,7 +138,7 @@
         return crashes.isdisjoint(self._due_by_crash)
 
     async def note_cut(
-        self, call: Call, server: BackendServer, started_at: float
+        self, call: IdentifiedCall, server: BackendServer, started_at: float
     ) -> bool:
         """Takes in that a server cut a request that ran on it.
 
@@ -140,7 +156,7 @@
         self._facts.publish(SUSPICION_KIND, key, "", SUSPECTED)
         return True
 
-    def note_success(self, call: Call) -> None:
+    def note_success(self, call: IdentifiedCall) -> None:
         """Clears a digest whose request got its whole answer."""
         digest = self.suspect_digest(call)
         for crash in tuple(self._crashes_by_digest.get(digest, ())):
@@ -150,7 +166,7 @@
         if digest and self._quarantined(digest):
             self._publish_quarantine(digest, False)
 
-    def _digest(self, call: Call) -> str:
+    def _digest(self, call: IdentifiedCall) -> str:
         digest = self._digest_by_request.get(call.request_id)
         if digest is None:
             digest = request_digest(call)
--- a/wasabiwing/routed_calls.py
+++ b/wasabiwing/routed_calls.py
@@ -70,6 +70,20 @@
         """Name of the organisation, or empty."""
         return "" if self.organisation is None else self.organisation.name
 
+    @property
+    def request_id(self) -> str:
+        """Id of this attempt of the caller; differs between repeats."""
+        return self.head.attempt_id
+
+    @property
+    def content_names(self) -> tuple[str, str, str]:
+        """Organisation, method and target, the same in all repeats."""
+        return (
+            self.organisation_name,
+            self.method.decode("latin-1"),
+            self.target.decode("latin-1"),
+        )
+
     @property
     def total_tokens(self) -> int | None:
         """Prompt and longest answer together; ``None`` without counts."""
