Reproduce the incident: repeats of a request that crashes servers

Callers saw: a request under which servers had ended was sent on with every repeat, until none was left and healthy callers got 503.

The stand-in of backend servers ends its process when it runs a given body, and can be started again.

--- a/tests/node_deployment.py
+++ b/tests/node_deployment.py
@@ -35,6 +35,7 @@
 from wasabiwing_platform_standins.examples import server_document
 from wasabiwing_platform_standins.server import ServerStandIn
 from wasabiwing_platform_standins.store import StoreStandIn
+from wasabiwing_standins.server import StandInServer
 
 HOST = "127.0.0.1"
 
@@ -73,6 +74,7 @@
     address_by_server: dict[str, str] = field(default_factory=dict)
     requests: int = 0
     started: bool = False
+    _process_by_server: dict[str, StandInServer] = field(default_factory=dict)
 
     def start(self) -> None:
         """Starts the node; what was registered before is in its first view."""
@@ -128,10 +130,20 @@
         reply = await self.client.send("GET", url)
         return reply.map_or(0, lambda answer: answer.status)
 
+    async def restart_server(self, server_id: str) -> None:
+        """Starts a server again that has crashed."""
+        await self._process_by_server[server_id].start()
+
+    def kill_server(self, server_id: str) -> None:
+        """Ends a server's process and all its connections."""
+        self._process_by_server[server_id].kill()
+
     async def _listen(self, server: ServerStandIn) -> str:
-        listener = bind(HOST, 0)
-        self.tasks.start_soon(serve, server.application(), listener, Event())
-        return address_of(listener)
+        process = StandInServer(self.tasks, server.application())
+        await process.start()
+        server.crash = process.kill
+        self._process_by_server[server.id] = process
+        return process.address
 
 
 def hold_endpoint(held: ExitStack) -> Endpoint:
