Recognise requests that crash servers on the node as on the gateway

Callers saw: a request under which servers had ended was sent on with every repeat, until no server of the service was left and all got 503.

Cause: the node knew no request by its content; each repeat has an attempt id of its own. quarantine, isolation and server_probe were wired into the gateway only. The class of fault is a rule that one of two data paths keeps.

Ruled out: more servers within one request than its route allows (one or two a sending, as configured); knowledge lost between nodes (one node was enough).

Change: gateway and node use one quarantine and one isolation, with the call and the server as parameters. Nodes share crashes as facts, in one message per 50 ms, to all or through the heads of zones; a quarantine is a leased key of the store, which a node reads before its first request. A cut is told from a crash by a connection that stays open, once for all requests cut together. A quarantined request gets 503, code 107, not run, without Retry-After. explain-log shows crashes under the same content from all nodes.

--- a/tests/node_deployment.py
+++ b/tests/node_deployment.py
@@ -6,6 +6,7 @@
 from contextlib import ExitStack
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 
 from anyio import create_task_group
 from anyio import Event
@@ -108,13 +109,15 @@
         body: bytes = b"order 1",
         headers: Mapping[str, str] | None = None,
         key: str = "key-north",
+        via: NodeSettings | None = None,
     ) -> HttpReply:
         """Sends a caller's request; raises if it gets no answer."""
         self.requests += 1
         attempt = f"attempt-{self.requests}"
         sent = {**caller_headers(attempt, key), **(headers or {})}
+        callers = (via or self.settings).callers
         reply = await self.client.send(
-            method, f"http://{self.settings.callers}{path}", sent, body, 20.0
+            method, f"http://{callers}{path}", sent, body, 20.0
         )
         return reply.unwrap()
 
@@ -124,9 +127,23 @@
         while await self.readiness_status() != 200:
             await sleep(POLL_S)
 
-    async def readiness_status(self) -> int:
+    async def start_another(self, node_id: str) -> NodeSettings:
+        """Starts one more node and waits until callers may connect."""
+        settings = replace(
+            self.settings,
+            node_id=node_id,
+            callers=hold_endpoint(self.held),
+            readiness=hold_endpoint(self.held),
+            inbox=hold_endpoint(self.held),
+        )
+        self.tasks.start_soon(_run, settings, self)
+        while await self.readiness_status(settings) != 200:
+            await sleep(POLL_S)
+        return settings
+
+    async def readiness_status(self, of: NodeSettings | None = None) -> int:
         """Returns the status of the readiness page."""
-        url = f"http://{self.settings.readiness}/readyz"
+        url = f"http://{(of or self.settings).readiness}/readyz"
         reply = await self.client.send("GET", url)
         return reply.map_or(0, lambda answer: answer.status)
 
--- a/tests/test_explain_log.py
+++ b/tests/test_explain_log.py
@@ -60,6 +60,21 @@
             int(Event.ROUTE_DECISION),
         ]
 
+    def test_crashes_under_the_same_content_are_shown_from_all_nodes(
+        self,
+    ) -> None:
+        refused = {"request": "r9", "digest": "d1", "code": "QUARANTINED"}
+        found = explain_log(
+            [
+                line(Event.SERVER_CRASHED, 1.0, request="r1", digest="d1"),
+                line(Event.SERVER_CRASHED, 1.5, request="r2", digest="d2"),
+                line(Event.REQUEST_QUARANTINED, 2.0, "node-2", digest="d1"),
+                line(Event.REQUEST_REFUSED, 90.0, "node-3", **refused),
+            ],
+            "r9",
+        )
+        assert [item["timestamp"] for item in found.lines] == [1.0, 2.0, 90.0]
+
     def test_prefixes_and_broken_lines_do_no_harm(self) -> None:
         text = line(Event.REQUEST_FINISHED, 5.0, request="r1")
         found = explain_log(["plain", f"12.0 node-1 {text}", "{x"], "r1")
--- a/tests/test_node_crashing_requests.py
+++ b/tests/test_node_crashing_requests.py
@@ -3,14 +3,23 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+from anyio import sleep
 import pytest
 
 from tests.examples import error_of
 from tests.node_deployment import Deployment
 from tests.node_deployment import deployment
+from tests.node_deployment import POLL_S
+from tests.node_fleet import node_fleet
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
 from wasabiwing.http_client import find_header
+from wasabiwing.node_settings import NodeSettings
+from wasabiwing.quarantine import CRASH_KIND
+from wasabiwing.quarantine import QUARANTINE_KIND
+from wasabiwing.quarantine import SETTLE_S
+from wasabiwing.quarantine_records import QUARANTINE_PREFIX
+from wasabiwing.quarantine_records import QuarantineRecords
 from wasabiwing_platform_standins.server import ServerStandIn
 
 pytestmark = pytest.mark.anyio
@@ -22,6 +31,13 @@
 # Sendings of the deadly request, each a new attempt of the caller.
 SENDINGS = 8
 
+# Longer than the crash needs to be judged in all nodes, in seconds.
+JUDGED_S = SETTLE_S + 0.15
+
+# Time in which a node that has just started is known to the others, in
+# seconds.
+ACQUAINTED_S = 1.5
+
 # Servers of a service that one request may bring down.
 MOST_CRASHES = 2
 
@@ -48,10 +64,12 @@
         yield found, started
 
 
-async def send_deadly(found: Deployment, path: str) -> int:
+async def send_deadly(
+    found: Deployment, path: str, via: NodeSettings | None = None
+) -> int:
     """Sends the deadly request once; 0 for an answer that broke off."""
     try:
-        return (await found.call(path, body=DEADLY)).status
+        return (await found.call(path, body=DEADLY, via=via)).status
     except Exception:
         # ``unwrap`` of a stream that was cut.
         return 0
@@ -100,6 +118,116 @@
             assert (await found.call("/read/2", body=DEADLY)).status == 502
 
 
+class TestOtherNodes:
+    """What the nodes tell each other about a request that crashes servers."""
+
+    async def test_repeats_through_two_nodes_crash_no_more_than_two(
+        self,
+    ) -> None:
+        """Guards against each node that counts crashes for itself."""
+        async with crashing("desk") as (found, servers):
+            other = await found.start_another("node-2")
+            await sleep(ACQUAINTED_S)
+            for number in range(SENDINGS):
+                via = other if number % 2 else None
+                await send_deadly(found, "/book/1", via)
+                # A caller repeats after the time of a message, not before.
+                await sleep(JUDGED_S)
+            assert crashes(servers) <= MOST_CRASHES
+
+    async def test_a_node_that_starts_later_knows_from_the_store(self) -> None:
+        """Guards against a restart of all nodes that forgets."""
+        async with crashing("desk") as (found, servers):
+            for _ in range(2):
+                await send_deadly(found, "/book/1")
+            while not any(
+                key.startswith(QUARANTINE_PREFIX) for key in found.store.keys()
+            ):
+                await sleep(POLL_S)
+            other = await found.start_another("node-2")
+            reply = await found.call("/book/1", body=DEADLY, via=other)
+            assert error_of(reply)["code"] == ResultCode.QUARANTINED
+            assert crashes(servers) == MOST_CRASHES
+
+    async def test_many_nodes_hear_of_it_through_the_heads_of_zones(
+        self,
+    ) -> None:
+        async with node_fleet(20) as fleet:
+            await fleet.timer.advance(3.0)
+            fleet.facts[0].publish(QUARANTINE_KIND, "digest", "crashes", 1)
+            await fleet.timer.advance(0.5)
+            assert fleet.holding(QUARANTINE_KIND, "digest") == 20
+
+    async def test_a_restarted_node_learns_from_the_others(self) -> None:
+        """Guards against a restart that forgets, with the store silent."""
+        async with node_fleet(3) as fleet:
+            await fleet.timer.advance(3.0)
+            fleet.facts[0].publish(CRASH_KIND, "server", "", 1)
+            await fleet.timer.advance(1.0)
+            fleet.start(3)
+            await fleet.timer.advance(1.0)
+            assert fleet.holding(CRASH_KIND, "server") == 4
+
+    async def test_few_nodes_tell_each_other_directly(self) -> None:
+        async with node_fleet(4) as fleet:
+            await fleet.timer.advance(3.0)
+            fleet.facts[0].publish(QUARANTINE_KIND, "digest", "crashes", 1)
+            await fleet.timer.advance(0.1)
+            assert fleet.holding(QUARANTINE_KIND, "digest") == 4
+
+
+class TestRecords:
+    """Quarantines in the store."""
+
+    async def test_record_is_written_once_the_store_is_back(self) -> None:
+        async with node_fleet(1) as fleet:
+            link = fleet.links[0]
+            records = QuarantineRecords(
+                "node", fleet.timer, link, fleet.facts[0]
+            )
+            fleet.facts[0].publish(QUARANTINE_KIND, "digest", "crashes", 1)
+            link.cut = True
+            records.note_judged("digest")
+            await fleet.timer.advance(2.0)
+            assert link.store.stored(QUARANTINE_PREFIX + "digest") is None
+            link.cut = False
+            await fleet.timer.advance(2.0)
+            assert link.store.stored(QUARANTINE_PREFIX + "digest") is not None
+
+    async def test_end_of_a_quarantine_replaces_its_record(self) -> None:
+        async with node_fleet(2) as fleet:
+            records = [
+                QuarantineRecords("node", fleet.timer, link, facts)
+                for link, facts in zip(fleet.links, fleet.facts, strict=True)
+            ]
+            await fleet.timer.advance(1.0)
+            for epoch, value in ((1, "crashes"), (2, "cleared")):
+                fleet.facts[epoch - 1].publish(
+                    QUARANTINE_KIND, "digest", value, epoch
+                )
+                records[epoch - 1].note_judged("digest")
+                await fleet.timer.advance(2.0)
+            # An older one that comes late changes nothing.
+            stored = fleet.links[0].store.stored(QUARANTINE_PREFIX + "digest")
+            assert stored is not None and b"cleared" in stored.value
+            records[0].read(
+                QUARANTINE_PREFIX + "digest", b'{"epoch":1,"value":"crashes"}'
+            )
+            fact = fleet.facts[0].get(QUARANTINE_KIND, "digest")
+            assert fact is not None and fact.epoch == 2
+
+    @pytest.mark.parametrize("value", [None, b"", b"[]", b'{"epoch":"x"}'])
+    async def test_unreadable_record_says_nothing(
+        self, value: bytes | None
+    ) -> None:
+        async with node_fleet(1) as fleet:
+            records = QuarantineRecords(
+                "node", fleet.timer, fleet.links[0], fleet.facts[0]
+            )
+            records.read(QUARANTINE_PREFIX + "digest", value)
+            assert fleet.facts[0].get(QUARANTINE_KIND, "digest") is None
+
+
 class TestHealthyTraffic:
     """Requests beside one that crashes servers."""
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -66,7 +66,7 @@
             f"n{number}",
             on.timer,
             start(on, number, peers),
-            self.policy.view,
+            self.policy.view.is_leaving,
             probe,
         )
         self.isolation = Isolation(self.quarantine)
--- a/wasabiwing/admission.py
+++ b/wasabiwing/admission.py
@@ -122,7 +122,7 @@
         self._credits.give_back(choice.server.id)
         self._credits.note_outcome(choice.server.id, outcome)
         self._router.records.finished(choice, outcome)
-        self._router.isolation.ended(choice)
+        self._router.isolation.ended(choice.server.id, choice.suspect_digest)
         if self._router.gate is not None:
             self._router.gate.ended(choice, outcome)
         load = self._load_by_pool[choice.pool_id]
--- a/wasabiwing/call_forwarding.py
+++ b/wasabiwing/call_forwarding.py
@@ -7,6 +7,7 @@
 from math import inf
 from random import Random
 
+from anyio import CancelScope
 from anyio import move_on_after
 from result import Err
 
@@ -27,15 +28,18 @@
 from wasabiwing.event_stream import EventCutter
 from wasabiwing.events import Event
 from wasabiwing.events import log_event
+from wasabiwing.isolation import Isolation
 from wasabiwing.metrics import GatewayMetrics
 from wasabiwing.node_reports import NodeReports
 from wasabiwing.prefill_rates import PrefillRates
 from wasabiwing.prompt_cache import PromptCacheIndex
+from wasabiwing.quarantine import Quarantine
 from wasabiwing.quarantine import request_digest
 from wasabiwing.retry_budgets import ServiceRetryBudgets
 from wasabiwing.routed_calls import CallCodec
 from wasabiwing.routed_calls import RoutedCall
 from wasabiwing.server_connections import ServerConnections
+from wasabiwing.server_directory import RegisteredServer
 from wasabiwing.server_loads import ServerLoads
 from wasabiwing.service_configuration import RouteKind
 from wasabiwing.timers import TimerService
@@ -47,6 +51,10 @@
 # How often a request that waits for a place looks for one, in seconds.
 PLACE_POLL_S = 0.015
 
+# Longest wait for a place of a request that is suspected of a crash: until
+# the crash is judged, or the same request has ended elsewhere in this node.
+SUSPECT_WAIT_S = 0.5
+
 # A repeatable stream moves to another server after this silence: before its
 # first event several times the predicted time, and never less than this.
 LEAST_SILENCE_S = 1.0
@@ -85,6 +93,8 @@
         reports: NodeReports,
         metrics: GatewayMetrics,
         retry_budgets: ServiceRetryBudgets,
+        quarantine: Quarantine[RegisteredServer],
+        isolation: Isolation,
         random: Random,
     ) -> None:
         self._node_id = node_id
@@ -101,6 +111,8 @@
         self._reports = reports
         self._metrics = metrics
         self._retry_budgets = retry_budgets
+        self._quarantine = quarantine
+        self._isolation = isolation
         self._random = random
 
     async def serve(self, call: RoutedCall, output: AnswerOutput) -> Failure:
@@ -130,6 +142,7 @@
                 return placed if progress.runs == 0 else _worst(progress)
             failure = await self._attempt(call, placed, progress, output)
             if failure is None:
+                self._quarantine.note_success(call)
                 return Failure(ResultCode.OK)
             progress.failure = failure
             if not self._may_try_again(call, progress, failure):
@@ -139,9 +152,10 @@
         self, call: RoutedCall, progress: CallProgress
     ) -> PlacedAttempt | Failure:
         """Waits a moment where no server has room."""
-        give_up_at = self._timer.now() + longest_wait_s(
-            call.route.latency_target_s
-        )
+        wait_s = longest_wait_s(call.route.latency_target_s)
+        if self._quarantine.suspect_digest(call):
+            wait_s = SUSPECT_WAIT_S
+        give_up_at = self._timer.now() + wait_s
         while True:
             placed = self._placement.place(call, frozenset(progress.tried))
             if not isinstance(placed, Err):
@@ -199,6 +213,8 @@
         progress.runs += 1
         failed: bool | None = None
         failure: Failure | None = None
+        sent_at = self._timer.now()
+        self._isolation.started(server.id, placed.suspect_digest)
         try:
             patience_s = _patience_s(call, placed, remaining_s)
             with self._watch.watch(
@@ -215,6 +231,10 @@
                     RunState.MAY_HAVE_RUN,
                 )
             failed = failure is not None
+            if failure is not None and failure.code is ResultCode.SERVER_CUT:
+                # A caller that leaves must not hide what its request did.
+                with CancelScope(shield=True):
+                    await self._quarantine.note_cut(call, server, sent_at)
             if failure is not None and failure.run is RunState.NOT_RUN:
                 progress.runs -= 1
                 if failure.code is not ResultCode.CONNECT_FAILED:
@@ -222,6 +242,7 @@
                     failed = None
         finally:
             self._loads.note_ended(server.id, call.head.attempt_id, failed)
+            self._isolation.ended(server.id, placed.suspect_digest)
         code = ResultCode.OK if failure is None else failure.code
         self._metrics.attempts.labels(call.service, code.name).inc()
         if failure is not None:
@@ -331,6 +352,9 @@
             status = GATEWAY_TIMEOUT if timed_out else BAD_GATEWAY
             await output.refuse(status, failure, None)
             return
+        if failure.code is ResultCode.QUARANTINED:
+            await output.refuse(REFUSED, failure, None)
+            return
         remaining_s = max(call.deadline - self._timer.now(), 0.0)
         again_s = retry_after_s(
             failure.retry_after_s or 0.0, remaining_s, self._random.random()
@@ -353,6 +377,7 @@
             runs=progress.runs,
             offers=progress.offers,
             duration_s=round(self._timer.now() - call.received_at, 3),
+            **_content(call, failure),
         )
 
 
@@ -366,7 +391,7 @@
 
 def _content(call: RoutedCall, failure: Failure) -> dict[str, str]:
     """Returns what ties the repeats of a request together in the logs."""
-    if failure.code is not ResultCode.SERVER_CUT:
+    if failure.code not in (ResultCode.SERVER_CUT, ResultCode.QUARANTINED):
         return {}
     return {"digest": request_digest(call)}
 
--- a/wasabiwing/call_placement.py
+++ b/wasabiwing/call_placement.py
@@ -21,6 +21,7 @@
 from wasabiwing.codes import ResultCode
 from wasabiwing.cold_allowance import ColdAllowance
 from wasabiwing.fleet_follower import FleetView
+from wasabiwing.isolation import Isolation
 from wasabiwing.node_registry import NodeRegistry
 from wasabiwing.prefill_rates import PrefillRates
 from wasabiwing.prompt_cache import PromptCacheIndex
@@ -47,6 +48,8 @@
     queued_tokens: float
     # Version of the configuration that the choice is based on.
     version: int
+    # Digest of a request that is suspected of crashes; empty for others.
+    suspect_digest: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +75,7 @@
         loads: ServerLoads,
         prompts: PromptCacheIndex,
         rates: PrefillRates,
+        isolation: Isolation,
     ) -> None:
         self._availability_zone = availability_zone
         self._timer = timer
@@ -80,6 +84,7 @@
         self._loads = loads
         self._prompts = prompts
         self._rates = rates
+        self._isolation = isolation
         self._cold = ColdAllowance(node_id, timer)
 
     def place(
@@ -88,9 +93,13 @@
         """Returns the server for the next attempt.
 
         ``NO_BACKEND_SERVER`` says that none is left, ``OVERLOADED`` that
-        none has room at this moment, and ``DEADLINE_UNREACHABLE`` that the
-        caller would not wait long enough.
+        none has room at this moment, ``DEADLINE_UNREACHABLE`` that the
+        caller would not wait long enough, and ``QUARANTINED`` that the
+        request crashes servers.
         """
+        refusal = self._isolation.refusal(call)
+        if refusal is not None:
+            return Err(refusal)
         servers = self._view.servers(call.service)
         untried = [server for server in servers if server.id not in tried]
         if not untried:
@@ -101,6 +110,15 @@
         if not open_servers:
             cold = ",".join(server.id for server in untried)
             return Err(Failure(ResultCode.OVERLOADED, f"cold: {cold}"))
+        digest = self._isolation.suspect_digest(call)
+        apart = self._isolation.keep_apart(
+            digest,
+            [server.id for server in open_servers],
+            lambda server_id: self._running(call, server_id),
+        )
+        if not apart:
+            return Err(Failure(ResultCode.OVERLOADED, "suspected of a crash"))
+        open_servers = [item for item in open_servers if item.id in apart]
         choice = self._choose(call, open_servers)
         if choice.failure is not None:
             return Err(choice.failure)
@@ -118,6 +136,7 @@
                 chosen.uncached_tokens,
                 chosen.load.pending_tokens,
                 0 if configuration is None else configuration.version,
+                digest,
             )
         )
 
@@ -179,6 +198,11 @@
             )
         return _Choice(placement, chosen, failure)
 
+    def _running(self, call: RoutedCall, server_id: str) -> int:
+        return self._loads.estimate(
+            server_id, call.service, call.urgency_class
+        ).running
+
     def _may_send(self, call: RoutedCall, server: RegisteredServer) -> bool:
         if not self._view.directory.is_cold(server.id):
             return True
--- a/wasabiwing/events.py
+++ b/wasabiwing/events.py
@@ -42,6 +42,7 @@
     ADMISSION_REFUSED = 210
     QUARANTINE_ENDED = 211
     CALLER_LEFT = 212
+    QUARANTINE_NOT_STORED = 213
     # 3xx: configuration.
     CONFIGURATION_IN_FORCE = 300
     CONFIGURATION_REJECTED = 301
@@ -62,6 +63,7 @@
     HOME_LOST = 504
     SERVER_ENTRY_UNUSABLE = 505
     SERVER_UNREACHABLE = 506
+    SERVER_CRASHED = 507
     # 6xx: claims and jobs.
     CLAIM_GRANTED = 600
     CLAIM_REPEATED = 601
@@ -121,6 +123,9 @@
     Event.RETRY_DECISION: "The retry table was applied to a failure.",
     Event.ADMISSION_REFUSED: "A request cannot wait for a slot any longer.",
     Event.QUARANTINE_ENDED: "A request with a refused digest succeeded.",
+    Event.QUARANTINE_NOT_STORED: (
+        "A quarantine could not be written to the store yet."
+    ),
     Event.CALLER_LEFT: "A caller closed the connection before the end.",
     Event.CONFIGURATION_IN_FORCE: "A node put a generation in force.",
     Event.CONFIGURATION_REJECTED: "A received configuration is unusable.",
@@ -139,6 +144,9 @@
     Event.HOME_LOST: "This controller is no longer the home of a server.",
     Event.SERVER_ENTRY_UNUSABLE: "A registry entry names no usable server.",
     Event.SERVER_UNREACHABLE: "A backend server accepted no connection.",
+    Event.SERVER_CRASHED: (
+        "A backend server cut a request and accepts no connection."
+    ),
     Event.CLAIM_GRANTED: "A gateway may send a non-idempotent request.",
     Event.CLAIM_REPEATED: "A known idempotency key was asked for again.",
     Event.PARTITION_LOADED: "A claim partition was read from the store.",
--- a/wasabiwing/explain_log.py
+++ b/wasabiwing/explain_log.py
@@ -3,6 +3,7 @@
 Reads JSON lines of any number of nodes, in any order, and returns what
 concerns one request: its own lines, and what the nodes that served it
 learned about its servers, the configuration and the store around that time.
+Crashes of servers under the same content are shown from all nodes.
 """
 
 from collections.abc import Iterable
@@ -33,6 +34,16 @@
     }
 )
 
+# Lines about the content of a request, on any node and at any time: its
+# repeats have other ids.
+CONTENT_EVENTS = frozenset(
+    {
+        Event.SERVER_CRASHED,
+        Event.REQUEST_QUARANTINED,
+        Event.QUARANTINE_ENDED,
+    }
+)
+
 # Fields that every line has, or that no reader needs.
 HIDDEN_FIELDS = frozenset(
     {"event", "node", "timestamp", "task_uuid", "task_level", "message_type"}
@@ -71,7 +82,15 @@
     times = [_time(line) for line in own]
     nodes = {line.get("node") for line in own}
     servers = {line["server"] for line in own if "server" in line}
+    digests = {line["digest"] for line in own if "digest" in line}
     context = [
+        line
+        for line in lines
+        if line["event"] in CONTENT_EVENTS
+        and line.get("digest") in digests
+        and line.get("request") != request_id
+    ]
+    context += [
         line
         for line in lines
         if _is_context(line, servers)
--- a/wasabiwing/facts.py
+++ b/wasabiwing/facts.py
@@ -67,12 +67,22 @@
         random: Random,
         link_addresses: Addresses,
         gateway_addresses: Addresses = tuple,
+        batch_s: float = 0.0,
+        passes_on: Callable[[], bool] = lambda: True,
     ) -> None:
         self._timer = timer
         self._transport = transport
         self._random = random
         self._link_addresses = link_addresses
         self._gateway_addresses = gateway_addresses
+        # Period in which news are collected for one message, in seconds; 0
+        # sends them at once.
+        self._batch_s = batch_s
+        # Whether other nodes learn from this one what it was told.
+        self._passes_on = passes_on
+        # News with their sender; the sender is empty for own facts.
+        self._unsent: list[tuple[Fact, str]] = []
+        self._known_links: frozenset[str] = frozenset()
         self._rule_by_kind: dict[str, FactRule] = {}
         self._held_by_kind: dict[str, dict[str, HeldFact]] = {}
         self._callbacks_by_kind: dict[str, list[FactCallback]] = {}
@@ -118,6 +128,8 @@
         router.register(FactNotice, self._on_notice)
         router.register(FactDigest, self._on_digest)
         self._timer.subscribe(COMPARE_PERIOD_S, self._compare)
+        if self._batch_s:
+            self._timer.subscribe(self._batch_s, self._send_unsent)
 
     def _expired(self, held: HeldFact) -> bool:
         if held.expires_at is None:
@@ -141,15 +153,32 @@
         news = tuple(fact for fact in facts if self._merge(fact))
         if not news:
             return False
-        addresses = (*self._link_addresses(), *self._gateway_addresses())
-        for address in addresses:
-            if address != sender:
-                self._send(address, news)
+        if not sender or self._passes_on():
+            self._unsent.extend((fact, sender) for fact in news)
+            if not self._batch_s:
+                self._spread()
         for fact in news:
             for callback in self._callbacks_by_kind.get(fact.kind, ()):
                 callback(fact)
         return True
 
+    async def _send_unsent(self) -> None:
+        if self._unsent:
+            self._spread()
+        addresses = frozenset(self._link_addresses())
+        for address in sorted(addresses - self._known_links):
+            # Either side may hold facts from before they were linked.
+            self._transport.send(address, FactDigest(self._digest()))
+        self._known_links = addresses
+
+    def _spread(self) -> None:
+        """Tells the linked nodes what is new, but not where it came from."""
+        unsent, self._unsent = self._unsent, []
+        addresses = (*self._link_addresses(), *self._gateway_addresses())
+        for address in addresses:
+            facts = tuple(fact for fact, sender in unsent if sender != address)
+            self._send(address, facts)
+
     def _merge(self, fact: Fact) -> bool:
         if self._ended(fact):
             return False
--- a/wasabiwing/fleet_follower.py
+++ b/wasabiwing/fleet_follower.py
@@ -64,6 +64,9 @@
 # How often a node that does not watch looks whether it has to, in seconds.
 ROLE_PERIOD_S = 0.2
 
+# Takes a key and its value, or ``None`` for a key that was removed.
+KeyListener = Callable[[str, bytes | None], None]
+
 Decode = Callable[[str, bytes | None], Result[FleetChange | None, str]]
 
 
@@ -206,6 +209,7 @@
         self._random = random
         self._connected = True
         self._failures = 0
+        self._listener_by_prefix: dict[str, KeyListener] = {}
         self.log = FleetLog()
         # Moment at which the log was last known to be the newest.
         self.current_at = -inf
@@ -231,6 +235,10 @@
         else:
             await self._timer.sleep(ROLE_PERIOD_S)
 
+    def listen(self, prefix: str, listener: KeyListener) -> None:
+        """Calls the listener with each value and change below a prefix."""
+        self._listener_by_prefix[prefix] = listener
+
     def age_s(self) -> float:
         """Returns for how long changes may have gone unseen, in seconds."""
         return self._timer.now() - self.current_at
@@ -319,6 +327,7 @@
         evacuated = set()
         entry_by_id: dict[str, RegisteredServer] = {}
         for key, value in value_by_key.items():
+            self._tell_listeners(key, value)
             change = self._decoded(key, value)
             if isinstance(change, EvacuationChange):
                 evacuated.add(change.availability_zone)
@@ -336,6 +345,8 @@
         if key.startswith(LEASE_PREFIX):
             self._nodes.apply(key.removeprefix(LEASE_PREFIX), value)
             return True
+        if self._tell_listeners(key, value):
+            return True
         change = self._decoded(key, value)
         if change is None:
             return False
@@ -343,6 +354,15 @@
         self._view.apply(change)
         return news
 
+    def _tell_listeners(self, key: str, value: bytes | None) -> bool:
+        """Returns whether somebody listens to the key."""
+        found = False
+        for prefix, listener in self._listener_by_prefix.items():
+            if key.startswith(prefix):
+                listener(key, value)
+                found = True
+        return found
+
     def _decoded(self, key: str, value: bytes | None) -> FleetChange | None:
         decoded = self._decode(key, value)
         if isinstance(decoded, Ok):
--- a/wasabiwing/gateway.py
+++ b/wasabiwing/gateway.py
@@ -125,7 +125,7 @@
             node_id,
             timer,
             self.facts,
-            self.view,
+            self.view.is_leaving,
             partial(server_answers, client),
         )
         self.decisions = DecisionRing(node_id, timer)
--- a/wasabiwing/isolation.py
+++ b/wasabiwing/isolation.py
@@ -1,33 +1,59 @@
 """Keeps suspected requests apart while they run.
 
-The router asks here before it gives a suspected request a slot. A suspect
-never shares a server with another suspect of this gateway, and of requests
+Gateway and node ask here before they send a suspected request. A suspect
+never shares a server with another suspect of this process, and of requests
 with one digest only one runs at a time.
 """
 
 from collections import Counter
+from collections.abc import Callable
+from collections.abc import Collection
+from typing import Protocol
 
-from wasabiwing.calls import Call
-from wasabiwing.calls import Choice
 from wasabiwing.codes import Failure
-from wasabiwing.quarantine import Quarantine
+from wasabiwing.quarantine import IdentifiedCall
+
+
+class Suspicions(Protocol):
+    """What is known of requests that crash servers."""
+
+    def refusal(self, call: IdentifiedCall) -> Failure | None:
+        """Returns the refusal of a quarantined request, or ``None``."""
+
+    def suspect_digest(self, call: IdentifiedCall) -> str:
+        """Returns the digest of a suspected request; empty for others."""
+
+    def settled(self, digest: str) -> bool:
+        """Whether all crashes of a digest have been judged."""
+
+    def crash_count(self, digest: str) -> int:
+        """Number of crashes that a digest is suspected of."""
 
 
 class Isolation:
-    """The suspected requests that one gateway runs."""
+    """The suspected requests that one gateway or node runs.
+
+    Up to ``free_crashes`` crashes a request is repeated before they are
+    judged: the pauses that a stream may make leave no time to wait, and fewer
+    crashes cannot lead to a refusal. In a small pool the wait gives crashed
+    servers time to come back.
+    """
 
-    def __init__(self, quarantine: Quarantine | None = None) -> None:
+    def __init__(
+        self, quarantine: Suspicions | None = None, free_crashes: int = 0
+    ) -> None:
         self._quarantine = quarantine
+        self._free_crashes = free_crashes
         self._running_by_server: Counter[str] = Counter()
         self._running_by_digest: Counter[str] = Counter()
 
-    def refusal(self, call: Call) -> Failure | None:
+    def refusal(self, call: IdentifiedCall) -> Failure | None:
         """Returns the refusal of a quarantined request, or ``None``."""
         if self._quarantine is None:
             return None
         return self._quarantine.refusal(call)
 
-    def suspect_digest(self, call: Call) -> str:
+    def suspect_digest(self, call: IdentifiedCall) -> str:
         """Returns the digest of a suspected request; empty for others."""
         if self._quarantine is None:
             return ""
@@ -37,25 +63,57 @@
         """Whether a suspect may not start on a server now."""
         if self.has_suspect(server_id) or self._running_by_digest[digest]:
             return True
-        return self._quarantine is not None and not (
-            self._quarantine.settled(digest)
-        )
+        quarantine = self._quarantine
+        if quarantine is None:
+            return False
+        if quarantine.crash_count(digest) <= self._free_crashes:
+            return False
+        return not quarantine.settled(digest)
 
     def has_suspect(self, server_id: str) -> bool:
-        """Whether a suspect of this gateway runs on a server."""
+        """Whether a suspect of this process runs on a server."""
         return self._running_by_server[server_id] > 0
 
-    def started(self, choice: Choice) -> None:
-        """Counts a suspect that got a slot."""
-        if choice.suspect_digest:
-            self._running_by_server[choice.server.id] += 1
-            self._running_by_digest[choice.suspect_digest] += 1
-
-    def ended(self, choice: Choice) -> None:
-        """Counts the end of a suspect's attempt."""
-        if choice.suspect_digest:
-            _subtract(self._running_by_server, choice.server.id)
-            _subtract(self._running_by_digest, choice.suspect_digest)
+    def keep_apart(
+        self,
+        digest: str,
+        server_ids: Collection[str],
+        load: Callable[[str], int],
+    ) -> list[str]:
+        """Returns the servers that a request may use.
+
+        A suspect gets the least loaded ones without another suspect, perhaps
+        none. ``digest`` is empty for other requests; they avoid servers with
+        a suspect where they can.
+        """
+        if not digest:
+            if not self._running_by_server:
+                return list(server_ids)
+            safe = [name for name in server_ids if not self.has_suspect(name)]
+            return safe or list(server_ids)
+        load_by_server = {
+            server_id: load(server_id)
+            for server_id in server_ids
+            if not self.must_wait(digest, server_id)
+        }
+        least = min(load_by_server.values(), default=0)
+        return [
+            server_id
+            for server_id, running in load_by_server.items()
+            if running == least
+        ]
+
+    def started(self, server_id: str, digest: str) -> None:
+        """Counts an attempt; the digest is empty unless it is a suspect's."""
+        if digest:
+            self._running_by_server[server_id] += 1
+            self._running_by_digest[digest] += 1
+
+    def ended(self, server_id: str, digest: str) -> None:
+        """Counts the end of an attempt."""
+        if digest:
+            _subtract(self._running_by_server, server_id)
+            _subtract(self._running_by_digest, digest)
 
 
 def _subtract(counter: Counter[str], key: str) -> None:
--- a/wasabiwing/model_dispatch.py
+++ b/wasabiwing/model_dispatch.py
@@ -23,6 +23,7 @@
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
+from wasabiwing.configuration import BackendServer
 from wasabiwing.events import Event
 from wasabiwing.events import log_event
 from wasabiwing.metrics import GatewayMetrics
@@ -60,7 +61,7 @@
         engine: ModelEngine,
         metrics: GatewayMetrics,
         retries: Retries,
-        quarantine: Quarantine,
+        quarantine: Quarantine[BackendServer],
     ) -> None:
         self._node_id = node_id
         self._timer = timer
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -25,11 +25,13 @@
 from wasabiwing.duty_port import DutyCalls
 from wasabiwing.events import Event as LogEvent
 from wasabiwing.events import log_event
+from wasabiwing.facts import Facts
 from wasabiwing.fleet_follower import Decode
 from wasabiwing.fleet_follower import FleetFollower
 from wasabiwing.fleet_follower import FleetView
 from wasabiwing.fleet_relay import FleetRelay
 from wasabiwing.fleet_relay import PUSH_PERIOD_S
+from wasabiwing.isolation import Isolation
 from wasabiwing.leases import LeaseHolder
 from wasabiwing.message_router import MessageRouter
 from wasabiwing.messages import Envelope
@@ -51,12 +53,19 @@
 from wasabiwing.presence import Presence
 from wasabiwing.presence import PRESENCE_PERIOD_S
 from wasabiwing.prompt_cache import PromptCacheIndex
+from wasabiwing.quarantine import CRASHES_TO_QUARANTINE
+from wasabiwing.quarantine import Quarantine
+from wasabiwing.quarantine_records import QUARANTINE_PREFIX
+from wasabiwing.quarantine_records import QuarantineRecords
 from wasabiwing.retry_budgets import ServiceRetryBudgets
 from wasabiwing.routed_calls import CallCodec
 from wasabiwing.server_connections import ServerConnections
+from wasabiwing.server_directory import RegisteredServer
 from wasabiwing.server_directory import ServerDirectory
 from wasabiwing.server_loads import ServerLoads
 from wasabiwing.server_orders import ServerOrders
+from wasabiwing.server_probe import server_accepts
+from wasabiwing.server_probe import SharedProbe
 from wasabiwing.service_configuration import RequestLimits
 from wasabiwing.service_configuration import ServiceConfiguration
 from wasabiwing.store_progress import StoreProgress
@@ -79,6 +88,14 @@
 # How often a stopping node looks whether its requests have ended.
 STOP_POLL_S = 0.05
 
+# Crashes after which a request is repeated before they are judged; with one
+# more it may be refused.
+FREE_CRASHES = CRASHES_TO_QUARANTINE - 1
+
+# Period in which news about crashing requests are collected for one message
+# to other nodes, in seconds: a crash concerns all requests on a server.
+NEWS_PERIOD_S = 0.05
+
 # A pause between two ticks beyond this many seconds means that the process
 # or its VM stood still.
 SUSPENSION_S = 1.0
@@ -170,6 +187,16 @@
             self._shared,
             random,
         )
+        self.facts = Facts(
+            timer,
+            transport,
+            random,
+            self._linked_inboxes,
+            batch_s=NEWS_PERIOD_S,
+            passes_on=lambda: self._heads.needed,
+        )
+        quarantine = self._build_quarantine(platform)
+        isolation = Isolation(quarantine, FREE_CRASHES)
         self._presence = Presence(
             node_id,
             node_lease_name(
@@ -192,6 +219,7 @@
             self._loads,
             self._prompts,
             self._rates,
+            isolation,
         )
         watch = AttemptWatch(timer, self._loads)
         timer.subscribe(WATCH_PERIOD_S, watch.check)
@@ -223,6 +251,8 @@
                 bounds.retry_reserve,
                 lambda: self.nodes.count,
             ),
+            quarantine,
+            isolation,
             random,
         )
         self.callers = CallerHttp(
@@ -277,6 +307,7 @@
         messages.register(HeadPush, self._relay.receive_push)
         messages.register(FleetRequest, self._relay.answer)
         messages.register(FleetContent, self._relay.receive_content)
+        self.facts.register(messages)
 
     @property
     def limits(self) -> RequestLimits:
@@ -308,6 +339,44 @@
                 return
             await self._timer.sleep(STOP_POLL_S)
 
+    def _build_quarantine(
+        self, platform: NodePlatform
+    ) -> Quarantine[RegisteredServer]:
+        records = QuarantineRecords(
+            self._node_id, self._timer, platform.store, self.facts
+        )
+        self.follower.listen(QUARANTINE_PREFIX, records.read)
+        return Quarantine(
+            self._node_id,
+            self._timer,
+            self.facts,
+            self._is_leaving,
+            SharedProbe(server_accepts).answers,
+            records.note_judged,
+        )
+
+    def _is_leaving(self, server: RegisteredServer) -> bool:
+        """Whether a server's end was announced."""
+        entry = self.view.directory.get(server.id)
+        return entry is None or entry.draining
+
+    def _linked_inboxes(self) -> tuple[str, ...]:
+        """Returns the nodes that get this node's facts.
+
+        With many nodes a fact goes to the heads of the zone, from head to
+        head, and from them to the nodes of their zones.
+        """
+        linked = set(self.nodes.peers())
+        if self._heads.needed:
+            linked = set(self._heads.of_zone(self._heads.zone))
+            if self._heads.place() is not None:
+                linked.update(*self._heads.all_heads().values())
+                members = self.nodes.ids_by_zone()
+                linked.update(members.get(self._heads.zone, ()))
+        linked.discard(self._node_id)
+        inboxes = [self._heads.inbox(node_id) for node_id in sorted(linked)]
+        return tuple(inbox for inbox in inboxes if inbox is not None)
+
     def _build_duties(
         self, settings: NodeSettings, platform: NodePlatform, random: Random
     ) -> Duties:
--- a/wasabiwing/plain_dispatch.py
+++ b/wasabiwing/plain_dispatch.py
@@ -15,6 +15,7 @@
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
+from wasabiwing.configuration import BackendServer
 from wasabiwing.events import Event
 from wasabiwing.events import log_event
 from wasabiwing.metrics import GatewayMetrics
@@ -38,7 +39,7 @@
         metrics: GatewayMetrics,
         claims: ClaimClient,
         retries: Retries,
-        quarantine: Quarantine,
+        quarantine: Quarantine[BackendServer],
     ) -> None:
         self._node_id = node_id
         self._timer = timer
--- a/wasabiwing/quarantine.py
+++ b/wasabiwing/quarantine.py
@@ -1,8 +1,8 @@
 """Digests of requests that crash backend servers.
 
-The dispatchers report crashes and successes here; the router asks whether a
-request is suspected or refused. Crashes, suspicions and quarantines are facts
-that all gateways share, so the crashes seen by different gateways add up.
+Both data paths, gateway and node, report crashes and successes here and ask
+whether a request is suspected or refused. Crashes, suspicions and quarantines
+are facts that all of them share, so crashes seen in different places add up.
 ``docs/design/quarantine.md`` gives the rules and their reasons.
 """
 
@@ -10,18 +10,18 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from hashlib import blake2b
+from typing import Generic
 from typing import Protocol
+from typing import TypeVar
 
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
-from wasabiwing.configuration import BackendServer
 from wasabiwing.events import Event
 from wasabiwing.events import log_event
 from wasabiwing.facts import FactRule
 from wasabiwing.facts import Facts
 from wasabiwing.messages import Fact
 from wasabiwing.timers import TimerService
-from wasabiwing.view import ClusterView
 
 CRASH_KIND = "crash"
 SUSPICION_KIND = "suspicion"
@@ -55,6 +55,21 @@
 SUSPECTED = 1
 CLEARED = 2
 
+
+class IdentifiedServer(Protocol):
+    """A backend server with its address."""
+
+    @property
+    def id(self) -> str:
+        """Id of the server."""
+
+    @property
+    def address(self) -> str:
+        """``host:port``."""
+
+
+ServerT = TypeVar("ServerT", bound=IdentifiedServer)
+
 # Tells whether a backend server answers; see ``server_probe.py``.
 Probe = Callable[[str], Awaitable[bool]]
 
@@ -84,22 +99,30 @@
     return digest.hexdigest()
 
 
-class Quarantine:
-    """What one gateway knows of requests that crash servers."""
+class Quarantine(Generic[ServerT]):
+    """What one gateway or node knows of requests that crash servers.
+
+    ``note_judged`` gets each digest whose quarantine begins or ends on
+    evidence of this process, to be written down.
+    """
 
     def __init__(
         self,
         node_id: str,
         timer: TimerService,
         facts: Facts,
-        view: ClusterView,
+        is_leaving: Callable[[ServerT], bool],
         probe: Probe,
+        note_judged: Callable[[str], None] = lambda digest: None,
     ) -> None:
         self._node_id = node_id
         self._timer = timer
         self._facts = facts
-        self._view = view
+        self._is_leaving = is_leaving
         self._probe = probe
+        self._note_judged = note_judged
+        # Digests that were in crashes which this process has seen.
+        self._seen_digests: set[str] = set()
         # Crashes are named by server and number, as "server/number".
         self._crashes_by_digest: dict[str, set[str]] = {}
         self._digests_by_crash: dict[str, set[str]] = {}
@@ -137,8 +160,12 @@
         crashes = self._crashes_by_digest.get(digest, set())
         return crashes.isdisjoint(self._due_by_crash)
 
+    def crash_count(self, digest: str) -> int:
+        """Number of crashes that a digest is suspected of."""
+        return len(self._crashes_by_digest.get(digest, ()))
+
     async def note_cut(
-        self, call: IdentifiedCall, server: BackendServer, started_at: float
+        self, call: IdentifiedCall, server: ServerT, started_at: float
     ) -> bool:
         """Takes in that a server cut a request that ran on it.
 
@@ -146,13 +173,23 @@
         Returns whether the server has crashed; one that still answers has
         only cut a connection, and one under notice was stopped.
         """
-        if self._view.is_leaving(server):
+        if self._is_leaving(server):
             return False
         if await self._probe(server.address):
             return False
         number = self._crash_number(server.id, started_at)
+        digest = self._digest(call)
+        log_event(
+            Event.SERVER_CRASHED,
+            self._node_id,
+            request=call.request_id,
+            server=server.id,
+            crash=number,
+            digest=digest,
+        )
+        self._seen_digests.add(digest)
         self._facts.publish(CRASH_KIND, server.id, "", number)
-        key = f"{self._digest(call)}/{server.id}/{number}"
+        key = f"{digest}/{server.id}/{number}"
         self._facts.publish(SUSPICION_KIND, key, "", SUSPECTED)
         return True
 
@@ -260,6 +297,8 @@
                 digest=digest,
                 crashes=sorted(self._crashes_by_digest.get(digest, ())),
             )
+        if not refused or digest in self._seen_digests:
+            self._note_judged(digest)
 
     async def _expire(self) -> None:
         """Forgets what the facts hold no longer."""
@@ -272,6 +311,7 @@
             for crash in tuple(crashes):
                 if f"{digest}/{crash}" not in held:
                     self._forget(digest, crash)
+        self._seen_digests.intersection_update(self._crashes_by_digest)
         for server_id in tuple(self._heard_at_by_server):
             if self._facts.get(CRASH_KIND, server_id) is None:
                 del self._heard_at_by_server[server_id]
--- a/wasabiwing/routing.py
+++ b/wasabiwing/routing.py
@@ -138,7 +138,7 @@
         """Takes a slot at a server for an attempt."""
         choice = self._choice(call, attempt, server)
         self._credits.take(server.id)
-        self.isolation.started(choice)
+        self.isolation.started(server.id, choice.suspect_digest)
         self.records.sent(choice)
         if self.gate is not None:
             self.gate.sent(call, choice)
