Honour what servers say of themselves: leaving, wanting no requests

Cause: neither data path read these headers. The node learned that a server leaves from the registry only, and sent requests to servers that had just asked for none; the gateway passed the time on to callers and ignored it.

Change: server_statements decides for both data paths. Leaving holds until a later start of the server, whatever the registry says. A pause lasts to its end on the monotonic clock, a longer one replaces a shorter one; then one request returns, then one more for each that ran, at another moment in each node. A request is checked again when its connection is open. Where no server takes requests, the caller is refused at once, not run, with the time until the first does, never later than a third of what it has left; a wait of up to the usual 0.15 s is waited out. Such answers count as no failure of a server. Orders for servers count leaving ones, and pauses longer than the boot time, as absent. Retry-After is read in one place: seconds or a date, longest of several, at most an hour; what cannot be read, and what another server or an answer to another request says, is ignored with a log line and a count.

--- /dev/null
+++ b/tests/test_node_statements.py
@@ -0,0 +1,143 @@
+"""Servers that leave or turn away for a while, before a whole node."""
+
+from anyio import sleep
+import pytest
+
+from tests.examples import error_of
+from tests.node_deployment import Deployment
+from tests.node_deployment import deployment
+from wasabiwing.codes import ResultCode
+from wasabiwing.codes import RunState
+from wasabiwing.http_client import find_header
+from wasabiwing_platform_standins.server import ServerFault
+from wasabiwing_platform_standins.server import ServerStandIn
+
+pytestmark = pytest.mark.anyio
+
+# Longer than a test's requests take, in seconds.
+LONG_S = 30.0
+
+SHORT_S = 1.0
+
+# Requests that may reach a server within its time.
+MOST_LATE = 2
+
+
+async def desks(found: Deployment, count: int) -> list[ServerStandIn]:
+    """Starts plain servers and a node before them."""
+    started = [ServerStandIn(f"server-{number}") for number in range(count)]
+    for server in started:
+        await found.add_server("desk", server)
+    await found.wait_ready()
+    return started
+
+
+class TestLeaving:
+    """Servers that say in their answers that they leave."""
+
+    async def test_it_gets_nothing_more_whatever_the_registry_says(
+        self,
+    ) -> None:
+        """Guards against a server that the registry still lists as ready."""
+        async with deployment() as found:
+            leaving, other = await desks(found, 2)
+            leaving.leaving = True
+            while not leaving.seen:
+                assert (await found.call("/read/1")).status == 200
+            # An entry that is written again, for the same start.
+            found.register(leaving.id, "desk", seq=2)
+            await sleep(1.0)
+            for path in ("/read/1", "/book/1", "/open/1"):
+                for _ in range(4):
+                    assert (await found.call(path)).status == 200
+            assert len(leaving.seen) == 1
+
+    async def test_a_later_start_is_used_again(self) -> None:
+        async with deployment() as found:
+            [server] = await desks(found, 1)
+            server.leaving = True
+            assert (await found.call("/read/1")).status == 200
+            refused = await found.call("/read/1")
+            assert refused.status == 503
+            assert error_of(refused)["run"] == RunState.NOT_RUN.value
+            server.leaving = False
+            found.register(server.id, "desk", born=2_000)
+            for _ in range(100):
+                reply = await found.call("/read/1")
+                if reply.status == 200:
+                    break
+                await sleep(0.05)
+            assert reply.status == 200
+
+    async def test_running_work_is_delivered(self) -> None:
+        async with deployment() as found:
+            engine = ServerStandIn("engine", work_s=0.05, leaving=True)
+            await found.add_server("models", engine)
+            await found.wait_ready()
+            reply = await found.call("/notes/1")
+            assert (reply.status, reply.body.count(b"data:")) == (200, 4)
+
+    @pytest.mark.parametrize("fault", [ServerFault.FOREIGN])
+    async def test_answer_to_another_request_says_nothing(
+        self, fault: ServerFault
+    ) -> None:
+        async with deployment() as found:
+            [server] = await desks(found, 1)
+            server.faults.append(fault)
+            server.leaving = True
+            assert (await found.call("/book/1")).status == 502
+            server.leaving = False
+            assert (await found.call("/book/1")).status == 200
+
+
+class TestUnwanted:
+    """Servers that turn requests away and say for how long."""
+
+    async def test_at_most_two_requests_reach_it_in_its_time(self) -> None:
+        async with deployment() as found:
+            unwilling, other = await desks(found, 2)
+            unwilling.unwanted_s = LONG_S
+            for _ in range(30):
+                assert (await found.call("/read/1")).status == 200
+            assert len(unwilling.seen) <= MOST_LATE
+            assert other.runs == 30
+
+    async def test_all_unwilling_refuses_at_once_with_the_time(self) -> None:
+        """Guards against requests that are held, or sent to be refused."""
+        async with deployment() as found:
+            servers = await desks(found, 2)
+            for server in servers:
+                server.unwanted_s = LONG_S
+            replies = [await found.call("/read/1") for _ in range(6)]
+            assert [reply.status for reply in replies] == [503] * 6
+            last = replies[-1]
+            assert error_of(last)["code"] == ResultCode.NO_BACKEND_SERVER
+            assert error_of(last)["run"] == RunState.NOT_RUN.value
+            after = find_header(last.headers, b"retry-after")
+            # A third of what the caller has left: it would return no later.
+            assert after is not None and 4.0 < float(after) <= 5.0
+            assert sum(len(server.seen) for server in servers) <= 4
+
+    async def test_it_gets_requests_again_after_its_time(self) -> None:
+        async with deployment() as found:
+            [server] = await desks(found, 1)
+            server.unwanted_s = SHORT_S
+            assert (await found.call("/read/1")).status == 503
+            server.unwanted_s = None
+            assert (await found.call("/read/1")).status == 503
+            assert len(server.seen) == 1
+            await sleep(SHORT_S * 1.3)
+            assert (await found.call("/read/1")).status == 200
+
+    async def test_it_counts_as_no_failure_of_the_server(self) -> None:
+        async with deployment() as found:
+            unwilling, _ = await desks(found, 2)
+            unwilling.unwanted_s = 0.3
+            for _ in range(4):
+                await found.call("/read/1")
+            unwilling.unwanted_s = None
+            await sleep(0.6)
+            before = unwilling.runs
+            for number in range(40):
+                await found.call("/read/1", body=b"order %d" % number)
+            assert unwilling.runs > before
--- a/tests/test_server_orders.py
+++ b/tests/test_server_orders.py
@@ -1,5 +1,7 @@
 """Tests of ordering servers: traffic that has not begun, and its start."""
 
+from random import Random
+
 import pytest
 
 from tests.platform_fakes import CloudFake
@@ -13,6 +15,7 @@
 from wasabiwing.server_directory import ServerDirectory
 from wasabiwing.server_orders import NEED_MEMORY_S
 from wasabiwing.server_orders import ServerOrders
+from wasabiwing.server_statements import ServerStatements
 from wasabiwing.service_configuration import RequestLimits
 from wasabiwing.service_configuration import ScaleLimits
 from wasabiwing.service_configuration import ServiceConfiguration
@@ -37,8 +40,15 @@
         directory = ServerDirectory(self.timer)
         self.view = FleetView("node", directory)
         self.demand = Demand(self.timer)
+        self.statements = ServerStatements("node", self.timer, Random(1))
         self.orders = ServerOrders(
-            "node", self.timer, self.cloud, self.view, self.demand, ZONES
+            "node",
+            self.timer,
+            self.cloud,
+            self.view,
+            self.demand,
+            ZONES,
+            self.statements,
         )
         profile = ServiceProfile("models", 100, 0.0, None, LIMITS)
         self.view.apply(
@@ -123,7 +133,13 @@
         """
         pool = Pool(60)
         later = ServerOrders(
-            "later", pool.timer, pool.cloud, pool.view, pool.demand, ZONES
+            "later",
+            pool.timer,
+            pool.cloud,
+            pool.view,
+            pool.demand,
+            ZONES,
+            pool.statements,
         )
         registered = dict(pool.count_by_kind)
         pool.count_by_kind = dict.fromkeys(registered, 0)
@@ -138,6 +154,19 @@
         pool.orders = later
         assert await pool.run(6.0, 0.0) >= 20
 
+    async def test_servers_that_say_they_leave_count_as_absent(self) -> None:
+        """Guards against a release that the registry shows too late."""
+        pool = Pool(40)
+        await pool.run(4.0, 20.0)
+        registered = pool.view.directory.of_service("models")
+        for server in registered[: len(registered) // 2]:
+            pool.statements.note_leaving(server.id, server.born_ms)
+        pool.cloud.orders.clear()
+        await pool.timer.advance(10.0)
+        pool.demand.note("models", 20.0)
+        (await pool.orders.send_missing(STAMP)).unwrap()
+        assert pool.cloud.orders
+
     async def test_demand_that_is_seen_decides_after_a_while(self) -> None:
         pool = Pool(40)
         await pool.run(16.0, 0.0)
--- /dev/null
+++ b/tests/test_server_statements.py
@@ -0,0 +1,308 @@
+"""Tests of what backend servers say about themselves."""
+
+from datetime import datetime
+from datetime import timedelta
+from datetime import UTC
+from email.utils import format_datetime
+from random import Random
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.strategies import DrawFn
+import pytest
+from result import Err
+
+from tests.policy_examples import policy_bench
+from wasabiwing.calls import AttemptOutcome
+from wasabiwing.codes import Failure
+from wasabiwing.codes import ResultCode
+from wasabiwing.codes import RunState
+from wasabiwing.http_client import status_failure
+from wasabiwing.retry_after import MOST_RETRY_AFTER_S
+from wasabiwing.retry_after import read_retry_after
+from wasabiwing.server_statements import FIRST_WINDOW
+from wasabiwing.server_statements import ServerStatements
+from wasabiwing.server_statements import SPREAD
+from wasabiwing.server_statements import USUAL_WINDOW
+from wasabiwing.server_statements import Withheld
+from wasabiwing.timers import FakeTimer
+
+pytestmark = pytest.mark.anyio
+
+NOON = datetime(2026, 12, 4, 12, tzinfo=UTC)
+
+# Requests that may reach a server within its time.
+MOST_LATE = 2
+
+# Time after a server's word in which requests on their way may still arrive.
+ON_THEIR_WAY_S = 0.5
+
+
+def statements(timer: FakeTimer, seed: int = 1) -> ServerStatements:
+    """Returns what a node that has just started was told."""
+    return ServerStatements("node", timer, Random(seed))
+
+
+class TestRetryAfter:
+    """Which values are taken."""
+
+    @pytest.mark.parametrize(
+        ("values", "seconds", "ignored"),
+        [
+            ((b"3",), 3.0, 0),
+            ((b"0.25",), 0.25, 0),
+            ((b" 2 ",), 2.0, 0),
+            ((b"0",), 0.0, 0),
+            ((b"",), None, 1),
+            ((b"-1",), None, 1),
+            ((b"1e3",), None, 1),
+            ((b"inf",), None, 1),
+            ((b"soon",), None, 1),
+            ((b"\xff\xfe",), None, 1),
+            ((b"99999999",), MOST_RETRY_AFTER_S, 0),
+            ((b"9" * 400,), None, 1),
+            ((b"1", b"4", b"x"), 4.0, 1),
+            ((), None, 0),
+        ],
+    )
+    def test_seconds(
+        self, values: tuple[bytes, ...], seconds: float | None, ignored: int
+    ) -> None:
+        headers = [(b"Retry-After", value) for value in values]
+        assert read_retry_after(headers) == (seconds, ignored)
+
+    def test_date_is_compared_with_the_date_of_the_answer(self) -> None:
+        until = format_datetime(NOON + timedelta(seconds=7), usegmt=True)
+        headers = [(b"retry-after", until.encode())]
+        assert read_retry_after(headers) == (None, 1)
+        sent = format_datetime(NOON, usegmt=True)
+        headers.append((b"date", sent.encode()))
+        assert read_retry_after(headers) == (7.0, 0)
+
+    def test_date_in_the_past_is_ignored(self) -> None:
+        until = format_datetime(NOON - timedelta(seconds=7), usegmt=True)
+        sent = format_datetime(NOON, usegmt=True)
+        headers = [(b"retry-after", until.encode()), (b"date", sent.encode())]
+        assert read_retry_after(headers) == (None, 1)
+
+    @given(value=st.binary(max_size=60))
+    @settings(max_examples=300, deadline=None)
+    def test_any_bytes_are_read_or_ignored(self, value: bytes) -> None:
+        seconds, ignored = read_retry_after([(b"retry-after", value)])
+        assert (seconds is None) == (ignored == 1)
+        assert seconds is None or 0.0 <= seconds <= MOST_RETRY_AFTER_S
+
+
+class TestLeaving:
+    """Servers that say that they leave."""
+
+    async def test_it_ends_with_a_later_start_only(self) -> None:
+        found = statements(FakeTimer())
+        found.note_leaving("s", 100)
+        for born_ms in (0, 50, 100):
+            found.note_start("s", born_ms)
+            assert found.withheld("s") is Withheld.LEAVING
+        found.note_start("s", 200)
+        assert found.withheld("s") is None
+
+    async def test_word_of_an_earlier_start_says_nothing(self) -> None:
+        found = statements(FakeTimer())
+        found.note_sent("s")
+        found.note_start("s", 200)
+        found.note_leaving("s", 100)
+        found.note_unwanted("s", 100, 5.0)
+        assert found.withheld("s") is None
+
+    async def test_it_is_remembered_while_nothing_else_is_heard(self) -> None:
+        timer = FakeTimer()
+        found = statements(timer)
+        found.note_leaving("s", 100)
+        await timer.advance(600.0)
+        assert found.withheld("s") is Withheld.LEAVING
+
+    async def test_memory_does_not_grow_for_ever(self) -> None:
+        timer = FakeTimer()
+        found = statements(timer)
+        for number in range(50):
+            found.note_sent(f"s{number}")
+            found.note_ended(f"s{number}", True)
+            found.note_leaving(f"t{number}", 1)
+        await timer.advance(8000.0)
+        assert found.known == 0
+
+
+class TestUnwanted:
+    """Servers that want no requests for a while."""
+
+    async def test_it_lasts_to_the_end_of_the_time(self) -> None:
+        timer = FakeTimer()
+        found = statements(timer)
+        found.note_unwanted("s", 1, 5.0)
+        await timer.advance(4.99)
+        assert found.withheld("s") is Withheld.UNWANTED
+        await timer.advance(5.0 * SPREAD + 0.1)
+        assert found.withheld("s") is None
+
+    async def test_longer_time_replaces_shorter_and_not_the_reverse(
+        self,
+    ) -> None:
+        timer = FakeTimer()
+        found = statements(timer)
+        found.note_unwanted("s", 1, 5.0)
+        found.note_unwanted("s", 1, 1.0)
+        await timer.advance(4.0)
+        assert found.withheld("s") is Withheld.UNWANTED
+        found.note_unwanted("s", 1, 5.0)
+        await timer.advance(4.9)
+        assert found.withheld("s") is Withheld.UNWANTED
+
+    async def test_first_one_request_returns_then_more(self) -> None:
+        """Guards against all that waited returning in one moment."""
+        timer = FakeTimer()
+        found = statements(timer)
+        found.note_unwanted("s", 1, 1.0)
+        await timer.advance(2.0)
+        for window in range(FIRST_WINDOW, USUAL_WINDOW):
+            for _ in range(window):
+                assert found.withheld("s") is None
+                found.note_sent("s")
+            assert found.withheld("s") is Withheld.STARTING
+            for number in range(window):
+                found.note_ended("s", served=number == 0)
+        for _ in range(50):
+            found.note_sent("s")
+        found.note_ended("s", True)
+        assert found.withheld("s") is None
+
+    async def test_nodes_return_at_different_moments(self) -> None:
+        timer = FakeTimer()
+        nodes = [statements(timer, seed) for seed in range(195)]
+        for node in nodes:
+            node.note_unwanted("s", 1, 5.0)
+        await timer.advance(5.0)
+        returned = []
+        for _ in range(10):
+            await timer.advance(0.1)
+            returned.append(sum(node.withheld("s") is None for node in nodes))
+        assert returned[0] < 60
+        assert returned[4] < 150
+        assert returned[-1] == 195
+
+    async def test_server_that_turns_away_over_and_over(self) -> None:
+        timer = FakeTimer()
+        found = statements(timer)
+        reached = 0
+        for _ in range(200):
+            if found.withheld("s") is None:
+                reached += 1
+                found.note_sent("s")
+                found.note_unwanted("s", 1, 2.0)
+                found.note_ended("s", False)
+            await timer.advance(0.1)
+        assert reached <= 10
+
+
+class TestGateway:
+    """The same decisions before model engines and plain services."""
+
+    REFUSED = AttemptOutcome(
+        Failure(
+            ResultCode.SERVER_REFUSED,
+            "",
+            RunState.NOT_RUN,
+            retry_after_s=5.0,
+        ),
+        None,
+        0.1,
+    )
+
+    async def test_server_that_wants_none_is_passed_over(self) -> None:
+        on = policy_bench()
+        unwilling = on.run_one("first", self.REFUSED)
+        for number in range(20):
+            assert on.run_one(f"r{number}") != unwilling
+        await on.timer.advance(7.0)
+        servers = {on.run_one(f"later{number}") for number in range(60)}
+        assert unwilling in servers
+
+    async def test_all_unwilling_is_told_at_once_or_waits(self) -> None:
+        on = policy_bench()
+        servers = {on.run_one(f"r{number}", self.REFUSED) for number in (1, 2)}
+        while True:
+            chosen = on.router.choose(on.call("more"), 1, frozenset())
+            if isinstance(chosen, Err):
+                break
+            on.admission.release(chosen.ok_value, self.REFUSED)
+            servers.add(chosen.ok_value.server.id)
+        assert len(servers) == 3
+        # The caller waits for 30 s: the first server is free before.
+        assert chosen.err_value.code is ResultCode.OVERLOADED
+        hurried = on.router.choose(
+            on.call("hurried", deadline_s=2.0), 1, frozenset()
+        )
+        failure = hurried.unwrap_err()
+        assert failure.code is ResultCode.NO_BACKEND_SERVER
+        assert failure.run is RunState.NOT_RUN
+        assert failure.retry_after_s is not None
+        assert failure.retry_after_s == pytest.approx(5.5, abs=0.6)
+
+    @pytest.mark.parametrize(
+        ("status", "seconds"), [(503, 4.0), (429, 4.0), (500, None)]
+    )
+    def test_statuses_that_carry_the_time(
+        self, status: int, seconds: float | None
+    ) -> None:
+        headers = ((b"retry-after", b"4"),)
+        assert status_failure(status, headers, "").retry_after_s == seconds
+
+
+@st.composite
+def histories(draw: DrawFn) -> list[tuple[str, float]]:
+    """Draws answers, registry entries, restarts and pauses of one server."""
+    kinds = ("refuse", "leave", "serve", "entry", "old entry", "restart")
+    step = st.tuples(
+        st.sampled_from(kinds), st.floats(0.0, 3.0, allow_nan=False)
+    )
+    return draw(st.lists(step, max_size=40))
+
+
+class TestInterleavings:
+    """Any order of answers, entries, times and starts."""
+
+    @given(history=histories())
+    @settings(max_examples=150, deadline=None)
+    async def test_what_a_server_said_holds(
+        self, history: list[tuple[str, float]]
+    ) -> None:
+        timer = FakeTimer()
+        found = statements(timer)
+        born = 1
+        leaving = False
+        unwanted_until = 0.0
+        for kind, seconds in history:
+            if kind == "refuse":
+                found.note_unwanted("s", born, seconds)
+                if seconds > 0.0:
+                    unwanted_until = max(unwanted_until, timer.now() + seconds)
+            elif kind == "leave":
+                found.note_leaving("s", born)
+                leaving = True
+            elif kind == "entry":
+                found.note_start("s", born)
+            elif kind == "old entry":
+                found.note_start("s", born - 1)
+                found.note_unwanted("s", born - 1, 60.0)
+            elif kind == "restart":
+                born += 1
+                found.note_start("s", born)
+                leaving, unwanted_until = False, 0.0
+            else:
+                await timer.advance(seconds)
+            withheld = found.withheld("s")
+            if leaving:
+                assert withheld is Withheld.LEAVING
+            elif timer.now() < unwanted_until:
+                assert withheld is Withheld.UNWANTED
+            else:
+                assert withheld is not Withheld.LEAVING
--- a/wasabiwing/admission.py
+++ b/wasabiwing/admission.py
@@ -32,6 +32,8 @@
 from wasabiwing.fair_queue import Waiter
 from wasabiwing.routing import is_long_prompt
 from wasabiwing.routing import Router
+from wasabiwing.server_statements import stated_pause_s
+from wasabiwing.server_statements import UNKNOWN_START
 from wasabiwing.timers import TimerService
 
 # Capacity also grows without a release, by new credits or a configuration.
@@ -123,6 +125,7 @@
         self._credits.note_outcome(choice.server.id, outcome)
         self._router.records.finished(choice, outcome)
         self._router.isolation.ended(choice.server.id, choice.suspect_digest)
+        self._note_statement(choice, outcome)
         if self._router.gate is not None:
             self._router.gate.ended(choice, outcome)
         load = self._load_by_pool[choice.pool_id]
@@ -133,6 +136,14 @@
             load.slot_rate = earlier + RATE_WEIGHT * (rate - earlier)
         self._serve(choice.pool_id)
 
+    def _note_statement(self, choice: Choice, outcome: AttemptOutcome) -> None:
+        """Takes in what the answer said of its server."""
+        statements = self._router.statements
+        pause_s = stated_pause_s(outcome.failure)
+        if pause_s is not None:
+            statements.note_unwanted(choice.server.id, UNKNOWN_START, pause_s)
+        statements.note_ended(choice.server.id, outcome.failure is None)
+
     def has_idle_slot(self, pool: Pool) -> bool:
         """Whether nothing waits for a pool's slots and one is free."""
         if len(self._queue_by_pool[pool.id]):
--- a/wasabiwing/answer_relay.py
+++ b/wasabiwing/answer_relay.py
@@ -30,6 +30,7 @@
 from wasabiwing.server_connections import ServerAnswer
 from wasabiwing.server_loads import ServerLoads
 from wasabiwing.service_configuration import RouteKind
+from wasabiwing.statement_listener import StatementListener
 from wasabiwing.timers import TimerService
 from wasabiwing.usage_windows import UsageWindows
 
@@ -93,6 +94,7 @@
         windows: UsageWindows,
         metrics: GatewayMetrics,
         note_cold: Callable[[str, float], None],
+        listener: StatementListener,
     ) -> None:
         self._timer = timer
         self._codec = codec
@@ -102,6 +104,7 @@
         self._windows = windows
         self._metrics = metrics
         self._note_cold = note_cold
+        self._listener = listener
 
     async def read(
         self,
@@ -120,6 +123,7 @@
             self._loads.note_statement(server_id, head.load)
         if head.cold_s is not None:
             self._note_cold(server_id, head.cold_s)
+        self._listener.note_answer(call, placed.server, answer.status, head)
         whole = False
         try:
             wrong = _check_head(call, answer.status, head)
--- a/wasabiwing/call_forwarding.py
+++ b/wasabiwing/call_forwarding.py
@@ -4,6 +4,7 @@
 states, or the connection proves, that it has not run.
 """
 
+from functools import partial
 from math import inf
 from random import Random
 
@@ -20,6 +21,7 @@
 from wasabiwing.call_placement import CallPlacement
 from wasabiwing.call_placement import PlacedAttempt
 from wasabiwing.call_refusal import longest_wait_s
+from wasabiwing.call_refusal import retry_after_pause_s
 from wasabiwing.call_refusal import retry_after_s
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
@@ -41,6 +43,7 @@
 from wasabiwing.server_connections import ServerConnections
 from wasabiwing.server_directory import RegisteredServer
 from wasabiwing.server_loads import ServerLoads
+from wasabiwing.server_statements import ServerStatements
 from wasabiwing.service_configuration import RouteKind
 from wasabiwing.timers import TimerService
 
@@ -64,6 +67,9 @@
 # in latency targets.
 PLAIN_SILENCE_TARGETS = 2.5
 
+# Failures of requests of which no byte has left.
+NEVER_LEFT = (ResultCode.CONNECT_FAILED, ResultCode.SERVER_UNWILLING)
+
 # Answers of this node's own.
 BAD_GATEWAY = 502
 REFUSED = 503
@@ -95,6 +101,7 @@
         retry_budgets: ServiceRetryBudgets,
         quarantine: Quarantine[RegisteredServer],
         isolation: Isolation,
+        statements: ServerStatements,
         random: Random,
     ) -> None:
         self._node_id = node_id
@@ -113,6 +120,7 @@
         self._retry_budgets = retry_budgets
         self._quarantine = quarantine
         self._isolation = isolation
+        self._statements = statements
         self._random = random
 
     async def serve(self, call: RoutedCall, output: AnswerOutput) -> Failure:
@@ -173,9 +181,9 @@
         reason = "budget used up"
         budgets = self._retry_budgets
         if failure.run is RunState.NOT_RUN:
-            # A connection that was not accepted has put no load on a server,
-            # so all others may be tried.
-            free = failure.code is ResultCode.CONNECT_FAILED
+            # A request that did not leave has put no load on a server, so
+            # all others may be tried.
+            free = failure.code in NEVER_LEFT
             allowed = free or progress.offers < MOST_OFFERS
             again = free or (allowed and budgets.take(call.service))
             reason = "not run" if allowed else "offered often enough"
@@ -215,6 +223,7 @@
         failure: Failure | None = None
         sent_at = self._timer.now()
         self._isolation.started(server.id, placed.suspect_digest)
+        self._statements.note_sent(server.id)
         try:
             patience_s = _patience_s(call, placed, remaining_s)
             with self._watch.watch(
@@ -238,11 +247,15 @@
             if failure is not None and failure.run is RunState.NOT_RUN:
                 progress.runs -= 1
                 if failure.code is not ResultCode.CONNECT_FAILED:
-                    progress.offers += 1
                     failed = None
+                if failure.code not in NEVER_LEFT:
+                    progress.offers += 1
+            elif self._statements.wanted_in_s(server.id) > 0.0:
+                failed = None
         finally:
             self._loads.note_ended(server.id, call.head.attempt_id, failed)
             self._isolation.ended(server.id, placed.suspect_digest)
+            self._statements.note_ended(server.id, failed is False)
         code = ResultCode.OK if failure is None else failure.code
         self._metrics.attempts.labels(call.service, code.name).inc()
         if failure is not None:
@@ -282,6 +295,7 @@
             ),
             call.body,
             remaining_s,
+            partial(self._statements.may_still_send, server.id),
         )
         if not isinstance(sent, Err):
             return await self._relay.read(
@@ -356,9 +370,11 @@
             await output.refuse(REFUSED, failure, None)
             return
         remaining_s = max(call.deadline - self._timer.now(), 0.0)
-        again_s = retry_after_s(
-            failure.retry_after_s or 0.0, remaining_s, self._random.random()
-        )
+        wait_s = failure.retry_after_s or 0.0
+        draw = self._random.random()
+        again_s = retry_after_s(wait_s, remaining_s, draw)
+        if failure.code is ResultCode.NO_BACKEND_SERVER and wait_s:
+            again_s = retry_after_pause_s(wait_s, remaining_s, draw)
         await output.refuse(REFUSED, failure, again_s)
 
     def _log_end(
--- a/wasabiwing/call_placement.py
+++ b/wasabiwing/call_placement.py
@@ -14,6 +14,7 @@
 
 from wasabiwing.call_refusal import is_hopeless
 from wasabiwing.call_refusal import is_late
+from wasabiwing.call_refusal import longest_wait_s
 from wasabiwing.candidate_sets import candidate_sets
 from wasabiwing.candidate_sets import expected_cached_tokens
 from wasabiwing.candidate_sets import look_through
@@ -32,6 +33,8 @@
 from wasabiwing.server_choice import Placement
 from wasabiwing.server_directory import RegisteredServer
 from wasabiwing.server_loads import ServerLoads
+from wasabiwing.server_statements import ServerStatements
+from wasabiwing.server_statements import Withheld
 from wasabiwing.timers import TimerService
 from wasabiwing.zone_heads import MOST_DIRECT_NODES
 
@@ -76,6 +79,7 @@
         prompts: PromptCacheIndex,
         rates: PrefillRates,
         isolation: Isolation,
+        statements: ServerStatements,
     ) -> None:
         self._availability_zone = availability_zone
         self._timer = timer
@@ -85,6 +89,7 @@
         self._prompts = prompts
         self._rates = rates
         self._isolation = isolation
+        self._statements = statements
         self._cold = ColdAllowance(node_id, timer)
 
     def place(
@@ -104,11 +109,16 @@
         untried = [server for server in servers if server.id not in tried]
         if not untried:
             return Err(Failure(ResultCode.NO_BACKEND_SERVER, call.service))
+        willing = self._willing(call, untried)
+        if isinstance(willing, Err):
+            return willing
         open_servers = [
-            server for server in untried if self._may_send(call, server)
+            server
+            for server in willing.ok_value
+            if self._may_send(call, server)
         ]
         if not open_servers:
-            cold = ",".join(server.id for server in untried)
+            cold = ",".join(server.id for server in willing.ok_value)
             return Err(Failure(ResultCode.OVERLOADED, f"cold: {cold}"))
         digest = self._isolation.suspect_digest(call)
         apart = self._isolation.keep_apart(
@@ -140,6 +150,47 @@
             )
         )
 
+    def _willing(
+        self, call: RoutedCall, servers: list[RegisteredServer]
+    ) -> Result[list[RegisteredServer], Failure]:
+        """Returns the servers that take requests, by their own word.
+
+        Where none does, the request waits only if one will very soon.
+        """
+        withheld_by_id = {
+            server.id: self._statements.withheld(server.id)
+            for server in servers
+        }
+        willing = [
+            server for server in servers if withheld_by_id[server.id] is None
+        ]
+        if willing:
+            return Ok(willing)
+        detail = ",".join(
+            f"{server_id} {reason}"
+            for server_id, reason in sorted(withheld_by_id.items())
+        )
+        reasons = set(withheld_by_id.values())
+        if Withheld.STARTING in reasons:
+            return Err(Failure(ResultCode.OVERLOADED, detail))
+        if reasons == {Withheld.LEAVING}:
+            return Err(Failure(ResultCode.NO_BACKEND_SERVER, detail))
+        first_s = self._statements.first_wanted_in_s(
+            server_id
+            for server_id, reason in withheld_by_id.items()
+            if reason is Withheld.UNWANTED
+        )
+        waits = first_s <= longest_wait_s(call.route.latency_target_s)
+        return Err(
+            Failure(
+                ResultCode.OVERLOADED
+                if waits
+                else ResultCode.NO_BACKEND_SERVER,
+                detail,
+                retry_after_s=first_s,
+            )
+        )
+
     def _choose(
         self, call: RoutedCall, open_servers: list[RegisteredServer]
     ) -> _Choice:
--- a/wasabiwing/call_refusal.py
+++ b/wasabiwing/call_refusal.py
@@ -1,9 +1,10 @@
 """When a routed request is refused at once, and when it may come back.
 
-Load patterns: more prompts than the engines can compute in time, and callers
-that repeat at once. A request that the caller would give up on anyway is
-refused while it has not run; the time to come back follows from how long the
-queue takes, spread so that the callers do not return as one wave.
+Load patterns: more prompts than the engines can compute in time, callers that
+repeat at once, and servers that all turn requests away for a while. A request
+that the caller would give up on anyway is refused while it has not run; the
+time to come back follows from how long the queue or the servers' pause takes,
+spread so that the callers do not return as one wave.
 """
 
 from wasabiwing.server_loads import LoadEstimate
@@ -60,6 +61,18 @@
     return max(min(spread, remaining_s / 3.0), LEAST_RETRY_S / 2.0)
 
 
+def retry_after_pause_s(
+    pause_s: float, remaining_s: float, draw: float
+) -> float:
+    """Returns when a caller may return to servers that want no requests.
+
+    ``pause_s`` is the time until the first of them wants any; nobody returns
+    before it unless its own limit is nearer. ``draw`` is as above.
+    """
+    spread = pause_s + min(pause_s * SPREAD, MOST_RETRY_S) * draw
+    return max(min(spread, remaining_s / 3.0), LEAST_RETRY_S / 2.0)
+
+
 def longest_wait_s(latency_target_s: float) -> float:
     """Returns how long a request may wait for a place in the node."""
     return min(latency_target_s * WAITING_SHARE, LONGEST_WAIT_S)
--- a/wasabiwing/codes.py
+++ b/wasabiwing/codes.py
@@ -85,6 +85,7 @@
     WEIGHT_STORE_UNAVAILABLE = 508
     SERVER_REJECTED = 509
     TRANSFER_TOO_LONG = 510
+    SERVER_UNWILLING = 511
     # 6xx: settings and command line.
     SETTINGS_MALFORMED = 600
     USAGE = 601
@@ -193,6 +194,9 @@
     ResultCode.TRANSFER_TOO_LONG: (
         "The KV cache cannot be moved within the notice period."
     ),
+    ResultCode.SERVER_UNWILLING: (
+        "The backend server has just said that it takes no more requests."
+    ),
     ResultCode.SETTINGS_MALFORMED: "The settings file has errors.",
     ResultCode.USAGE: "The command line is wrong.",
     ResultCode.TIMED_OUT: "The wait ended before the outcome was known.",
--- a/wasabiwing/events.py
+++ b/wasabiwing/events.py
@@ -64,6 +64,9 @@
     SERVER_ENTRY_UNUSABLE = 505
     SERVER_UNREACHABLE = 506
     SERVER_CRASHED = 507
+    SERVER_WANTS_NOTHING = 508
+    SERVER_WANTED_AGAIN = 509
+    SERVER_STATEMENT_IGNORED = 510
     # 6xx: claims and jobs.
     CLAIM_GRANTED = 600
     CLAIM_REPEATED = 601
@@ -147,6 +150,15 @@
     Event.SERVER_CRASHED: (
         "A backend server cut a request and accepts no connection."
     ),
+    Event.SERVER_WANTS_NOTHING: (
+        "A backend server asked for no requests for a while."
+    ),
+    Event.SERVER_WANTED_AGAIN: (
+        "That time is over; requests return one by one."
+    ),
+    Event.SERVER_STATEMENT_IGNORED: (
+        "What an answer says of its server cannot be used."
+    ),
     Event.CLAIM_GRANTED: "A gateway may send a non-idempotent request.",
     Event.CLAIM_REPEATED: "A known idempotency key was asked for again.",
     Event.PARTITION_LOADED: "A claim partition was read from the store.",
--- a/wasabiwing/explain_log.py
+++ b/wasabiwing/explain_log.py
@@ -25,6 +25,8 @@
         Event.ZONE_EVACUATION,
         Event.SERVER_LEAVING,
         Event.SERVER_ENTRY_UNUSABLE,
+        Event.SERVER_WANTS_NOTHING,
+        Event.SERVER_WANTED_AGAIN,
         Event.DEPENDENCY_LOST,
         Event.DEPENDENCY_REGAINED,
         Event.PROCESS_SUSPENDED,
--- a/wasabiwing/http_client.py
+++ b/wasabiwing/http_client.py
@@ -28,6 +28,7 @@
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
 from wasabiwing.ports import HttpReply
+from wasabiwing.retry_after import read_retry_after
 
 CONNECT_TIMEOUT_S = 1.0
 
@@ -52,6 +53,9 @@
 # timeout and too many requests.
 OVERLOAD_STATUSES = (408, 429)
 
+# With these a server may say after which time it wants requests again.
+TURNED_AWAY_STATUSES = (429, 503)
+
 # A server states with this header and the value "false" that it refused a
 # request before it started to run it.
 STARTED_HEADER = b"x-request-started"
@@ -215,6 +219,13 @@
             RunState.NOT_RUN,
             _retry_after_s(headers),
         )
+    if status in TURNED_AWAY_STATUSES:
+        return Failure(
+            ResultCode.SERVER_ERROR,
+            f"status {status} {detail}".strip(),
+            RunState.MAY_HAVE_RUN,
+            _retry_after_s(headers),
+        )
     wrong = status < SERVER_ERROR_FROM and status not in OVERLOAD_STATUSES
     return Failure(
         ResultCode.SERVER_REJECTED if wrong else ResultCode.SERVER_ERROR,
@@ -226,10 +237,7 @@
 def _retry_after_s(
     headers: tuple[tuple[bytes, bytes], ...],
 ) -> float | None:
-    value = find_header(headers, b"retry-after")
-    if value is None or not value.isdigit():
-        return None
-    return float(value)
+    return read_retry_after(headers)[0]
 
 
 def _timeouts(timeout_s: float) -> dict[str, float]:
--- a/wasabiwing/metrics.py
+++ b/wasabiwing/metrics.py
@@ -113,6 +113,17 @@
             registry=self.registry,
         )
 
+        self.statements = Counter(
+            "wasabiwing_server_statements",
+            "Backend servers that said that they leave or want no requests.",
+            ("kind",),
+            registry=self.registry,
+        )
+
+    def count_statement(self, kind: str) -> None:
+        """Counts what a backend server said of itself."""
+        self.statements.labels(kind.lower()).inc()
+
     def count_connect(self, server_id: str) -> None:
         """Counts a new connection to a backend server."""
         self.connects.inc()
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -66,8 +66,10 @@
 from wasabiwing.server_orders import ServerOrders
 from wasabiwing.server_probe import server_accepts
 from wasabiwing.server_probe import SharedProbe
+from wasabiwing.server_statements import ServerStatements
 from wasabiwing.service_configuration import RequestLimits
 from wasabiwing.service_configuration import ServiceConfiguration
+from wasabiwing.statement_listener import StatementListener
 from wasabiwing.store_progress import StoreProgress
 from wasabiwing.timers import TimerService
 from wasabiwing.usage_caps import CapTolerance
@@ -195,6 +197,9 @@
             batch_s=NEWS_PERIOD_S,
             passes_on=lambda: self._heads.needed,
         )
+        self._statements = ServerStatements(
+            node_id, timer, random, metrics.count_statement
+        )
         quarantine = self._build_quarantine(platform)
         isolation = Isolation(quarantine, FREE_CRASHES)
         self._presence = Presence(
@@ -220,6 +225,7 @@
             self._prompts,
             self._rates,
             isolation,
+            self._statements,
         )
         watch = AttemptWatch(timer, self._loads)
         timer.subscribe(WATCH_PERIOD_S, watch.check)
@@ -238,6 +244,7 @@
                 self._shared.windows,
                 metrics.gateway,
                 directory.mark_cold,
+                StatementListener(node_id, directory, self._statements),
             ),
             self._loads,
             watch,
@@ -253,6 +260,7 @@
             ),
             quarantine,
             isolation,
+            self._statements,
             random,
         )
         self.callers = CallerHttp(
@@ -358,7 +366,11 @@
     def _is_leaving(self, server: RegisteredServer) -> bool:
         """Whether a server's end was announced."""
         entry = self.view.directory.get(server.id)
-        return entry is None or entry.draining
+        return (
+            entry is None
+            or entry.draining
+            or self._statements.is_leaving(server.id)
+        )
 
     def _linked_inboxes(self) -> tuple[str, ...]:
         """Returns the nodes that get this node's facts.
@@ -401,6 +413,7 @@
                 self.view,
                 self._shared.demand,
                 settings.availability_zones,
+                self._statements,
             )
         leases = LeaseHolder(
             node_id, self._timer, platform.store, settings.bounds.lease_s
@@ -426,6 +439,9 @@
         """A new process has neither our connections nor our prompts."""
         self._prompts.forget(server_id)
         self._loads.forget(server_id)
+        entry = self.view.directory.get(server_id)
+        if entry is not None:
+            self._statements.note_start(server_id, entry.born_ms)
 
     def _may_hold_duties(self) -> bool:
         """With many nodes only heads know what the duties need."""
--- a/wasabiwing/routed_calls.py
+++ b/wasabiwing/routed_calls.py
@@ -131,6 +131,12 @@
     idle_s: float | None
     # Headers that the caller gets unchanged.
     forwarded: RawHeaders
+    # Whether the server says that it leaves.
+    leaving: bool = False
+    # Time after which the server wants requests again, in seconds.
+    retry_after_s: float | None = None
+    # Values about leaving and that time that cannot be read.
+    unreadable: int = 0
 
 
 class CallCodec(Protocol):
--- a/wasabiwing/routing.py
+++ b/wasabiwing/routing.py
@@ -31,6 +31,8 @@
 from wasabiwing.scores import SCORE_BY_POLICY
 from wasabiwing.scores import ScoreInputs
 from wasabiwing.server_records import ServerRecords
+from wasabiwing.server_statements import ServerStatements
+from wasabiwing.server_statements import Withheld
 from wasabiwing.timers import TimerService
 from wasabiwing.version_gate import VersionGate
 from wasabiwing.view import ClusterView
@@ -58,7 +60,9 @@
 LONG_PROMPT_SHARE = 0.25
 
 # Reasons that end when a slot becomes free.
-BUSY_REASONS = frozenset({"no credit", "long prompts", "suspect running"})
+BUSY_REASONS = frozenset(
+    {"no credit", "long prompts", "suspect running", Withheld.STARTING}
+)
 
 
 @dataclass(slots=True)
@@ -89,6 +93,7 @@
         gate: VersionGate | None = None,
         isolation: Isolation | None = None,
     ) -> None:
+        self._timer = timer
         self._view = view
         self._credits = credits
         self._random = random
@@ -97,6 +102,7 @@
         self.gate = gate
         self._index: ConfigurationIndex | None = None
         self.isolation = isolation or Isolation()
+        self.statements = ServerStatements(node_id, timer, random)
         self.records = ServerRecords(timer)
         self.prefixes = PrefixIndex(timer)
         self.working_sets = WorkingSets(node_id, zone, view)
@@ -129,7 +135,7 @@
         )
         self._write(call, attempt, chosen, score_by_server, survey)
         if chosen is None:
-            return Err(_no_candidate(survey))
+            return Err(self._no_candidate(call, survey))
         return Ok(self.assign(call, chosen, attempt))
 
     def assign(
@@ -139,6 +145,7 @@
         choice = self._choice(call, attempt, server)
         self._credits.take(server.id)
         self.isolation.started(server.id, choice.suspect_digest)
+        self.statements.note_sent(server.id)
         self.records.sent(choice)
         if self.gate is not None:
             self.gate.sent(call, choice)
@@ -296,6 +303,9 @@
             return "zone drained"
         if self._view.is_leaving(server):
             return "leaving"
+        withheld = self.statements.withheld(server.id)
+        if withheld is not None:
+            return withheld.value
         if self.gate and self.gate.withheld(call, server, bool(excluded)):
             return "version withheld"
         if server.role is ServerRole.DECODE:
@@ -311,6 +321,26 @@
             return "suspect running"
         return ""
 
+    def _no_candidate(self, call: Call, survey: _Survey) -> Failure:
+        """Returns whether waiting helps, and else when to come back."""
+        reasons = survey.reason_by_server
+        if BUSY_REASONS.intersection(reasons.values()):
+            return Failure(ResultCode.OVERLOADED)
+        unwanted = [
+            server_id
+            for server_id, reason in reasons.items()
+            if reason == Withheld.UNWANTED.value
+        ]
+        if not unwanted:
+            return Failure(ResultCode.NO_BACKEND_SERVER)
+        first_s = self.statements.first_wanted_in_s(unwanted)
+        waits = first_s < call.deadline - self._timer.now()
+        return Failure(
+            ResultCode.OVERLOADED if waits else ResultCode.NO_BACKEND_SERVER,
+            f"no server wants requests for {first_s:.1f} s",
+            retry_after_s=first_s,
+        )
+
     def _write(
         self,
         call: Call,
@@ -339,9 +369,3 @@
         call.pool.kind is PoolKind.MODEL
         and call.prompt_tokens > LONG_PROMPT_TOKENS
     )
-
-
-def _no_candidate(survey: _Survey) -> Failure:
-    if BUSY_REASONS.intersection(survey.reason_by_server.values()):
-        return Failure(ResultCode.OVERLOADED)
-    return Failure(ResultCode.NO_BACKEND_SERVER)
--- a/wasabiwing/server_connections.py
+++ b/wasabiwing/server_connections.py
@@ -173,11 +173,13 @@
         headers: RawHeaders,
         body: bytes,
         answer_timeout_s: float,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> Result[ServerAnswer, Failure]:
         """Sends a request and waits for the headers of its answer.
 
         The failure's run state is ``NOT_RUN`` only if no byte left. The
-        caller closes the returned answer.
+        request is withheld if ``may_send`` says no right before its first
+        byte would leave. The caller closes the returned answer.
         """
         host, _, port = address.rpartition(":")
         link = await self._take_idle(server_id)
@@ -186,6 +188,10 @@
             if isinstance(opened, Err):
                 return opened
             link = opened.ok_value
+            # The server may have said more while the connection was opened.
+            if not may_send():
+                await link.connection.aclose()
+                return Err(Failure(ResultCode.SERVER_UNWILLING, server_id))
         request = Request(
             method,
             URL(
--- a/wasabiwing/server_orders.py
+++ b/wasabiwing/server_orders.py
@@ -25,6 +25,7 @@
 from wasabiwing.events import Event
 from wasabiwing.events import log_event
 from wasabiwing.fleet_follower import FleetView
+from wasabiwing.server_statements import ServerStatements
 from wasabiwing.service_configuration import ScaleLimits
 from wasabiwing.timers import TimerService
 
@@ -68,6 +69,7 @@
         view: FleetView,
         demand: Demand,
         zones: tuple[str, ...],
+        statements: ServerStatements,
     ) -> None:
         self._node_id = node_id
         self._timer = timer
@@ -75,6 +77,7 @@
         self._view = view
         self._demand = demand
         self._zones = zones
+        self._statements = statements
         self._sent_by_key: dict[OrderKey, _Sent] = {}
         self._dry_until_by_zone: dict[tuple[str, str], float] = {}
         # Last time at which more servers were asked for.
@@ -204,7 +207,11 @@
         self, service: str, limits: ScaleLimits
     ) -> tuple[ServerCount, ...]:
         directory = self._view.directory
-        servers = directory.of_service(service)
+        servers = [
+            server
+            for server in directory.of_service(service)
+            if not self._statements.is_absent(server.id, limits.boot_s)
+        ]
         counts = []
         for zone in self._zones:
             for reclaimable in (False, True):
--- a/wasabiwing/server_records.py
+++ b/wasabiwing/server_records.py
@@ -14,6 +14,7 @@
 from wasabiwing.codes import ResultCode
 from wasabiwing.configuration import BackendServer
 from wasabiwing.prefill_rates import PrefillRates
+from wasabiwing.server_statements import stated_pause_s
 from wasabiwing.timers import TimerService
 
 # A report older than this many seconds says nothing about the load now.
@@ -126,7 +127,7 @@
         record.outstanding_long -= choice.long_prompt
         if outcome.failure is None:
             self._unreachable_by_zone[choice.server.availability_zone].clear()
-        else:
+        elif stated_pause_s(outcome.failure) is None:
             self._count_failure(choice.server, record, outcome)
         if outcome.failure is None and outcome.first_token_s is not None:
             self._average(record, choice, outcome.first_token_s)
--- a/wasabiwing_standins/desk.py
+++ b/wasabiwing_standins/desk.py
@@ -36,6 +36,8 @@
     """Faults that a test or the demo switches on."""
 
     refuse: bool = False
+    # Value of Retry-After in refusals; empty for none.
+    retry_after: str = ""
     # Runs the request and then cuts the connection.
     cut_after_run: bool = False
     # Cuts the connection before the request is run.
@@ -57,6 +59,7 @@
         self.faults = DeskFaults()
         self.in_flight = 0
         self.served = 0
+        self.refused = 0
         # Monotonic times at which requests were run.
         self.arrivals_at: list[float] = []
         self.server = StandInServer(
@@ -79,9 +82,11 @@
 
     async def _serve(self, request: HttpRequest, responder: Responder) -> None:
         if self.faults.refuse:
-            await responder.send_json(
-                503, {"error": "refused"}, {"X-Request-Started": "false"}
-            )
+            self.refused += 1
+            headers = {"X-Request-Started": "false"}
+            if self.faults.retry_after:
+                headers["Retry-After"] = self.faults.retry_after
+            await responder.send_json(503, {"error": "refused"}, headers)
             return
         if self.faults.cut_before_run:
             return
