Play servers that leave or turn away in the soak; check both promises

Change: two kinds of faults, a server that says in its answers that it leaves and later starts anew, and one that turns all requests away and says for how long. The stand-in keeps what it said and when each request came; two checks compare them per node. A restart or a pause of the node excuses, and so does a cut of the way to the server.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -33,16 +33,21 @@
 from wasabiwing_soak.fault_schedule import FaultKind
 from wasabiwing_soak.loopback_proxy import HOST
 from wasabiwing_soak.loopback_proxy import LoopbackProxy
+from wasabiwing_soak.promises import Arrival
 from wasabiwing_soak.promises import CallRecord
 from wasabiwing_soak.promises import check_answers
+from wasabiwing_soak.promises import check_leaving
 from wasabiwing_soak.promises import check_runs
 from wasabiwing_soak.promises import check_stops
 from wasabiwing_soak.promises import check_times
+from wasabiwing_soak.promises import check_unwanted
 from wasabiwing_soak.promises import check_usage
 from wasabiwing_soak.promises import check_versions
+from wasabiwing_soak.promises import LinkTrouble
 from wasabiwing_soak.promises import NodeDisturbance
 from wasabiwing_soak.promises import Promise
 from wasabiwing_soak.promises import SeenVersion
+from wasabiwing_soak.promises import Statement
 from wasabiwing_soak.promises import Violation
 from wasabiwing_soak.report import report_lines
 from wasabiwing_soak.report import write_report
@@ -51,6 +56,10 @@
 
 pytestmark = pytest.mark.anyio
 
+LEAVES = Statement("server-0", 0, "book 1", 10.1, True, None)
+
+REFUSES = Statement("server-0", 0, "book 1", 10.1, False, 4.0)
+
 SERVED = CallRecord(
     body="book 1",
     repeatable=False,
@@ -72,6 +81,42 @@
     return [violation.promise for violation in violations]
 
 
+class TestStatements:
+    """Checks of servers that leave or want no requests."""
+
+    def test_leaving_server_gets_nothing_later_from_that_node(self) -> None:
+        later = replace(SERVED, body="book 2", sent_s=12.5, ended_s=12.6)
+        arrival = Arrival("server-0", 0, "book 2", 12.55)
+        calls = [SERVED, later]
+        [found] = check_leaving(calls, [LEAVES], [arrival], [])
+        assert found.promise is Promise.LEAVING
+        for excused in (
+            [SERVED, replace(later, sent_s=12.1)],
+            [SERVED, replace(later, node="node-1")],
+            [replace(SERVED, status=0), later],
+        ):
+            assert not check_leaving(excused, [LEAVES], [arrival], [])
+        restart = NodeDisturbance("node-0", False, 11.0, 12.0)
+        assert not check_leaving(calls, [LEAVES], [arrival], [restart])
+        new_life = replace(arrival, life=1)
+        assert not check_leaving(calls, [LEAVES], [new_life], [])
+
+    def test_unwilling_server_gets_two_more_at_most(self) -> None:
+        calls = [replace(SERVED, body=f"book {n}") for n in range(1, 5)]
+        arrivals = [
+            Arrival("server-0", 0, f"book {n}", 10.4 + n) for n in (2, 3, 4)
+        ]
+        late = [replace(item, at_s=item.at_s - 1.0) for item in arrivals]
+        [found] = check_unwanted(calls, [REFUSES], late, [], [])
+        assert found.promise is Promise.UNWANTED
+        # The last one of these comes after the time.
+        assert not check_unwanted(calls, [REFUSES], arrivals, [], [])
+        trouble = LinkTrouble("server-0", 11.0, 11.5)
+        assert not check_unwanted(calls, [REFUSES], late, [], [trouble])
+        pause = NodeDisturbance("node-0", False, 11.0, 12.0)
+        assert not check_unwanted(calls, [REFUSES], late, [pause], [])
+
+
 class TestSchedule:
     """Faults drawn from a seed."""
 
--- a/wasabiwing_soak/deployment.py
+++ b/wasabiwing_soak/deployment.py
@@ -43,6 +43,10 @@
 READINESS_TIMEOUT_S = 0.25
 
 
+# Unix time of each server's first start, in milliseconds.
+FIRST_START_MS = 1_000
+
+
 @dataclass(slots=True)
 class SoakNode:
     """A node with what the soak knows of it."""
@@ -126,7 +130,10 @@
     def register(self, item: SoakServer) -> None:
         """Writes a server's entry, as the server does."""
         document = server_document(
-            item.service, item.link.address, seq=item.sequence
+            item.service,
+            item.link.address,
+            seq=item.sequence,
+            born=FIRST_START_MS + item.server.life,
         )
         self.store.put(f"servers/{item.server.id}", encode(document))
 
@@ -140,6 +147,18 @@
 
         return undo
 
+    def say_leaving(self, item: SoakServer) -> Callable[[], None]:
+        """Lets a server say that it leaves; it ends with a new start."""
+        item.server.leaving = True
+
+        def undo() -> None:
+            item.server.leaving = False
+            item.server.life += 1
+            item.sequence += 1
+            self.register(item)
+
+        return undo
+
     async def is_ready(self, node: SoakNode) -> bool:
         """Asks a node whether it is ready."""
         reply = await self._client.send(
--- a/wasabiwing_soak/fault_player.py
+++ b/wasabiwing_soak/fault_player.py
@@ -13,6 +13,7 @@
 from wasabiwing_soak.fault_schedule import FaultKind
 from wasabiwing_soak.fault_schedule import PlannedFault
 from wasabiwing_soak.loopback_proxy import LoopbackProxy
+from wasabiwing_soak.promises import LinkTrouble
 from wasabiwing_soak.promises import NodeDisturbance
 
 # How long a node may take from the end of a fault until it serves, in
@@ -79,6 +80,7 @@
         self._deployment = deployment
         self._clock = clock
         self.disturbances: list[NodeDisturbance] = []
+        self.link_troubles: list[LinkTrouble] = []
 
     async def play(self, fault: PlannedFault) -> None:
         """Plays one fault and takes it back."""
@@ -139,10 +141,19 @@
             return _fail_server(item.server, random)
         elif kind is FaultKind.SERVER_LEAVES:
             return self._deployment.remove_server(item)
+        elif kind is FaultKind.SERVER_SAYS_LEAVING:
+            return self._deployment.say_leaving(item)
+        elif kind is FaultKind.SERVER_TURNS_AWAY:
+            return _turn_away(item.server, fault.duration_s)
         else:
             link = item.link
             if kind in STORE_LINK_KINDS:
                 link = node.store_link
+            else:
+                until_s = self._clock() + fault.duration_s
+                self.link_troubles.append(
+                    LinkTrouble(item.server.id, self._clock(), until_s)
+                )
             return _disturb_link(link, kind, random)
         return _nothing
 
@@ -166,6 +177,15 @@
     return server.faults.clear
 
 
+def _turn_away(server: ServerStandIn, seconds: float) -> Callable[[], None]:
+    server.unwanted_s = seconds
+
+    def undo() -> None:
+        server.unwanted_s = None
+
+    return undo
+
+
 def _disturb_link(
     link: LoopbackProxy, kind: FaultKind, random: Random
 ) -> Callable[[], None]:
--- a/wasabiwing_soak/fault_schedule.py
+++ b/wasabiwing_soak/fault_schedule.py
@@ -39,6 +39,10 @@
     # A backend server that fails requests, or leaves the registry.
     SERVER_FAILS = "server_fails"
     SERVER_LEAVES = "server_leaves"
+    # A backend server that says so in its answers and then starts anew, and
+    # one that turns requests away and says for how long.
+    SERVER_SAYS_LEAVING = "server_says_leaving"
+    SERVER_TURNS_AWAY = "server_turns_away"
     CONFIGURATION_CHANGED = "configuration_changed"
 
 
--- a/wasabiwing_soak/promises.py
+++ b/wasabiwing_soak/promises.py
@@ -12,6 +12,17 @@
 
 from wasabiwing.codes import RunState
 
+SUCCESS = 200
+
+# Time after a node has passed on that a server leaves, in seconds; a bound
+# of the users' pages, as are the next two.
+DRAIN_S = 2.0
+
+# Time after a server's refusal in which requests on their way may arrive, in
+# seconds, and how many may arrive later.
+ON_THEIR_WAY_S = 0.5
+MOST_UNWANTED = 2
+
 
 class Promise(StrEnum):
     """What users rely on."""
@@ -24,6 +35,8 @@
     CONFIGURATION = "a process never goes back to an older configuration"
     USAGE_ONCE = "no window's usage is reported with two different counts"
     STAYS_UP = "no node ends by itself"
+    LEAVING = "a server that said it leaves gets nothing more from a node"
+    UNWANTED = "a server that wants no requests gets two more at most"
     RECOVERY = "after the last fault all nodes serve again"
 
 
@@ -68,6 +81,38 @@
     until_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class LinkTrouble:
+    """A time in which the way to a server was cut or slow."""
+
+    server: str
+    from_s: float
+    until_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Statement:
+    """What a server said of itself to the node of a request."""
+
+    server: str
+    # Number of the server's start.
+    life: int
+    body: str
+    at_s: float
+    leaving: bool
+    unwanted_s: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that reached a server."""
+
+    server: str
+    life: int
+    body: str
+    at_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class SeenVersion:
     """A configuration version that a process showed."""
@@ -174,6 +219,72 @@
     ]
 
 
+def check_leaving(
+    calls: Iterable[CallRecord],
+    statements: Iterable[Statement],
+    arrivals: Sequence[Arrival],
+    disturbances: Sequence[NodeDisturbance],
+) -> list[Violation]:
+    """Checks that nothing goes to servers that a node knows to leave."""
+    found: list[Violation] = []
+    call_by_body = {call.body: call for call in calls}
+    for said in statements:
+        told = call_by_body.get(said.body)
+        # Only an answer that was passed on has surely reached the node.
+        if not said.leaving or told is None or told.status != SUCCESS:
+            continue
+        for arrival in arrivals:
+            call = call_by_body.get(arrival.body)
+            if (
+                (arrival.server, arrival.life) == (said.server, said.life)
+                and call is not None
+                and call.node == told.node
+                and call.sent_s > told.ended_s + DRAIN_S
+                and not _node_disturbed(
+                    told.node, told.ended_s, arrival.at_s, disturbances
+                )
+            ):
+                detail = f"{call.body} from {call.node} at {said.server}"
+                found.append(Violation(Promise.LEAVING, arrival.at_s, detail))
+    return found
+
+
+def check_unwanted(
+    calls: Iterable[CallRecord],
+    statements: Iterable[Statement],
+    arrivals: Sequence[Arrival],
+    disturbances: Sequence[NodeDisturbance],
+    troubles: Sequence[LinkTrouble],
+) -> list[Violation]:
+    """Checks that servers that want no requests get hardly any."""
+    found: list[Violation] = []
+    node_by_body = {call.body: call.node for call in calls}
+    for said in statements:
+        node = node_by_body.get(said.body)
+        if said.unwanted_s is None or node is None:
+            continue
+        until_s = said.at_s + said.unwanted_s
+        in_time = [
+            arrival.body
+            for arrival in arrivals
+            if arrival.server == said.server
+            and arrival.life == said.life
+            and node_by_body.get(arrival.body) == node
+            and said.at_s + ON_THEIR_WAY_S < arrival.at_s < until_s
+        ]
+        cut = any(
+            trouble.server == said.server
+            and trouble.from_s < until_s
+            and said.at_s < trouble.until_s + ON_THEIR_WAY_S
+            for trouble in troubles
+        )
+        disturbed = _node_disturbed(node, said.at_s, until_s, disturbances)
+        if len(in_time) > MOST_UNWANTED and not cut and not disturbed:
+            detail = f"{in_time} from {node} at {said.server}"
+            found.append(Violation(Promise.UNWANTED, said.at_s, detail))
+    return found
+
+
 def endings(calls: Iterable[CallRecord]) -> Counter[str]:
     """Counts requests by how they ended."""
     return Counter(
@@ -181,6 +292,18 @@
     )
 
 
+def _node_disturbed(
+    node: str,
+    from_s: float,
+    until_s: float,
+    disturbances: Iterable[NodeDisturbance],
+) -> bool:
+    return any(
+        item.node == node and item.from_s < until_s and from_s < item.until_s
+        for item in disturbances
+    )
+
+
 def _met(
     call: CallRecord, disturbances: Sequence[NodeDisturbance]
 ) -> list[NodeDisturbance]:
--- a/wasabiwing_soak/soak.py
+++ b/wasabiwing_soak/soak.py
@@ -6,6 +6,7 @@
 
 from anyio import CancelScope
 from anyio import create_task_group
+from anyio import current_time
 from anyio import sleep
 from anyio.abc import TaskGroup
 from prometheus_client.parser import text_string_to_metric_families
@@ -21,16 +22,20 @@
 from wasabiwing_soak.fault_player import RECOVERY_S
 from wasabiwing_soak.fault_schedule import draw_schedule
 from wasabiwing_soak.fault_schedule import PlannedFault
+from wasabiwing_soak.promises import Arrival
 from wasabiwing_soak.promises import CallRecord
 from wasabiwing_soak.promises import check_answers
+from wasabiwing_soak.promises import check_leaving
 from wasabiwing_soak.promises import check_runs
 from wasabiwing_soak.promises import check_stops
 from wasabiwing_soak.promises import check_times
+from wasabiwing_soak.promises import check_unwanted
 from wasabiwing_soak.promises import check_usage
 from wasabiwing_soak.promises import check_versions
 from wasabiwing_soak.promises import NodeDisturbance
 from wasabiwing_soak.promises import Promise
 from wasabiwing_soak.promises import SeenVersion
+from wasabiwing_soak.promises import Statement
 from wasabiwing_soak.promises import Violation
 
 # Requests in a row that a node must serve to count as recovered.
@@ -169,6 +174,38 @@
         await self._callers.call(client, name, "read", f"read {text}")
         return self._callers.records[-1].status == 200
 
+    def _statements_and_arrivals(
+        self,
+    ) -> tuple[list[Statement], list[Arrival]]:
+        """Returns what servers said and got, on the soak's clock."""
+        # The servers are in this process, on the event loop's clock.
+        offset_s = self.clock() - current_time()
+        statements: list[Statement] = []
+        arrivals: list[Arrival] = []
+        for item in self.deployment.servers:
+            server = item.server
+            statements += [
+                Statement(
+                    server.id,
+                    said.life,
+                    said.body.decode(),
+                    said.at + offset_s,
+                    said.leaving,
+                    said.unwanted_s,
+                )
+                for said in server.said
+            ]
+            arrivals += [
+                Arrival(
+                    server.id,
+                    request.life,
+                    request.body.decode(),
+                    request.at + offset_s,
+                )
+                for request in server.seen
+            ]
+        return statements, arrivals
+
     def _violate(self, promise: Promise, detail: str) -> None:
         self._violations.append(Violation(promise, self.clock(), detail))
 
@@ -189,6 +226,15 @@
             *check_versions(self._versions),
             *check_usage(self.deployment.cloud.usage, self.clock()),
         ]
+        statements, arrivals = self._statements_and_arrivals()
+        found += check_leaving(calls, statements, arrivals, disturbances)
+        found += check_unwanted(
+            calls,
+            statements,
+            arrivals,
+            disturbances,
+            self._player.link_troubles,
+        )
         if self._options.check_times:
             longest_s = PATIENCE_MS / 1000 + TIME_SLACK_S
             found += check_times(calls, disturbances, longest_s)
