Test stalled streams kept alive by single bytes, and slow but sound ones

Three tests: a stalled stream that may be repeated goes on at another server, one that may not ends with the caller's limit, a stream with 0.8 s between events is passed on whole.

--- a/tests/test_node_path.py
+++ b/tests/test_node_path.py
@@ -239,6 +239,50 @@
             torn_was_used = not engines[0].faults
             assert ("2" in resumed) == torn_was_used
 
+    async def test_stalled_stream_that_sends_bytes_moves_to_another_server(
+        self,
+    ) -> None:
+        """Guards against bytes without an event that count as alive."""
+        async with deployment() as found:
+            stalled = ServerStandIn("engine-1", [ServerFault.TRICKLES])
+            await found.add_server("models", stalled)
+            await found.wait_ready()
+            replies: list[tuple[int, bytes]] = []
+
+            async def call() -> None:
+                reply = await found.call("/chat/1")
+                replies.append((reply.status, reply.body))
+
+            async with create_task_group() as tasks:
+                tasks.start_soon(call)
+                while not stalled.seen:
+                    await sleep(POLL_S)
+                await found.add_server("models", ServerStandIn("engine-2"))
+            assert replies == [(200, WHOLE_STREAM)]
+
+    async def test_stalled_stream_that_cannot_move_ends_with_its_limit(
+        self,
+    ) -> None:
+        async with deployment() as found:
+            engine = ServerStandIn("engine-1", [ServerFault.TRICKLES])
+            await found.add_server("models", engine)
+            await found.wait_ready()
+            limit = {"Wasabiwing-Deadline-Ms": "1500"}
+            with pytest.raises(Exception, match="SERVER_CUT"):
+                await found.call("/notes/1", headers=limit)
+            assert engine.runs == 1
+
+    async def test_slow_but_sound_stream_is_not_cut(self) -> None:
+        """Guards against a limit on the whole instead of on the silence."""
+        async with deployment() as found:
+            slow = ServerStandIn("engine-1", work_s=0.8)
+            await found.add_server("models", slow)
+            await found.wait_ready()
+            for path in ("/chat/1", "/notes/1"):
+                reply = await found.call(path)
+                assert (reply.status, reply.body) == (200, WHOLE_STREAM)
+            assert slow.runs == 2
+
     async def test_stream_continues_where_the_caller_left_it(self) -> None:
         async with deployment() as found:
             await found.add_server("models", ServerStandIn("engine-1"))
