Decide a failed request's status and Retry-After in call_refusal

Readability: the forwarder decided on status and time to come back between its sends. Both are functions of the failure now, beside the other refusals; what joins the quarantine with a node's parts has a module of its own, and the links for facts are the zone heads' knowledge.

--- a/wasabiwing/call_forwarding.py
+++ b/wasabiwing/call_forwarding.py
@@ -20,9 +20,9 @@
 from wasabiwing.attempt_watch import WatchedAttempt
 from wasabiwing.call_placement import CallPlacement
 from wasabiwing.call_placement import PlacedAttempt
+from wasabiwing.call_refusal import failure_status
 from wasabiwing.call_refusal import longest_wait_s
-from wasabiwing.call_refusal import retry_after_pause_s
-from wasabiwing.call_refusal import retry_after_s
+from wasabiwing.call_refusal import return_after_s
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
@@ -70,11 +70,6 @@
 # Failures of requests of which no byte has left.
 NEVER_LEFT = (ResultCode.CONNECT_FAILED, ResultCode.SERVER_UNWILLING)
 
-# Answers of this node's own.
-BAD_GATEWAY = 502
-REFUSED = 503
-GATEWAY_TIMEOUT = 504
-
 # Urgencies at the engines: classes of routes, and organisations within them.
 URGENCY_STEP = 2
 LEAST_URGENT = 9
@@ -358,24 +353,9 @@
         if progress.kept is not None:
             await send_whole(output, progress.kept)
             return
-        if failure.run is not RunState.NOT_RUN:
-            timed_out = failure.code in (
-                ResultCode.DEADLINE_EXCEEDED,
-                ResultCode.SERVER_TIMEOUT,
-            )
-            status = GATEWAY_TIMEOUT if timed_out else BAD_GATEWAY
-            await output.refuse(status, failure, None)
-            return
-        if failure.code is ResultCode.QUARANTINED:
-            await output.refuse(REFUSED, failure, None)
-            return
         remaining_s = max(call.deadline - self._timer.now(), 0.0)
-        wait_s = failure.retry_after_s or 0.0
-        draw = self._random.random()
-        again_s = retry_after_s(wait_s, remaining_s, draw)
-        if failure.code is ResultCode.NO_BACKEND_SERVER and wait_s:
-            again_s = retry_after_pause_s(wait_s, remaining_s, draw)
-        await output.refuse(REFUSED, failure, again_s)
+        again_s = return_after_s(failure, remaining_s, self._random.random())
+        await output.refuse(failure_status(failure), failure, again_s)
 
     def _log_end(
         self, call: RoutedCall, progress: CallProgress, failure: Failure
--- a/wasabiwing/call_placement.py
+++ b/wasabiwing/call_placement.py
@@ -121,10 +121,12 @@
             cold = ",".join(server.id for server in willing.ok_value)
             return Err(Failure(ResultCode.OVERLOADED, f"cold: {cold}"))
         digest = self._isolation.suspect_digest(call)
-        apart = self._isolation.keep_apart(
-            digest,
-            [server.id for server in open_servers],
-            lambda server_id: self._running(call, server_id),
+        apart = frozenset(
+            self._isolation.keep_apart(
+                digest,
+                [server.id for server in open_servers],
+                lambda server_id: self._running(call, server_id),
+            )
         )
         if not apart:
             return Err(Failure(ResultCode.OVERLOADED, "suspected of a crash"))
--- a/wasabiwing/call_refusal.py
+++ b/wasabiwing/call_refusal.py
@@ -7,8 +7,16 @@
 spread so that the callers do not return as one wave.
 """
 
+from wasabiwing.codes import Failure
+from wasabiwing.codes import ResultCode
+from wasabiwing.codes import RunState
 from wasabiwing.server_loads import LoadEstimate
 
+# Statuses of a node's own answers.
+BAD_GATEWAY = 502
+REFUSED = 503
+GATEWAY_TIMEOUT = 504
+
 # Part of the remaining time within which the first event must be predicted;
 # predictions are off by the work that other nodes send meanwhile.
 FEASIBLE_SHARE = 0.7
@@ -73,6 +81,37 @@
     return max(min(spread, remaining_s / 3.0), LEAST_RETRY_S / 2.0)
 
 
+def return_after_s(
+    failure: Failure, remaining_s: float, draw: float
+) -> float | None:
+    """Returns when the caller of a failed request may come back.
+
+    ``None`` if a repeat would not help or might run a request again.
+    """
+    if failure.run is not RunState.NOT_RUN:
+        return None
+    if failure.code is ResultCode.QUARANTINED:
+        return None
+    wait_s = failure.retry_after_s or 0.0
+    if failure.code is ResultCode.NO_BACKEND_SERVER and wait_s:
+        return retry_after_pause_s(wait_s, remaining_s, draw)
+    return retry_after_s(wait_s, remaining_s, draw)
+
+
+def failure_status(failure: Failure) -> int:
+    """Returns the HTTP status of a failed request.
+
+    503 promises that it has not run; the others promise nothing.
+    """
+    if failure.run is RunState.NOT_RUN:
+        return REFUSED
+    timed_out = failure.code in (
+        ResultCode.DEADLINE_EXCEEDED,
+        ResultCode.SERVER_TIMEOUT,
+    )
+    return GATEWAY_TIMEOUT if timed_out else BAD_GATEWAY
+
+
 def longest_wait_s(latency_target_s: float) -> float:
     """Returns how long a request may wait for a place in the node."""
     return min(latency_target_s * WAITING_SHARE, LONGEST_WAIT_S)
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -40,6 +40,7 @@
 from wasabiwing.messages import HeadPush
 from wasabiwing.messages import NodeReport
 from wasabiwing.metrics import NodeMetrics
+from wasabiwing.node_quarantine import build_quarantine
 from wasabiwing.node_registry import node_lease_name
 from wasabiwing.node_registry import NodeRecord
 from wasabiwing.node_registry import NodeRegistry
@@ -54,18 +55,12 @@
 from wasabiwing.presence import PRESENCE_PERIOD_S
 from wasabiwing.prompt_cache import PromptCacheIndex
 from wasabiwing.quarantine import CRASHES_TO_QUARANTINE
-from wasabiwing.quarantine import Quarantine
-from wasabiwing.quarantine_records import QUARANTINE_PREFIX
-from wasabiwing.quarantine_records import QuarantineRecords
 from wasabiwing.retry_budgets import ServiceRetryBudgets
 from wasabiwing.routed_calls import CallCodec
 from wasabiwing.server_connections import ServerConnections
-from wasabiwing.server_directory import RegisteredServer
 from wasabiwing.server_directory import ServerDirectory
 from wasabiwing.server_loads import ServerLoads
 from wasabiwing.server_orders import ServerOrders
-from wasabiwing.server_probe import server_accepts
-from wasabiwing.server_probe import SharedProbe
 from wasabiwing.server_statements import ServerStatements
 from wasabiwing.service_configuration import RequestLimits
 from wasabiwing.service_configuration import ServiceConfiguration
@@ -193,14 +188,22 @@
             timer,
             transport,
             random,
-            self._linked_inboxes,
+            self._heads.linked_inboxes,
             batch_s=NEWS_PERIOD_S,
             passes_on=lambda: self._heads.needed,
         )
         self._statements = ServerStatements(
             node_id, timer, random, metrics.count_statement
         )
-        quarantine = self._build_quarantine(platform)
+        quarantine = build_quarantine(
+            node_id,
+            timer,
+            platform.store,
+            self.facts,
+            self.follower,
+            directory,
+            self._statements,
+        )
         isolation = Isolation(quarantine, FREE_CRASHES, ownership_s=0.0)
         self._presence = Presence(
             node_id,
@@ -347,48 +350,6 @@
                 return
             await self._timer.sleep(STOP_POLL_S)
 
-    def _build_quarantine(
-        self, platform: NodePlatform
-    ) -> Quarantine[RegisteredServer]:
-        records = QuarantineRecords(
-            self._node_id, self._timer, platform.store, self.facts
-        )
-        self.follower.listen(QUARANTINE_PREFIX, records.read)
-        return Quarantine(
-            self._node_id,
-            self._timer,
-            self.facts,
-            self._is_leaving,
-            SharedProbe(server_accepts).answers,
-            records.note_judged,
-        )
-
-    def _is_leaving(self, server: RegisteredServer) -> bool:
-        """Whether a server's end was announced."""
-        entry = self.view.directory.get(server.id)
-        return (
-            entry is None
-            or entry.draining
-            or self._statements.is_leaving(server.id)
-        )
-
-    def _linked_inboxes(self) -> tuple[str, ...]:
-        """Returns the nodes that get this node's facts.
-
-        With many nodes a fact goes to the heads of the zone, from head to
-        head, and from them to the nodes of their zones.
-        """
-        linked = set(self.nodes.peers())
-        if self._heads.needed:
-            linked = set(self._heads.of_zone(self._heads.zone))
-            if self._heads.place() is not None:
-                linked.update(*self._heads.all_heads().values())
-                members = self.nodes.ids_by_zone()
-                linked.update(members.get(self._heads.zone, ()))
-        linked.discard(self._node_id)
-        inboxes = [self._heads.inbox(node_id) for node_id in sorted(linked)]
-        return tuple(inbox for inbox in inboxes if inbox is not None)
-
     def _build_duties(
         self, settings: NodeSettings, platform: NodePlatform, random: Random
     ) -> Duties:
--- /dev/null
+++ b/wasabiwing/node_quarantine.py
@@ -0,0 +1,44 @@
+"""Joins the quarantine with what a node knows of servers and the store."""
+
+from wasabiwing.facts import Facts
+from wasabiwing.fleet_follower import FleetFollower
+from wasabiwing.ports import LeaseStore
+from wasabiwing.quarantine import Quarantine
+from wasabiwing.quarantine_records import QUARANTINE_PREFIX
+from wasabiwing.quarantine_records import QuarantineRecords
+from wasabiwing.server_directory import RegisteredServer
+from wasabiwing.server_directory import ServerDirectory
+from wasabiwing.server_probe import server_accepts
+from wasabiwing.server_probe import SharedProbe
+from wasabiwing.server_statements import ServerStatements
+from wasabiwing.timers import TimerService
+
+
+def build_quarantine(
+    node_id: str,
+    timer: TimerService,
+    store: LeaseStore,
+    facts: Facts,
+    follower: FleetFollower,
+    directory: ServerDirectory,
+    statements: ServerStatements,
+) -> Quarantine[RegisteredServer]:
+    """Returns a quarantine whose records are in the store."""
+    records = QuarantineRecords(node_id, timer, store, facts)
+    follower.listen(QUARANTINE_PREFIX, records.read)
+
+    def is_leaving(server: RegisteredServer) -> bool:
+        """Whether a server's end was announced."""
+        entry = directory.get(server.id)
+        if entry is None or entry.draining:
+            return True
+        return statements.is_leaving(server.id)
+
+    return Quarantine(
+        node_id,
+        timer,
+        facts,
+        is_leaving,
+        SharedProbe(server_accepts).answers,
+        records.note_judged,
+    )
--- a/wasabiwing/zone_heads.py
+++ b/wasabiwing/zone_heads.py
@@ -122,6 +122,23 @@
         record = self._nodes.get(node_id)
         return None if record is None else f"tcp://{record.inbox}"
 
+    def linked_inboxes(self) -> tuple[str, ...]:
+        """Returns the nodes to which this one passes facts on.
+
+        With many nodes a fact goes to the heads of the zone, from head to
+        head, and from them to the nodes of their zones.
+        """
+        linked = set(self._nodes.peers())
+        if self.needed:
+            linked = set(self.of_zone(self.zone))
+            if self.place() is not None:
+                linked.update(*self.all_heads().values())
+                members = self._nodes.ids_by_zone()
+                linked.update(members.get(self.zone, ()))
+        linked.discard(self._record.id)
+        inboxes = [self.inbox(node_id) for node_id in sorted(linked)]
+        return tuple(inbox for inbox in inboxes if inbox is not None)
+
     def _is_silent(self, node_id: str) -> bool:
         if node_id == self._record.id:
             return False
