Let ticks of one period share a wake-up of the process

Cause: the quarantine and the facts on the node brought two more ticks of 50 ms each.

Change: ticks are due at multiples of their period from the start of the timer, so those of one period come in one wake-up, and the node judges crashes and sends news every 0.1 s, with the watch of attempts.

Kept, since it wakes a node less often.

--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -89,9 +89,10 @@
 # more it may be refused.
 FREE_CRASHES = CRASHES_TO_QUARANTINE - 1
 
-# Period in which news about crashing requests are collected for one message
-# to other nodes, in seconds: a crash concerns all requests on a server.
-NEWS_PERIOD_S = 0.05
+# Period in which news about crashing requests are judged, and collected for
+# one message to other nodes, in seconds: a crash concerns all requests on a
+# server, and ticks of one period share a wake-up.
+NEWS_PERIOD_S = WATCH_PERIOD_S
 
 # A pause between two ticks beyond this many seconds means that the process
 # or its VM stood still.
@@ -203,6 +204,7 @@
             self.follower,
             directory,
             self._statements,
+            NEWS_PERIOD_S,
         )
         isolation = Isolation(quarantine, FREE_CRASHES, ownership_s=0.0)
         self._presence = Presence(
--- a/wasabiwing/node_quarantine.py
+++ b/wasabiwing/node_quarantine.py
@@ -22,6 +22,7 @@
     follower: FleetFollower,
     directory: ServerDirectory,
     statements: ServerStatements,
+    judge_period_s: float,
 ) -> Quarantine[RegisteredServer]:
     """Returns a quarantine whose records are in the store."""
     records = QuarantineRecords(node_id, timer, store, facts)
@@ -41,4 +42,5 @@
         is_leaving,
         SharedProbe(server_accepts).answers,
         records.note_judged,
+        judge_period_s,
     )
--- a/wasabiwing/quarantine.py
+++ b/wasabiwing/quarantine.py
@@ -116,6 +116,7 @@
         is_leaving: Callable[[ServerT], bool],
         probe: Probe,
         note_judged: Callable[[str], None] = lambda digest: None,
+        judge_period_s: float = JUDGE_PERIOD_S,
     ) -> None:
         self._node_id = node_id
         self._timer = timer
@@ -139,7 +140,7 @@
         facts.set_rule(QUARANTINE_KIND, FactRule(QUARANTINE_LIFETIME_S))
         facts.subscribe(CRASH_KIND, self._on_crash)
         facts.subscribe(SUSPICION_KIND, self._on_suspicion)
-        timer.subscribe(JUDGE_PERIOD_S, self._judge_settled)
+        timer.subscribe(judge_period_s, self._judge_settled)
         timer.subscribe(EXPIRY_PERIOD_S, self._expire)
 
     def refusal(self, call: IdentifiedCall) -> Failure | None:
--- a/wasabiwing/timers.py
+++ b/wasabiwing/timers.py
@@ -11,6 +11,7 @@
 from heapq import heappop
 from heapq import heappush
 from itertools import count
+from math import floor
 from time import CLOCK_BOOTTIME
 from time import clock_gettime
 from time import time
@@ -51,10 +52,20 @@
         """Serves the subscriptions until cancelled."""
 
 
+def next_tick(origin: float, now: float, period_s: float) -> float:
+    """Returns the first multiple of a period, from an origin, after now."""
+    return origin + (floor((now - origin) / period_s) + 1) * period_s
+
+
 class SystemTimer:
-    """The timer service of a running program, one task a subscription."""
+    """The timer service of a running program, one task a subscription.
+
+    Ticks are due at multiples of their periods from the service's start, so
+    that a process wakes up once for all that are due together.
+    """
 
     def __init__(self) -> None:
+        self._origin = self.now()
         self._pending: list[tuple[float, Tick]] = []
         self._task_group: TaskGroup | None = None
 
@@ -84,12 +95,11 @@
             await sleep_forever()
 
     async def _serve(self, period_s: float, tick: Tick) -> None:
-        due = self.now() + period_s
         while True:
-            await sleep(max(due - self.now(), 0.0))
-            await contain("", f"tick of {tick.__qualname__}", tick)
             # Ticks that were missed during a pause are not made up for.
-            due = max(due + period_s, self.now())
+            due = next_tick(self._origin, self.now(), period_s)
+            await self.sleep(due - self.now())
+            await contain("", f"tick of {tick.__qualname__}", tick)
 
 
 @dataclass(order=True)
