Bound the whole of a call to store and cloud, not each wait for bytes

Cause: timeout_s of HttpClient.send bounded each wait for bytes only. A peer that sends a byte now and then, in a head or a body, held a call for ever: a renewal of a lease, a read of the registry, a duty's report.

Change: a call ends at the latest 5 s after one such wait. It counts as may have run. A probe for a crash waits 0.25 s for a connection instead of 0.6 s, since the caller of a request that is not repeated waits with it.

Before: the two new tests (a byte in the head, in the body, each 0.05 s) end by their own limit of 20 s. After: they pass; 173 tests of endless servers, crashing requests, the platform's store and the docs pass.

--- a/tests/test_endless_servers.py
+++ b/tests/test_endless_servers.py
@@ -19,6 +19,8 @@
 from tests.node_deployment import Deployment
 from tests.node_deployment import deployment
 from tests.node_deployment import POLL_S
+from wasabiwing import http_client
+from wasabiwing.codes import ResultCode
 from wasabiwing.event_stream import EventCutter
 from wasabiwing.event_stream import MOST_EVENT_BYTES
 from wasabiwing.http_client import HttpClient
@@ -74,8 +76,10 @@
 class EndlessServer:
     """Answers each request with bytes until the caller closes."""
 
-    def __init__(self, answer: Answer) -> None:
+    def __init__(self, answer: Answer, pause_s: float = 0.0) -> None:
         self._answer = answer
+        # Time between two blocks, in seconds.
+        self._pause_s = pause_s
         self.requests = 0
         # Connections that the caller has closed, and bytes sent.
         self.closed = 0
@@ -102,7 +106,7 @@
                 while True:
                     await stream.send(block)
                     self.sent_bytes += len(block)
-                    await sleep(0)
+                    await sleep(self._pause_s)
             except (BrokenResourceError, ClosedResourceError):
                 self.closed += 1
 
@@ -187,6 +191,38 @@
         await listener.aclose()
 
 
+class TestTricklingServices:
+    """Store and cloud that send a byte now and then, without end."""
+
+    @pytest.mark.parametrize(
+        "answer",
+        [
+            (success(b"x-long: "), b"x"),
+            (success(b"connection: close\r\n\r\n"), b"x"),
+        ],
+        ids=["head", "body"],
+    )
+    async def test_call_ends_although_each_wait_for_bytes_is_short(
+        self, answer: Answer, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a renewal of a lease that never returns."""
+        monkeypatch.setattr(http_client, "ANSWER_REST_S", 0.5)
+        server = EndlessServer(answer, pause_s=0.05)
+        listener = await create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(SocketAttribute.local_port)
+        client = HttpClient()
+        async with create_task_group() as tasks:
+            tasks.start_soon(listener.serve, server.serve)
+            with fail_after(PATIENCE_S):
+                reply = await client.send(
+                    "GET", f"http://127.0.0.1:{port}/", timeout_s=0.3
+                )
+            assert reply.unwrap_err().code is ResultCode.SERVER_TIMEOUT
+            tasks.cancel_scope.cancel()
+        await client.close()
+        await listener.aclose()
+
+
 class TestMemory:
     """How much a node holds at a time."""
 
--- a/wasabiwing/http_client.py
+++ b/wasabiwing/http_client.py
@@ -11,6 +11,7 @@
 from collections.abc import Mapping
 from contextlib import asynccontextmanager
 
+from anyio import move_on_after
 from httpcore import AsyncConnectionPool
 from httpcore import ConnectError
 from httpcore import ConnectTimeout
@@ -49,6 +50,10 @@
 
 SERVER_ERROR_FROM = 500
 
+# Time for an answer that has begun, in seconds: the largest value of a store
+# crosses a narrow link in it. A peer in trouble may send a byte now and then.
+ANSWER_REST_S = 5.0
+
 # Statuses below 500 that tell of the server and not of the request: request
 # timeout and too many requests.
 OVERLOAD_STATUSES = (408, 429)
@@ -185,7 +190,32 @@
         timeout_s: float = 5.0,
         may_send: Callable[[], bool] | None = None,
     ) -> Result[HttpReply, Failure]:
-        """Sends a request and reads the whole answer."""
+        """Sends a request and reads the whole answer.
+
+        All of it takes ``ANSWER_REST_S`` more than one wait at most.
+        """
+        longest_s = timeout_s + ANSWER_REST_S
+        with move_on_after(longest_s):
+            return await self._send(
+                method, url, headers, body, timeout_s, may_send
+            )
+        return Err(
+            Failure(
+                ResultCode.SERVER_TIMEOUT,
+                f"no whole answer within {longest_s:.1f} s",
+                RunState.MAY_HAVE_RUN,
+            )
+        )
+
+    async def _send(
+        self,
+        method: str,
+        url: str,
+        headers: Mapping[str, str] | None,
+        body: bytes,
+        timeout_s: float,
+        may_send: Callable[[], bool] | None,
+    ) -> Result[HttpReply, Failure]:
         async with self.stream(
             method, url, headers, body, timeout_s, may_send
         ) as opened:
--- a/wasabiwing/server_probe.py
+++ b/wasabiwing/server_probe.py
@@ -19,8 +19,9 @@
 
 LOAD_PATH = "/v1/load"
 
-# Time in which a server has to accept a connection, in seconds.
-ACCEPT_TIMEOUT_S = 0.6
+# Time in which a server has to accept a connection, in seconds; the caller of
+# a request that is not repeated waits for it.
+ACCEPT_TIMEOUT_S = 0.25
 
 # Time in which the kernel of a process that ends closes a connection that it
 # has still accepted, in seconds.
