--- a/tests/test_endless_servers.py
+++ b/tests/test_endless_servers.py
@@ -66,6 +66,14 @@
         b"4000\r\n" + BLOCK + b"\r\n",
     ),
     "chunk size": (success(b"transfer-encoding: chunked\r\n\r\n"), b"0" * 999),
+    "chunk extension": (
+        success(b"transfer-encoding: chunked\r\n\r\n4;x="),
+        BLOCK,
+    ),
+    "trailers": (
+        success(b"transfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"),
+        b"x-more: yes\r\n" * 1000,
+    ),
     "bytes after the answer": (
         success(b"content-length: 2\r\n\r\nok"),
         BLOCK,
