--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -207,7 +207,7 @@
     ) -> None:
         """Guards against a third crash because two requests share two.
 
-        Seen once in 112 runs of ``test_it_crashes_at_most_two_servers``
+        Seen once in 116 runs of ``test_it_crashes_at_most_two_servers``
         beside load; the healthy caller of the two was cut twice.
         """
         async with bench() as on:
