--- a/wasabiwing/events.py
+++ b/wasabiwing/events.py
@@ -67,6 +67,7 @@
     SERVER_WANTS_NOTHING = 508
     SERVER_WANTED_AGAIN = 509
     SERVER_STATEMENT_IGNORED = 510
+    ANSWER_HEADER_UNKNOWN = 511
     # 6xx: claims and jobs.
     CLAIM_GRANTED = 600
     CLAIM_REPEATED = 601
@@ -159,6 +160,9 @@
     Event.SERVER_STATEMENT_IGNORED: (
         "A server's statement in an answer cannot be used."
     ),
+    Event.ANSWER_HEADER_UNKNOWN: (
+        "A server's answer has a header that the program does not read."
+    ),
     Event.CLAIM_GRANTED: "A gateway may send a non-idempotent request.",
     Event.CLAIM_REPEATED: "A known idempotency key was asked for again.",
     Event.PARTITION_LOADED: "A claim partition was read from the store.",
--- a/wasabiwing/metrics.py
+++ b/wasabiwing/metrics.py
@@ -50,6 +50,16 @@
             "Configuration generation in force.",
             registry=self.registry,
         )
+        self.unknown_headers = Counter(
+            "wasabiwing_unknown_answer_headers",
+            "Answers of backend servers with a header that is not read.",
+            ("header",),
+            registry=self.registry,
+        )
+
+    def count_unknown_header(self, name: str) -> None:
+        """Counts an answer with a header that the program does not read."""
+        self.unknown_headers.labels(name).inc()
 
 
 class ControllerMetrics:
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -68,6 +68,7 @@
 from wasabiwing.store_progress import StoreProgress
 from wasabiwing.suspect_isolation import SuspectIsolation
 from wasabiwing.timers import TimerService
+from wasabiwing.unknown_headers import UnknownHeaders
 from wasabiwing.usage_caps import CapTolerance
 from wasabiwing.usage_caps import UsageCaps
 from wasabiwing.usage_reporter import UsageReporter
@@ -253,7 +254,14 @@
                 self._reported_state.windows,
                 metrics.gateway,
                 directory.mark_cold,
-                StatementListener(node_id, directory, self._statements),
+                StatementListener(
+                    node_id,
+                    directory,
+                    self._statements,
+                    UnknownHeaders(
+                        node_id, metrics.gateway.count_unknown_header
+                    ),
+                ),
             ),
             self._loads,
             watch,
--- a/wasabiwing/routed_calls.py
+++ b/wasabiwing/routed_calls.py
@@ -140,6 +140,8 @@
     retry_after_s: float | None = None
     # Number of header values about these two that cannot be parsed.
     unreadable_count: int = 0
+    # Headers that the codec does not read.
+    unknown_headers: RawHeaders = ()
 
 
 class CallCodec(Protocol):
--- a/wasabiwing/statement_listener.py
+++ b/wasabiwing/statement_listener.py
@@ -11,6 +11,7 @@
 from wasabiwing.server_directory import RegisteredServer
 from wasabiwing.server_directory import ServerDirectory
 from wasabiwing.server_statements import ServerStatements
+from wasabiwing.unknown_headers import UnknownHeaders
 
 # HTTP statuses with which a server may ask for a pause.
 PAUSE_STATUSES = (429, 503)
@@ -27,10 +28,12 @@
         node_id: str,
         directory: ServerDirectory,
         statements: ServerStatements,
+        unknown_headers: UnknownHeaders,
     ) -> None:
         self._node_id = node_id
         self._directory = directory
         self._statements = statements
+        self._unknown_headers = unknown_headers
         self._ignored_count = 0
 
     def note_answer(
@@ -41,6 +44,8 @@
         head: AnswerHead,
     ) -> None:
         """Records the statements in an answer's head, before its body."""
+        if head.unknown_headers:
+            self._unknown_headers.note(server.id, head.unknown_headers)
         asks_pause = (
             status in PAUSE_STATUSES and head.retry_after_s is not None
         )
