Keep the limits that servers name, over all nodes together

What was seen: servers that had named a limit of 1.2 and 1.7 requests a second got 22 and 16 requests in 4 s from nodes that they had told; 12 and 15 were allowed. Cause: no node read Server-Limit. Class of fault: a rate that belongs to all nodes together and that each node keeps alone or not at all; reading the header would not have been enough. Change: the adapter reads the header. A limit spreads to all nodes as a fact and belongs to one start of a server. A request to a limited server needs a permit; one node, chosen by rendezvous hashing, issues those of a service from a token bucket per server, more urgent requests first. A node without a permit sends to other servers, waits where a permit comes in time, or refuses at once and says when to return. Unused permits are given back.

--- a/wasabiwing/answer_relay.py
+++ b/wasabiwing/answer_relay.py
@@ -128,7 +128,9 @@
             self._loads.note_statement(server_id, head.load)
         if head.cold_s is not None:
             self._note_cold(server_id, head.cold_s)
-        self._listener.note_answer(call, placed.server, answer.status, head)
+        self._listener.note_answer(
+            call, placed.server, answer.status, head, watched.sent_at
+        )
         read_to_end = False
         try:
             head_failure = _check_head(call, answer.status, head)
--- a/wasabiwing/call_forwarding.py
+++ b/wasabiwing/call_forwarding.py
@@ -188,7 +188,7 @@
             waiting_helps = failure.code is ResultCode.OVERLOADED
             if not waiting_helps or self._timer.now() >= wait_until:
                 return failure
-            await self._timer.sleep(SERVER_POLL_S)
+            await self._placement.wait_for_room(SERVER_POLL_S)
 
     def _may_retry(
         self, call: RoutedCall, progress: CallProgress, failure: Failure
--- a/wasabiwing/events.py
+++ b/wasabiwing/events.py
@@ -68,6 +68,8 @@
     SERVER_WANTED_AGAIN = 509
     SERVER_STATEMENT_IGNORED = 510
     ANSWER_HEADER_UNKNOWN = 511
+    SERVER_LIMIT_CHANGED = 512
+    PERMIT_ISSUER_SILENT = 513
     # 6xx: claims and jobs.
     CLAIM_GRANTED = 600
     CLAIM_REPEATED = 601
@@ -163,6 +165,12 @@
     Event.ANSWER_HEADER_UNKNOWN: (
         "A server's answer has a header that the program does not read."
     ),
+    Event.SERVER_LIMIT_CHANGED: (
+        "A backend server named a limit of requests, or none any more."
+    ),
+    Event.PERMIT_ISSUER_SILENT: (
+        "A process did not answer a request for permits; the next is asked."
+    ),
     Event.CLAIM_GRANTED: "A gateway may send a non-idempotent request.",
     Event.CLAIM_REPEATED: "A known idempotency key was asked for again.",
     Event.PARTITION_LOADED: "A claim partition was read from the store.",
--- a/wasabiwing/messages.py
+++ b/wasabiwing/messages.py
@@ -629,6 +629,37 @@
     keys: tuple[str, ...]
 
 
+class PermitRequest(Struct, frozen=True, array_like=True, tag=110):
+    """Asks for permits to send requests to servers that limit their rate."""
+
+    service: str
+    # Ids of the limited servers, the preferred one first, with their limits
+    # in requests per second.
+    limits: tuple[tuple[str, float], ...]
+    # Number of requests that wait for a permit, the lowest urgency number
+    # among them, and the seconds for which they may wait.
+    waiting: int
+    urgency: int
+    wait_s: float
+    # Number of requests that the sender expects soon.
+    expected: int = 0
+    # Unused permits that the sender gives back, by server id.
+    returned: tuple[tuple[str, int], ...] = ()
+
+
+class PermitGrant(Struct, frozen=True, array_like=True, tag=111):
+    """Answers a request for permits."""
+
+    service: str
+    # Number of granted permits by server id.
+    granted: tuple[tuple[str, int], ...]
+    # Estimated seconds until a permit for the next waiting request, and the
+    # seconds after which a refused caller should return; 0 if none was
+    # missing.
+    wait_s: float = 0.0
+    return_s: float = 0.0
+
+
 Message = (
     Ping
     | Ack
@@ -666,6 +697,8 @@
     | HeadPush
     | FleetRequest
     | FleetContent
+    | PermitRequest
+    | PermitGrant
 )
 
 M = TypeVar("M", bound=Struct)
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -56,9 +56,11 @@
 from wasabiwing.quarantine import CRASHES_TO_QUARANTINE
 from wasabiwing.retry_budgets import ServiceRetryBudgets
 from wasabiwing.routed_calls import CallCodec
+from wasabiwing.send_permits import SendPermits
 from wasabiwing.server_connections import ServerConnections
 from wasabiwing.server_demand import ServerDemand
 from wasabiwing.server_directory import ServerDirectory
+from wasabiwing.server_limits import ServerLimits
 from wasabiwing.server_loads import ServerLoads
 from wasabiwing.server_selection import ServerSelector
 from wasabiwing.server_statements import ServerStatements
@@ -199,6 +201,21 @@
         self._statements = ServerStatements(
             node_id, timer, random, metrics.count_statement
         )
+        self._limits = ServerLimits(
+            node_id,
+            timer,
+            self.facts,
+            directory.started_ms,
+            metrics.count_statement,
+        )
+        self._permits = SendPermits(
+            node_id,
+            timer,
+            transport,
+            self._limits,
+            self._reports.live_inboxes,
+            self._reports.heard_share,
+        )
         quarantine = build_quarantine(
             node_id,
             timer,
@@ -236,6 +253,7 @@
             self._prefill_rates,
             isolation,
             self._statements,
+            self._permits,
         )
         watch = AttemptWatch(timer, self._loads)
         timer.subscribe(WATCH_PERIOD_S, watch.check)
@@ -258,6 +276,7 @@
                     node_id,
                     directory,
                     self._statements,
+                    self._limits,
                     UnknownHeaders(
                         node_id, metrics.gateway.count_unknown_header
                     ),
@@ -337,6 +356,7 @@
         messages.register(FleetRequest, self._fleet_relay.answer_catch_up)
         messages.register(FleetContent, self._fleet_relay.receive_catch_up)
         self.facts.register(messages)
+        self._permits.register(messages)
 
     @property
     def limits(self) -> RequestLimits:
--- a/wasabiwing/node_reports.py
+++ b/wasabiwing/node_reports.py
@@ -143,6 +143,18 @@
         )
         return (heard + 1) / self._nodes.count
 
+    def live_inboxes(self) -> dict[str, str]:
+        """Returns the inboxes of the other nodes that were heard, by id.
+
+        In a fleet that uses zone heads, all registered nodes count as heard.
+        """
+        since = self._timer.now() - REPORT_PERIOD_S * MISSED_REPORTS
+        return {
+            node_id: f"tcp://{inbox}"
+            for node_id, inbox in self._nodes.peers().items()
+            if self._heads.uses_heads or self.heard_since(node_id, since)
+        }
+
     def heard_since(self, node_id: str, moment: float) -> bool:
         """Returns whether a node's report arrived since a monotonic time."""
         return self._heard_at_by_node.get(node_id, 0.0) >= moment
--- a/wasabiwing/routed_calls.py
+++ b/wasabiwing/routed_calls.py
@@ -138,7 +138,12 @@
     # Seconds after which the server accepts requests again; ``None`` if it
     # does not say.
     retry_after_s: float | None = None
-    # Number of header values about these two that cannot be parsed.
+    # Requests per second that the server takes from all nodes together;
+    # ``None`` if it names no limit.
+    limit_per_s: float | None = None
+    # Whether the server named a limit that cannot be parsed.
+    limit_unreadable: bool = False
+    # Number of header values about these three that cannot be parsed.
     unreadable_count: int = 0
     # Headers that the codec does not read.
     unknown_headers: RawHeaders = ()
--- a/wasabiwing/server_directory.py
+++ b/wasabiwing/server_directory.py
@@ -147,6 +147,11 @@
         known = self._current_server(server_id)
         return None if known is None else known.entry
 
+    def started_ms(self, server_id: str) -> int:
+        """Returns the start of a server's process in Unix ms; 0 if unknown."""
+        known = self._server_by_id.get(server_id)
+        return 0 if known is None else known.entry.started_ms
+
     def is_cold(self, server_id: str) -> bool:
         """Whether a server is cold and has to be spared load."""
         known = self._server_by_id.get(server_id)
--- a/wasabiwing/server_selection.py
+++ b/wasabiwing/server_selection.py
@@ -27,6 +27,7 @@
 from wasabiwing.prefill_rates import PrefillRates
 from wasabiwing.prompt_cache import PromptCacheIndex
 from wasabiwing.routed_calls import RoutedCall
+from wasabiwing.send_permits import SendPermits
 from wasabiwing.server_choice import Candidate
 from wasabiwing.server_choice import choose_server
 from wasabiwing.server_choice import has_room
@@ -81,6 +82,7 @@
         rates: PrefillRates,
         isolation: SuspectIsolation,
         statements: ServerStatements,
+        permits: SendPermits,
     ) -> None:
         self._availability_zone = availability_zone
         self._timer = timer
@@ -91,6 +93,7 @@
         self._rates = rates
         self._isolation = isolation
         self._statements = statements
+        self._permits = permits
         self._cold_rate_limiter = ColdRateLimiter(node_id, timer)
 
     def choose_server(
@@ -136,7 +139,10 @@
         allowed_servers = [
             item for item in allowed_servers if item.id in allowed_ids
         ]
-        evaluation = self._choose_from_sets(call, allowed_servers)
+        evaluated = self._choose_within_limits(call, allowed_servers)
+        if isinstance(evaluated, Err):
+            return evaluated
+        evaluation = evaluated.ok_value
         if evaluation.failure is not None:
             return Err(evaluation.failure)
         choice, chosen = evaluation.choice, evaluation.candidate
@@ -146,6 +152,7 @@
         configuration = self._view.configuration
         if self._view.directory.is_cold(server.id):
             self._cold_rate_limiter.take_token(server.id)
+        self._permits.note_sent(call.service, server.id, call.request_id)
         return Ok(
             SelectedServer(
                 server,
@@ -202,6 +209,73 @@
             )
         )
 
+    def _choose_within_limits(
+        self, call: RoutedCall, allowed_servers: list[RegisteredServer]
+    ) -> Result[_Evaluation, Failure]:
+        """Returns the best server to which a request may be sent now.
+
+        A permit is asked for where a better server lacks one. The error is
+        ``OVERLOADED`` if all lack one and a permit may come in time, and
+        otherwise ``NO_BACKEND_SERVER``.
+        """
+        permitted = self._permitted_servers(call, allowed_servers)
+        evaluation = self._choose_from_sets(call, allowed_servers)
+        permitted_ids = {server.id for server in permitted}
+        if evaluation.candidate.id in permitted_ids:
+            return Ok(evaluation)
+        if permitted and self._permits.are_all_limited(permitted_ids):
+            # Permits for further servers are fetched as these are used.
+            return Ok(self._choose_from_sets(call, permitted))
+        wait_s = max_wait_for_server_s(call.route.latency_target_s)
+        scored_ids = [
+            server_id for server_id, _ in evaluation.choice.score_by_server
+        ]
+        other_ids = [
+            server.id
+            for server in allowed_servers
+            if server.id not in scored_ids
+        ]
+        outlook = self._permits.want(
+            call.service,
+            [
+                server_id
+                for server_id in (*scored_ids, *other_ids)
+                if server_id not in permitted_ids
+            ],
+            call.request_id,
+            call.urgency_class,
+            None if permitted else wait_s,
+        )
+        permitted = self._permitted_servers(call, allowed_servers)
+        if permitted and not (outlook.answer_awaited and wait_s > 0.0):
+            return Ok(self._choose_from_sets(call, permitted))
+        may_wait = outlook.wait_s <= wait_s
+        return Err(
+            Failure(
+                ResultCode.OVERLOADED
+                if may_wait
+                else ResultCode.NO_BACKEND_SERVER,
+                f"limits used up for {outlook.wait_s:.2f} s",
+                retry_after_s=outlook.return_s,
+            )
+        )
+
+    async def wait_for_room(self, seconds: float) -> None:
+        """Waits until a server may have room, for ``seconds`` at most."""
+        await self._permits.wait(seconds)
+
+    def _permitted_servers(
+        self, call: RoutedCall, servers: list[RegisteredServer]
+    ) -> list[RegisteredServer]:
+        """Returns the servers whose named limits have room for a request."""
+        return [
+            server
+            for server in servers
+            if self._permits.may_send(
+                call.service, server.id, call.request_id, call.urgency_class
+            )
+        ]
+
     def _choose_from_sets(
         self, call: RoutedCall, allowed_servers: list[RegisteredServer]
     ) -> _Evaluation:
--- a/wasabiwing/statement_listener.py
+++ b/wasabiwing/statement_listener.py
@@ -10,6 +10,7 @@
 from wasabiwing.routed_calls import RoutedCall
 from wasabiwing.server_directory import RegisteredServer
 from wasabiwing.server_directory import ServerDirectory
+from wasabiwing.server_limits import ServerLimits
 from wasabiwing.server_statements import ServerStatements
 from wasabiwing.unknown_headers import UnknownHeaders
 
@@ -28,11 +29,13 @@
         node_id: str,
         directory: ServerDirectory,
         statements: ServerStatements,
+        limits: ServerLimits,
         unknown_headers: UnknownHeaders,
     ) -> None:
         self._node_id = node_id
         self._directory = directory
         self._statements = statements
+        self._limits = limits
         self._unknown_headers = unknown_headers
         self._ignored_count = 0
 
@@ -42,8 +45,12 @@
         server: RegisteredServer,
         status: int,
         head: AnswerHead,
+        sent_at: float,
     ) -> None:
-        """Records the statements in an answer's head, before its body."""
+        """Records the statements in an answer's head, before its body.
+
+        ``sent_at`` is the monotonic time at which the request was sent.
+        """
         if head.unknown_headers:
             self._unknown_headers.note(server.id, head.unknown_headers)
         asks_pause = (
@@ -51,12 +58,15 @@
         )
         if head.unreadable_count:
             self._ignore(call, server, "unreadable value")
-        if not head.leaving and not asks_pause:
-            return
         reason = self._reason_to_ignore(call, server, status, head)
         if reason:
-            self._ignore(call, server, reason)
+            if head.leaving or asks_pause or head.limit_per_s is not None:
+                self._ignore(call, server, reason)
             return
+        if head.attempt_id and not head.limit_unreadable:
+            self._limits.note_answer(
+                server.id, server.started_ms, head.limit_per_s, sent_at
+            )
         if head.leaving:
             self._statements.note_leaving(server.id, server.started_ms)
         if asks_pause and head.retry_after_s is not None:
