Keep the limits that servers name at the gateways too

Change: gateways read the header in answers to requests, spread limits as facts and ask one live gateway of the deployment for permits, by the same modules as the nodes. Answers of control calls do not end a limit. Headers that no gateway reads are counted as on nodes.

--- a/wasabiwing/gateway.py
+++ b/wasabiwing/gateway.py
@@ -29,6 +29,9 @@
 from wasabiwing.gateway_credits import RENEWALS_PER_LIFETIME
 from wasabiwing.gateway_directory import GatewayDirectory
 from wasabiwing.gateway_http import GatewayHttp
+from wasabiwing.gateway_limits import AnswerHeads
+from wasabiwing.gateway_limits import live_inboxes
+from wasabiwing.gateway_limits import live_share
 from wasabiwing.handover import Handover
 from wasabiwing.http_client import HttpClient
 from wasabiwing.job_client import JobClient
@@ -59,6 +62,8 @@
 from wasabiwing.retry_policy import RetryPolicy
 from wasabiwing.routing import Router
 from wasabiwing.running_request import Interrupt
+from wasabiwing.send_permits import SendPermits
+from wasabiwing.server_limits import ServerLimits
 from wasabiwing.server_probe import server_answers
 from wasabiwing.server_records import LoadReport
 from wasabiwing.settings import GatewaySettings
@@ -144,6 +149,23 @@
             STARTUP_HOLD_S,
         )
         self.versions.start()
+        self.limits = ServerLimits(node_id, timer, self.facts)
+        self.permits = SendPermits(
+            node_id,
+            timer,
+            transport,
+            self.limits,
+            partial(live_inboxes, self.directory),
+            partial(live_share, self.directory),
+            self._assign_permits,
+        )
+        self.answer_heads = AnswerHeads(
+            node_id,
+            timer,
+            self.view,
+            self.limits,
+            self.metrics.count_unknown_header,
+        )
         self.routing = Router(
             node_id,
             settings.availability_zone,
@@ -155,6 +177,7 @@
             settings.routing_policy,
             self.versions,
             SuspectIsolation(self.quarantine),
+            self.permits,
         )
         self.admission = Admission(
             timer, self.routing, self.credits, self.decisions
@@ -251,6 +274,7 @@
         )
         self.configuration.register(self.messages)
         self.facts.register(self.messages)
+        self.permits.register(self.messages)
         self.messages.register(ControllerState, self._on_controller_state)
         self.messages.register(CreditGrant, self._on_grant)
         self.messages.register(ServerReport, self._on_server_report)
@@ -279,6 +303,10 @@
             ),
         )
 
+    async def _assign_permits(self) -> None:
+        """Gives new permits to waiting requests."""
+        await self.admission.check_capacity()
+
     async def renew_credits(self) -> None:
         """Reports slot use to the home controllers and requests credits.
 
@@ -430,6 +458,8 @@
             client,
             listener_address(listener),
         )
+        engine.observe_answers(gateway.answer_heads.observe)
+        service.observe_answers(gateway.answer_heads.observe)
         tasks.start_soon(timer.run)
         tasks.start_soon(gateway.messages.run)
         drained = Event()
--- a/wasabiwing/http_client.py
+++ b/wasabiwing/http_client.py
@@ -67,6 +67,10 @@
 REQUEST_STARTED_HEADER = b"x-request-started"
 
 
+# Reads the headers of the answer to one request.
+AnswerObserver = Callable[[tuple[tuple[bytes, bytes], ...]], None]
+
+
 class SendWithheld(Exception):
     """Raised to stop a request that ``may_send`` forbids."""
 
@@ -153,11 +157,12 @@
         body: bytes = b"",
         timeout_s: float = 5.0,
         may_send: Callable[[], bool] | None = None,
+        observer: AnswerObserver | None = None,
     ) -> AsyncIterator[Result[HttpStream, Failure]]:
         """Sends a request; ``timeout_s`` bounds each wait for bytes.
 
         The request is not sent if ``may_send`` returns ``False`` right
-        before its first byte.
+        before its first byte. ``observer`` gets the headers of the answer.
         """
         trace = _SendTrace(may_send)
         opened = False
@@ -173,7 +178,10 @@
                 },
             ) as response:
                 opened = True
-                yield Ok(HttpStream(response))
+                stream = HttpStream(response)
+                if observer is not None:
+                    observer(stream.headers)
+                yield Ok(stream)
         except SendWithheld:
             yield Err(Failure(ResultCode.DISPATCH_WINDOW_MISSED))
         except HTTP_ERRORS as error:
@@ -190,6 +198,7 @@
         body: bytes = b"",
         timeout_s: float = 5.0,
         may_send: Callable[[], bool] | None = None,
+        observer: AnswerObserver | None = None,
     ) -> Result[HttpReply, Failure]:
         """Sends a request and reads the whole answer.
 
@@ -198,7 +207,7 @@
         total_timeout_s = timeout_s + BODY_TIMEOUT_S
         with move_on_after(total_timeout_s):
             return await self._send(
-                method, url, headers, body, timeout_s, may_send
+                method, url, headers, body, timeout_s, may_send, observer
             )
         return Err(
             Failure(
@@ -216,9 +225,10 @@
         body: bytes,
         timeout_s: float,
         may_send: Callable[[], bool] | None,
+        observer: AnswerObserver | None,
     ) -> Result[HttpReply, Failure]:
         async with self.stream(
-            method, url, headers, body, timeout_s, may_send
+            method, url, headers, body, timeout_s, may_send, observer
         ) as opened:
             if isinstance(opened, Err):
                 return opened
--- a/wasabiwing/openai_engine.py
+++ b/wasabiwing/openai_engine.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from contextlib import asynccontextmanager
 from typing import Any
 from typing import TypeVar
@@ -22,6 +23,7 @@
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
+from wasabiwing.http_client import AnswerObserver
 from wasabiwing.http_client import HttpClient
 from wasabiwing.http_client import HttpStream
 from wasabiwing.http_client import status_failure
@@ -67,12 +69,20 @@
         silence_s: float = STREAM_SILENCE_S,
     ) -> None:
         self._client = HttpClient(max_connections)
+        # Called with the address of each request that a server may run.
+        self._observe: Callable[[str], AnswerObserver] | None = None
         self._silence_s = silence_s
 
     async def close(self) -> None:
         """Closes all connections."""
         await self._client.close()
 
+    def observe_answers(
+        self, observe: Callable[[str], AnswerObserver]
+    ) -> None:
+        """Sets the function that returns an observer for each request."""
+        self._observe = observe
+
     @asynccontextmanager
     async def open_stream(
         self, address: str, request: EngineRequest
@@ -83,6 +93,7 @@
             _request_headers(request),
             request.body,
             min(self._silence_s, max(request.deadline_ms / 1000, 0.001)),
+            observer=self._observe(address) if self._observe else None,
         ) as opened:
             yield await _check_stream(opened)
 
@@ -107,6 +118,7 @@
             _request_headers(request),
             request.body,
             request.deadline_ms / 1000,
+            observer=self._observe(address) if self._observe else None,
         )
         return _check_status(reply)
 
--- a/wasabiwing/permit_issuer.py
+++ b/wasabiwing/permit_issuer.py
@@ -28,6 +28,10 @@
 # estimated; behind more, a request does not wait.
 MAX_COUNTED_AHEAD = 20
 
+# Longest time for which a process keeps its place without asking again, in
+# seconds.
+MAX_REMEMBERED_S = 0.5
+
 # Longest time after which a refused caller is asked to return, in seconds.
 MAX_RETURN_S = 1.5
 
@@ -116,7 +120,10 @@
             wait_s = _time_until_token_s(buckets, ahead + 1, share)
         if wait_s <= request.wait_s:
             waiters[asker] = _Waiter(
-                request.urgency, since, missing, now + request.wait_s
+                request.urgency,
+                since,
+                missing,
+                now + min(request.wait_s, MAX_REMEMBERED_S),
             )
         return_s = wait_s
         if wait_s > request.wait_s > 0.0:
--- a/wasabiwing/plain_service.py
+++ b/wasabiwing/plain_service.py
@@ -7,6 +7,7 @@
 from result import Result
 
 from wasabiwing.codes import Failure
+from wasabiwing.http_client import AnswerObserver
 from wasabiwing.http_client import find_header
 from wasabiwing.http_client import HttpClient
 from wasabiwing.http_client import REQUEST_STARTED_HEADER
@@ -23,11 +24,19 @@
 
     def __init__(self, max_connections: int = 1024) -> None:
         self._client = HttpClient(max_connections)
+        # Called with the address of each request that a server may run.
+        self._observe: Callable[[str], AnswerObserver] | None = None
 
     async def close(self) -> None:
         """Closes all connections to plain services."""
         await self._client.close()
 
+    def observe_answers(
+        self, observe: Callable[[str], AnswerObserver]
+    ) -> None:
+        """Sets the function that returns an observer for each request."""
+        self._observe = observe
+
     async def call(
         self,
         address: str,
@@ -45,6 +54,7 @@
             body,
             timeout_s,
             may_send,
+            self._observe(address) if self._observe else None,
         )
         if isinstance(reply, Err):
             return reply
--- a/wasabiwing/routing.py
+++ b/wasabiwing/routing.py
@@ -31,6 +31,8 @@
 from wasabiwing.routing_scores import RoutingPolicy
 from wasabiwing.routing_scores import SCORE_BY_POLICY
 from wasabiwing.routing_scores import ScoreInputs
+from wasabiwing.send_permits import PermitOutlook
+from wasabiwing.send_permits import SendPermits
 from wasabiwing.server_records import ServerRecords
 from wasabiwing.server_statements import ServerStatements
 from wasabiwing.server_statements import WithholdReason
@@ -66,6 +68,10 @@
 )
 
 
+# Reason for filtering a server whose named limit leaves no room.
+LIMIT_USED_UP = "limit used up"
+
+
 @dataclass(slots=True)
 class _Survey:
     """Candidates and filtered servers of one decision."""
@@ -94,6 +100,7 @@
         policy: RoutingPolicy = RoutingPolicy.EXPECTED_TIME,
         gate: VersionGate | None = None,
         isolation: SuspectIsolation | None = None,
+        permits: SendPermits | None = None,
     ) -> None:
         self._timer = timer
         self._view = view
@@ -104,6 +111,8 @@
         self.gate = gate
         self._index: ConfigurationIndex | None = None
         self.isolation = isolation or SuspectIsolation()
+        # ``None`` in programs without other gateways, such as benchmarks.
+        self._permits = permits
         self.statements = ServerStatements(node_id, timer, random)
         self.records = ServerRecords(timer)
         self.prefixes = PrefixIndex(timer)
@@ -127,18 +136,15 @@
             return Err(refusal)
         self._update_index()
         survey = self._survey(call, excluded)
-        score_by_server = {
-            server.id: self._score(call, server)
-            for server in survey.candidates
-        }
-        chosen = min(
-            survey.candidates,
-            key=lambda server: (score_by_server[server.id], server.id),
-            default=None,
-        )
+        chosen, score_by_server = self._best(call, survey)
+        outlook = self._want_permits(call, chosen, score_by_server, survey)
+        if chosen is None and outlook is not None:
+            # A permit that this gateway issues itself is there at once.
+            survey = self._survey(call, excluded)
+            chosen, score_by_server = self._best(call, survey)
         self._write(call, attempt, chosen, score_by_server, survey)
         if chosen is None:
-            return Err(self._failure_without_candidate(call, survey))
+            return Err(self._failure_without_candidate(call, survey, outlook))
         return Ok(self.assign(call, chosen, attempt))
 
     def assign(
@@ -149,6 +155,8 @@
         self._credits.take_slot(server.id)
         self.isolation.note_started(server.id, assignment.suspect_digest)
         self.statements.note_sent(server.id)
+        if self._permits is not None:
+            self._permits.note_sent(call.pool.id, server.id, call.request_id)
         self.records.note_sent(assignment)
         if self.gate is not None:
             self.gate.note_sent(call, assignment)
@@ -323,6 +331,13 @@
         withhold_reason = self.statements.withhold_reason(server.id)
         if withhold_reason is not None:
             return withhold_reason.value
+        if self._permits is not None and not self._permits.may_send(
+            call.pool.id,
+            server.id,
+            call.request_id,
+            call.route.priority_class,
+        ):
+            return LIMIT_USED_UP
         if self.gate and self.gate.is_withheld(call, server, bool(excluded)):
             return "version withheld"
         if server.role is ServerRole.DECODE:
@@ -338,8 +353,64 @@
             return "suspect running"
         return ""
 
-    def _failure_without_candidate(
+    def _best(
         self, call: Call, survey: _Survey
+    ) -> tuple[BackendServer | None, dict[str, float]]:
+        """Returns the best candidate, and the scores of all by server id."""
+        score_by_server = {
+            server.id: self._score(call, server)
+            for server in survey.candidates
+        }
+        chosen = min(
+            survey.candidates,
+            key=lambda server: (score_by_server[server.id], server.id),
+            default=None,
+        )
+        return chosen, score_by_server
+
+    def _want_permits(
+        self,
+        call: Call,
+        chosen: BackendServer | None,
+        score_by_server: dict[str, float],
+        survey: _Survey,
+    ) -> PermitOutlook | None:
+        """Asks for a permit where a better server needs one.
+
+        Returns what a call without a chosen server may expect.
+        """
+        index = self._index
+        if self._permits is None or index is None:
+            return None
+        score_by_limited = {
+            server_id: self._score(call, index.server_by_id[server_id])
+            for server_id, reason in survey.reason_by_server.items()
+            if reason == LIMIT_USED_UP and server_id in index.server_by_id
+        }
+        wanted_ids = sorted(
+            score_by_limited, key=lambda item: (score_by_limited[item], item)
+        )
+        wait_s = None
+        if chosen is None:
+            wait_s = max(call.deadline - self._timer.now(), 0.0)
+        else:
+            wanted_ids = [
+                server_id
+                for server_id in wanted_ids
+                if score_by_limited[server_id] < score_by_server[chosen.id]
+            ]
+        if not wanted_ids:
+            return None
+        return self._permits.want(
+            call.pool.id,
+            wanted_ids,
+            call.request_id,
+            call.route.priority_class,
+            wait_s,
+        )
+
+    def _failure_without_candidate(
+        self, call: Call, survey: _Survey, outlook: PermitOutlook | None
     ) -> Failure:
         """Returns the failure of a decision without a candidate.
 
@@ -349,6 +420,15 @@
         reasons = survey.reason_by_server
         if BUSY_REASONS.intersection(reasons.values()):
             return Failure(ResultCode.OVERLOADED)
+        if outlook is not None:
+            waits = outlook.wait_s < call.deadline - self._timer.now()
+            return Failure(
+                ResultCode.OVERLOADED
+                if waits
+                else ResultCode.NO_BACKEND_SERVER,
+                f"limits used up for {outlook.wait_s:.1f} s",
+                retry_after_s=outlook.return_s,
+            )
         paused_ids = [
             server_id
             for server_id, reason in reasons.items()
--- a/wasabiwing/send_permits.py
+++ b/wasabiwing/send_permits.py
@@ -9,6 +9,7 @@
 """
 
 from collections import deque
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -170,7 +171,7 @@
         limits: ServerLimits,
         members: Callable[[], Mapping[str, str]],
         heard_share: Callable[[], float] = lambda: 1.0,
-        on_granted: Callable[[], None] = lambda: None,
+        on_granted: Callable[[], Awaitable[None]] | None = None,
     ) -> None:
         self._node_id = node_id
         self._timer = timer
@@ -374,7 +375,8 @@
         self._apply(grant)
         self._granted.set()
         self._granted = AnyioEvent()
-        self._on_granted()
+        if self._on_granted is not None:
+            await self._on_granted()
 
     def _apply(self, grant: PermitGrant) -> None:
         now = self._timer.now()
--- a/wasabiwing_standins/desk.py
+++ b/wasabiwing_standins/desk.py
@@ -46,6 +46,9 @@
     delay_s: float = 0.0
     # Answers with status 500 after the run.
     fail_after_run: bool = False
+    # Requests per second that the server names as its limit in answers;
+    # ``None`` if it names none.
+    limit_per_s: float | None = None
 
 
 class DeskStandIn:
@@ -123,6 +126,9 @@
                 "key": key,
                 "run": self.ledger.runs_by_key.total(),
             },
+            {}
+            if self.faults.limit_per_s is None
+            else {"Server-Limit": f"{self.faults.limit_per_s:g}"},
         )
 
     async def _load(self, request: HttpRequest, responder: Responder) -> None:
