Order servers for the capacity that limits take away

Cause: the autoscaler counts a server that names a limit as a whole one, so a pool in need is full on paper. Change: the part of a server's time that its limit leaves unused, at the mean computing time of recent requests, counts as lost capacity. Before: 10 servers that all name 0.01 a second stay as they are. After: as many again are ordered; none where the limit is beyond what a server can do (tests/test_autoscaler.py).

--- a/tests/test_autoscaler.py
+++ b/tests/test_autoscaler.py
@@ -5,16 +5,19 @@
 import pytest
 
 from tests.platform_fakes import CloudFake
+from tests.policy_examples import SilentTransport
 from wasabiwing.autoscaler import Autoscaler
 from wasabiwing.autoscaler import NEED_WINDOW_S
 from wasabiwing.capacity_plan import MIN_SERVERS
 from wasabiwing.capacity_plan import presumed_busy_server_count
 from wasabiwing.duty_port import DutyStamp
+from wasabiwing.facts import Facts
 from wasabiwing.fleet_changes import ConfigurationChange
 from wasabiwing.fleet_follower import FleetView
 from wasabiwing.server_demand import ServerDemand
 from wasabiwing.server_directory import RegisteredServer
 from wasabiwing.server_directory import ServerDirectory
+from wasabiwing.server_limits import ServerLimits
 from wasabiwing.server_statements import ServerStatements
 from wasabiwing.service_configuration import RequestLimits
 from wasabiwing.service_configuration import ScaleLimits
@@ -41,6 +44,8 @@
         self.view = FleetView("node", directory)
         self.demand = ServerDemand(self.timer)
         self.statements = ServerStatements("node", self.timer, Random(1))
+        facts = Facts(self.timer, SilentTransport(), Random(1), tuple)
+        self.limits = ServerLimits("node", self.timer, facts)
         self.orders = Autoscaler(
             "node",
             self.timer,
@@ -49,6 +54,7 @@
             self.demand,
             ZONES,
             self.statements,
+            self.limits,
         )
         profile = ServiceProfile("models", 100, 0.0, None, LIMITS)
         self.view.apply(
@@ -140,6 +146,7 @@
             pool.demand,
             ZONES,
             pool.statements,
+            pool.limits,
         )
         registered = dict(pool.count_by_kind)
         pool.count_by_kind = dict.fromkeys(registered, 0)
@@ -188,3 +195,32 @@
 
     def test_a_small_pool_is_presumed_no_busier_than_before(self) -> None:
         assert presumed_busy_server_count(5) <= MIN_SERVERS
+
+
+@pytest.mark.anyio
+class TestLimitedServers:
+    """Servers that take less than their capacity."""
+
+    async def test_limited_servers_are_not_counted_as_whole_ones(
+        self,
+    ) -> None:
+        """Guards against a pool that is full on paper and serves little."""
+        pool = Pool(10)
+        await pool.run(20.0, 2.0)
+        before = pool.total
+        for server in pool.view.directory.servers_of_service("models"):
+            pool.limits.note_answer(server.id, 0, 0.01, pool.timer.now())
+        limited = pool.total
+        await pool.run(20.0, 2.0)
+        assert pool.total >= before + limited - 1
+
+    async def test_a_limit_beyond_what_a_server_can_do_orders_none(
+        self,
+    ) -> None:
+        pool = Pool(10)
+        await pool.run(20.0, 2.0)
+        before = pool.total
+        for server in pool.view.directory.servers_of_service("models"):
+            pool.limits.note_answer(server.id, 0, 1000.0, pool.timer.now())
+        await pool.run(20.0, 2.0)
+        assert pool.total == before
--- a/wasabiwing/autoscaler.py
+++ b/wasabiwing/autoscaler.py
@@ -13,6 +13,7 @@
 from result import Result
 
 from wasabiwing.capacity_plan import busy_server_count
+from wasabiwing.capacity_plan import lost_server_count
 from wasabiwing.capacity_plan import plan_servers
 from wasabiwing.capacity_plan import presumed_busy_server_count
 from wasabiwing.capacity_plan import ServerCount
@@ -25,6 +26,7 @@
 from wasabiwing.events import log_event
 from wasabiwing.fleet_follower import FleetView
 from wasabiwing.server_demand import ServerDemand
+from wasabiwing.server_limits import ServerLimits
 from wasabiwing.server_statements import ServerStatements
 from wasabiwing.service_configuration import ScaleLimits
 from wasabiwing.timers import TimerService
@@ -70,6 +72,7 @@
         demand: ServerDemand,
         zones: tuple[str, ...],
         statements: ServerStatements,
+        limits: ServerLimits,
     ) -> None:
         self._node_id = node_id
         self._timer = timer
@@ -78,6 +81,7 @@
         self._demand = demand
         self._zones = zones
         self._statements = statements
+        self._limits = limits
         self._sent_by_key: dict[OrderKey, _SentOrder] = {}
         self._exhausted_until_by_zone: dict[tuple[str, str], float] = {}
         # Last time at which more servers were ordered.
@@ -163,11 +167,22 @@
     def _busy_servers(self, service: str, demand: float) -> int:
         """Returns the number of busy servers, presumed before any demand."""
         if demand > 0:
-            return busy_server_count(demand)
+            return busy_server_count(demand) + self._lost_servers(service)
         return presumed_busy_server_count(
             self._initial_count_by_service.get(service, 0)
         )
 
+    def _lost_servers(self, service: str) -> int:
+        """Returns how many servers' capacity is lost to named limits."""
+        limits_per_s = [
+            limit
+            for server in self._view.directory.servers_of_service(service)
+            if (limit := self._limits.limit_per_s(server.id)) is not None
+        ]
+        return lost_server_count(
+            limits_per_s, self._demand.mean_work_s(service)
+        )
+
     def _highest_recent_need(self, service: str, needed: int) -> int:
         """Returns the highest number needed in the last ``NEED_WINDOW_S``."""
         now = self._timer.now()
--- a/wasabiwing/capacity_plan.py
+++ b/wasabiwing/capacity_plan.py
@@ -10,6 +10,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Sequence
 from dataclasses import dataclass
 from math import ceil
@@ -120,6 +121,17 @@
     return ceil(demand / TARGET_UTILISATION)
 
 
+def lost_server_count(limits_per_s: Iterable[float], work_s: float) -> int:
+    """Returns how many servers' capacity is lost to limits that servers name.
+
+    ``work_s`` is the mean computing time of a request in seconds.
+    """
+    used_shares = [
+        min(limit * work_s / TARGET_UTILISATION, 1.0) for limit in limits_per_s
+    ]
+    return int(len(used_shares) - sum(used_shares)) if work_s else 0
+
+
 def presumed_busy_server_count(present: int) -> int:
     """Returns how many busy servers a deployment is presumed to have.
 
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -422,6 +422,7 @@
                 self._reported_state.demand,
                 settings.availability_zones,
                 self._statements,
+                self._limits,
             )
         lease_holder = LeaseHolder(
             node_id, self._timer, platform.store, settings.bounds.lease_s
--- a/wasabiwing/server_demand.py
+++ b/wasabiwing/server_demand.py
@@ -25,12 +25,18 @@
         # Decayed sum of computing seconds, and the time of its last decay, by
         # service.
         self._work_by_service: dict[str, tuple[float, float]] = {}
+        # Decayed number of these requests, in the same way.
+        self._requests_by_service: dict[str, tuple[float, float]] = {}
         self._demand_by_peer: dict[str, tuple[float, Mapping[str, float]]] = {}
 
     def note_work(self, service: str, computing_s: float) -> None:
         """Adds the computing time of one request to its service's demand."""
+        now = self._timer.now()
         work = self._decayed_work_s(service) + computing_s
-        self._work_by_service[service] = (work, self._timer.now())
+        self._work_by_service[service] = (work, now)
+        count, noted_at = self._requests_by_service.get(service, (0.0, now))
+        count *= exp((noted_at - now) / AVERAGE_TIME_CONSTANT_S)
+        self._requests_by_service[service] = (count + 1.0, now)
 
     def own_by_service(self) -> dict[str, float]:
         """Returns this node's demand in servers, by service."""
@@ -41,6 +47,15 @@
             for service in self._work_by_service
         }
 
+    def mean_work_s(self, service: str) -> float:
+        """Returns the mean computing time of this node's recent requests.
+
+        The result is 0 without recent requests.
+        """
+        work, _ = self._work_by_service.get(service, (0.0, 0.0))
+        count, _ = self._requests_by_service.get(service, (0.0, 0.0))
+        return work / count if count else 0.0
+
     def note_peer_demand(
         self, peer_id: str, demand: Mapping[str, float]
     ) -> None:
