Show limits in refusals and explanations; drop those of servers gone

The detail of a refusal for limits names the servers and their limits; wasabictl explain-log shows limits that changed and issuers that did not answer. Limits and buckets of servers that are gone are dropped.

--- a/wasabiwing/explain_log.py
+++ b/wasabiwing/explain_log.py
@@ -29,6 +29,8 @@
         Event.SERVER_ENTRY_UNUSABLE,
         Event.SERVER_WANTS_NOTHING,
         Event.SERVER_WANTED_AGAIN,
+        Event.SERVER_LIMIT_CHANGED,
+        Event.PERMIT_ISSUER_SILENT,
         Event.DEPENDENCY_LOST,
         Event.DEPENDENCY_REGAINED,
         Event.PROCESS_SUSPENDED,
--- a/wasabiwing/permit_issuer.py
+++ b/wasabiwing/permit_issuer.py
@@ -32,6 +32,9 @@
 # seconds.
 MAX_REMEMBERED_S = 0.5
 
+# Time after its last use for which a bucket is kept, in seconds.
+BUCKET_LIFETIME_S = 60.0
+
 # Longest time after which a refused caller is asked to return, in seconds.
 MAX_RETURN_S = 1.5
 
@@ -158,6 +161,14 @@
         self._waiter_by_service[service] = waiters
         return waiters
 
+    def _drop_unused(self) -> None:
+        oldest = self._timer.now() - BUCKET_LIFETIME_S
+        self._bucket_by_server = {
+            server_id: bucket
+            for server_id, bucket in self._bucket_by_server.items()
+            if bucket.refilled_at >= oldest
+        }
+
     def _refilled_bucket(
         self, server_id: str, asked_per_s: float, share: float
     ) -> _Bucket:
@@ -169,6 +180,7 @@
         per_s = max(named, TRIAL_PER_S)
         bucket = self._bucket_by_server.get(server_id)
         if bucket is None:
+            self._drop_unused()
             bucket = _Bucket(per_s, 0.0, now)
             if named >= TRIAL_PER_S:
                 bucket.tokens = bucket.capacity * share
--- a/wasabiwing/send_permits.py
+++ b/wasabiwing/send_permits.py
@@ -61,6 +61,9 @@
 # Period of the check for permits that were not used, in seconds.
 CHECK_PERIOD_S = 0.25
 
+# Largest number of limits in a log line.
+MAX_DESCRIBED = 8
+
 # Share of the limits that a process issues which is not the first choice; each
 # further choice issues this share of the one before.
 NEXT_ISSUER_SHARE = 0.3
@@ -223,6 +226,15 @@
             for server_id in server_ids
         )
 
+    def describe_limits(self, server_ids: Iterable[str]) -> str:
+        """Returns the limits of some servers for a log line."""
+        described = [
+            f"{server_id} {limit:g}/s"
+            for server_id in server_ids
+            if (limit := self._limits.limit_per_s(server_id)) is not None
+        ]
+        return ",".join(described[:MAX_DESCRIBED])
+
     def note_sent(self, service: str, server_id: str, request_id: str) -> None:
         """Uses up the permit for a request that is sent to a server."""
         state = self._state_by_service.get(service)
--- a/wasabiwing/server_limits.py
+++ b/wasabiwing/server_limits.py
@@ -109,6 +109,11 @@
             return None
         return limit
 
+    def _drop_old(self) -> None:
+        """Drops the limits of servers that are gone or have started anew."""
+        for server_id in list(self._limit_by_server):
+            self._current(server_id)
+
     def _publish(
         self, server_id: str, started_ms: int, per_s: float | None
     ) -> None:
@@ -142,6 +147,7 @@
             )
             if previous is None:
                 self._count("LIMITED")
+                self._drop_old()
         log_event(
             Event.SERVER_LIMIT_CHANGED,
             self._node_id,
--- a/wasabiwing/server_selection.py
+++ b/wasabiwing/server_selection.py
@@ -255,7 +255,8 @@
                 ResultCode.OVERLOADED
                 if may_wait
                 else ResultCode.NO_BACKEND_SERVER,
-                f"limits used up for {outlook.wait_s:.2f} s",
+                f"limits used up for {outlook.wait_s:.2f} s: "
+                + self._permits.describe_limits(scored_ids),
                 retry_after_s=outlook.return_s,
             )
         )
