Play servers that name limits in the soak, and check the promise

A server names 0, 0.3, 1.1, 4 or 20 requests a second for up to 15 s, also changing while another limit is named; from 3 s after its first answer no window of 4 s may have more than one and a half times that and 5 requests, from all nodes that were not disturbed. The report shows the used share.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -51,6 +51,9 @@
 from wasabiwing_soak.promises import Violation
 from wasabiwing_soak.report import report_lines
 from wasabiwing_soak.report import write_report
+from wasabiwing_soak.server_limits import check_limits
+from wasabiwing_soak.server_limits import limit_uses
+from wasabiwing_soak.server_limits import NamedLimit
 from wasabiwing_soak.soak import run_soak
 from wasabiwing_soak.soak import SoakOptions
 
@@ -118,6 +121,39 @@
         assert not check_pauses(calls, [REFUSES], late, [pause], [])
 
 
+class TestLimits:
+    """Checks of servers that name a limit."""
+
+    LIMIT = NamedLimit("server-0", 1.0, 10.0, 20.0)
+
+    def test_requests_of_all_nodes_are_counted_together(self) -> None:
+        node_by_body = {f"read {n}": f"node-{n % 3}" for n in range(12)}
+        arrivals = [RequestArrival("server-0", 0, "read 0", 10.0)]
+        arrivals += [
+            RequestArrival("server-0", 0, f"read {n}", 13.0 + n / 10)
+            for n in range(12)
+        ]
+        [use] = limit_uses([self.LIMIT], arrivals, node_by_body, [])
+        assert (use.worst, use.allowed) == (12, 11)
+        assert use.used_share == pytest.approx(12 / 7)
+        [found] = check_limits([use])
+        assert found.promise is Promise.LIMIT
+        # The time before the limit binds, another server, a restart of a
+        # node, and a new start of the server.
+        early = [replace(item, at_s=item.at_s - 2.0) for item in arrivals[1:]]
+        [use] = limit_uses(
+            [self.LIMIT], arrivals[:1] + early, node_by_body, []
+        )
+        assert use.worst < 11
+        other = [replace(item, server="server-1") for item in arrivals]
+        assert not limit_uses([self.LIMIT], other, node_by_body, [])
+        restart = NodeDisturbance("node-1", False, 12.0, 12.5)
+        [use] = limit_uses([self.LIMIT], arrivals, node_by_body, [restart])
+        assert not check_limits([use])
+        anew = [*arrivals, replace(arrivals[0], incarnation_id=1)]
+        assert not limit_uses([self.LIMIT], anew, node_by_body, [])
+
+
 class TestSchedule:
     """Faults drawn from a seed."""
 
--- a/wasabiwing_soak/fault_player.py
+++ b/wasabiwing_soak/fault_player.py
@@ -15,6 +15,7 @@
 from wasabiwing_soak.loopback_proxy import LoopbackProxy
 from wasabiwing_soak.promises import LinkFault
 from wasabiwing_soak.promises import NodeDisturbance
+from wasabiwing_soak.server_limits import NamedLimit
 
 # Time limit in seconds from the end of a fault until a node serves again, as
 # promised to users, and the poll interval.
@@ -27,6 +28,9 @@
 # Maximum number of faults that one schedule entry queues at a server.
 MAX_SERVER_FAULTS = 6
 
+# Limits that servers name, in requests per second.
+NAMED_LIMITS_PER_S = (0.0, 0.3, 1.1, 4.0, 20.0)
+
 # Maximum step between two versions of the configuration.
 MAX_VERSION_STEP = 5
 
@@ -83,6 +87,9 @@
         self._clock = clock
         self.disturbances: list[NodeDisturbance] = []
         self.link_faults: list[LinkFault] = []
+        self.named_limits: list[NamedLimit] = []
+        # Begin of the limits that servers name now, by server id.
+        self._limit_since: dict[str, float] = {}
 
     async def play(self, fault: PlannedFault) -> None:
         """Plays one fault to its end and reverts it."""
@@ -145,6 +152,8 @@
             return self._deployment.remove_server(item)
         elif kind is FaultKind.SERVER_SAYS_LEAVING:
             return self._deployment.announce_leaving(item)
+        elif kind is FaultKind.SERVER_NAMES_LIMIT:
+            return self._name_limit(item.server, random)
         elif kind is FaultKind.SERVER_TURNS_AWAY:
             return _request_pause(item.server, fault.duration_s)
         else:
@@ -159,6 +168,31 @@
             return _disturb_link(link, kind, random)
         return _revert_nothing
 
+    def _name_limit(
+        self, server: ServerStandIn, random: Random
+    ) -> Callable[[], None]:
+        """Lets a server name a limit; a later one replaces it."""
+        limit_per_s = random.choice(NAMED_LIMITS_PER_S)
+        self._end_limit(server)
+        server.limit_per_s = limit_per_s
+        self._limit_since[server.id] = self._clock()
+
+        def revert() -> None:
+            if server.limit_per_s == limit_per_s:
+                self._end_limit(server)
+
+        return revert
+
+    def _end_limit(self, server: ServerStandIn) -> None:
+        since_s = self._limit_since.pop(server.id, None)
+        if since_s is not None and server.limit_per_s is not None:
+            self.named_limits.append(
+                NamedLimit(
+                    server.id, server.limit_per_s, since_s, self._clock()
+                )
+            )
+        server.limit_per_s = None
+
     def _fail_store(self, store_fault: StoreFault) -> Callable[[], None]:
         self._deployment.store.fault = store_fault
 
--- a/wasabiwing_soak/fault_schedule.py
+++ b/wasabiwing_soak/fault_schedule.py
@@ -12,6 +12,10 @@
 MIN_DURATION_S = 0.3
 MAX_DURATION_S = 5.0
 
+# Longest duration of a named limit, in seconds. It binds only after a time,
+# and requests are counted over several seconds.
+MAX_LIMIT_DURATION_S = 15.0
+
 
 class FaultKind(StrEnum):
     """The effect of a fault and the part that it affects."""
@@ -44,6 +48,8 @@
     # restarts, or refuses requests and asks for a pause.
     SERVER_SAYS_LEAVING = "server_says_leaving"
     SERVER_TURNS_AWAY = "server_turns_away"
+    # A backend server names a limit of requests in its answers.
+    SERVER_NAMES_LIMIT = "server_names_limit"
     CONFIGURATION_CHANGED = "configuration_changed"
 
 
@@ -71,10 +77,14 @@
     faults: list[PlannedFault] = []
     at_s = random.expovariate(1 / MEAN_GAP_S)
     while at_s + MIN_DURATION_S < duration_s:
-        max_duration_s = min(MAX_DURATION_S, duration_s - at_s)
+        kind = random.choice(list(FaultKind))
+        longest_s = MAX_DURATION_S
+        if kind is FaultKind.SERVER_NAMES_LIMIT:
+            longest_s = MAX_LIMIT_DURATION_S
+        max_duration_s = min(longest_s, duration_s - at_s)
         faults.append(
             PlannedFault(
-                random.choice(list(FaultKind)),
+                kind,
                 at_s,
                 random.uniform(MIN_DURATION_S, max_duration_s),
                 random.randrange(1 << 16),
--- a/wasabiwing_soak/promises.py
+++ b/wasabiwing_soak/promises.py
@@ -38,6 +38,7 @@
     STAYS_UP = "no node ends by itself"
     LEAVING = "a server that said it leaves gets nothing more from a node"
     PAUSE = "a server that wants no requests gets two more at most"
+    LIMIT = "a server gets what it named as its limit from all nodes together"
     RECOVERY = "after the last fault all nodes serve again"
 
 
--- a/wasabiwing_soak/report.py
+++ b/wasabiwing_soak/report.py
@@ -29,6 +29,13 @@
         f" {len(result.calls)} requests ({ended}),"
         f" {len(result.violations)} promises broken"
     ]
+    for use in result.limit_uses:
+        lines.append(
+            f"  limit {use.limit.per_s:g}/s of {use.limit.server} from"
+            f" {use.limit.from_s:.1f} to {use.limit.until_s:.1f} s: worst"
+            f" window {use.worst}, allowed {use.allowed}, used share"
+            f" {use.used_share:.2f}"
+        )
     for violation in result.violations[:MAX_SHOWN_VIOLATIONS]:
         lines.append(
             f"  {violation.at_s:7.3f} s  {violation.promise}:"
@@ -43,6 +50,7 @@
         "options": result.options,
         "endings": count_endings(result.calls),
         "violations": result.violations,
+        "limits": result.limit_uses,
         "disturbances": result.disturbances,
         "faults": result.schedule,
     }
--- a/wasabiwing_soak/soak.py
+++ b/wasabiwing_soak/soak.py
@@ -37,6 +37,9 @@
 from wasabiwing_soak.promises import SeenVersion
 from wasabiwing_soak.promises import ServerStatement
 from wasabiwing_soak.promises import Violation
+from wasabiwing_soak.server_limits import check_limits
+from wasabiwing_soak.server_limits import limit_uses
+from wasabiwing_soak.server_limits import LimitUse
 
 # Consecutive requests that a node must serve to count as recovered.
 RECOVERY_CALLS = 5
@@ -73,6 +76,7 @@
     calls: tuple[CallRecord, ...]
     disturbances: tuple[NodeDisturbance, ...]
     violations: tuple[Violation, ...]
+    limit_uses: tuple[LimitUse, ...]
 
 
 class Soak:
@@ -247,6 +251,13 @@
             disturbances,
             self._player.link_faults,
         )
+        uses = limit_uses(
+            self._player.named_limits,
+            arrivals,
+            {call.body: call.node for call in calls},
+            disturbances,
+        )
+        violations += check_limits(uses)
         if self._options.check_times:
             longest_s = REQUEST_TIMEOUT_MS / 1000 + ANSWER_TOLERANCE_S
             violations += check_times(calls, disturbances, longest_s)
@@ -256,6 +267,7 @@
             calls,
             tuple(disturbances),
             tuple(violations),
+            tuple(uses),
         )
 
 
