--- a/wasabiwing_soak/__main__.py
+++ b/wasabiwing_soak/__main__.py
@@ -26,19 +26,28 @@
     servers: int = 4,
     callers: int = 6,
     check_times: bool = True,
+    other_build: str = "",
     output: str = "out/soak",
 ) -> None:
     """Runs ``count`` soaks with consecutive seeds from ``seed`` on.
 
     The first seed is random if ``seed`` is missing. Each soak plays faults
     for ``seconds`` and writes settings, logs, a report and a plot into
-    OUTPUT/SEED. The exit status is 1 if a promise was broken.
+    OUTPUT/SEED. With ``other_build``, the path of another checkout, each
+    second start of a node runs that checkout's program. The exit status is 1
+    if a promise was broken.
     """
     first = randbelow(RANDOM_SEEDS) if seed is None else seed
     broken = 0
     for number in range(first, first + count):
         options = SoakOptions(
-            number, seconds, nodes, servers, callers, check_times
+            number,
+            seconds,
+            nodes,
+            servers,
+            callers,
+            check_times,
+            other_build,
         )
         folder = Path(output) / str(number)
         result = run(run_soak, options, folder)
--- a/wasabiwing_soak/deployment.py
+++ b/wasabiwing_soak/deployment.py
@@ -28,6 +28,7 @@
 from wasabiwing_soak.loopback_proxy import HOST
 from wasabiwing_soak.loopback_proxy import LoopbackProxy
 from wasabiwing_soak.node_process import NodeProcess
+from wasabiwing_soak.node_process import OWN_BUILD
 
 # Services of the servers, assigned in turn: a plain one and a streaming one.
 SERVICES = ("desk", "models")
@@ -78,10 +79,12 @@
         timer: TimerService,
         tasks: TaskGroup,
         resources: ExitStack,
+        other_build: Path | None = None,
     ) -> None:
         self._folder = folder
         self._tasks = tasks
         self._resources = resources
+        self._other_build = other_build
         self._client = HttpClient()
         self.store = StoreStandIn(timer)
         self.cloud = CloudStandIn()
@@ -221,13 +224,20 @@
         log = self._resources.enter_context(
             (self._folder / f"{name}.jsonl").open("wb")
         )
-        process = NodeProcess(name, path, log)
+        process = NodeProcess(name, path, log, self._builds_of(number))
         self.nodes.append(SoakNode(process, readiness, link))
         self.address_by_node[name] = callers
         self.balancer.readiness_by_node[name] = readiness
         await process.start()
         self._tasks.start_soon(self._poll_readiness, name)
 
+    def _builds_of(self, number: int) -> tuple[Path, ...]:
+        """Returns the builds in which a node is started in turn."""
+        if self._other_build is None:
+            return (OWN_BUILD,)
+        builds = (OWN_BUILD, self._other_build)
+        return builds if number % 2 else builds[::-1]
+
     def _reserve_address(self) -> str:
         """Reserves and returns an address for a node to listen on."""
         return listener_address(
--- a/wasabiwing_soak/node_process.py
+++ b/wasabiwing_soak/node_process.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from os import environ
+from os import pathsep
 from pathlib import Path
 from signal import SIGCONT
 from signal import SIGHUP
@@ -16,7 +17,7 @@
 from anyio import open_process
 from anyio.abc import Process
 
-PROGRAM = Path(__file__).parent.parent / "platform" / "run_node.py"
+OWN_BUILD = Path(__file__).resolve().parent.parent
 
 # Time in seconds after which the platform kills a process that was asked to
 # stop, as in the example settings.
@@ -30,6 +31,8 @@
     name: str
     settings_path: Path
     log: BinaryIO
+    # Checkouts whose programs are started in turn.
+    builds: tuple[Path, ...] = (OWN_BUILD,)
     starts: int = 0
     process: Process | None = None
     # Whether a fault is being played on the node or the soak is stopping it.
@@ -46,13 +49,18 @@
 
     async def start(self) -> None:
         """Starts a new process."""
+        build = self.builds[self.starts % len(self.builds)]
         self.starts += 1
         self.process = await open_process(
-            [executable, str(PROGRAM)],
+            [executable, str(build / "platform" / "run_node.py")],
             stdin=None,
             stdout=self.log,
             stderr=self.log,
-            env={**environ, "WASABIWING_CONFIG": str(self.settings_path)},
+            env={
+                **environ,
+                "WASABIWING_CONFIG": str(self.settings_path),
+                "PYTHONPATH": f"{build}{pathsep}{build / 'platform'}",
+            },
         )
 
     async def stop(self) -> None:
--- a/wasabiwing_soak/soak.py
+++ b/wasabiwing_soak/soak.py
@@ -65,6 +65,8 @@
     callers: int = 6
     # Whether to check that answers come in time; false on a busy machine.
     check_times: bool = True
+    # Checkout of another build, in which each second start of a node runs.
+    other_build: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,7 +95,15 @@
         self._tasks = tasks
         self._timer = SystemTimer()
         self._started_at = self._timer.now()
-        self.deployment = SoakDeployment(folder, self._timer, tasks, resources)
+        self.deployment = SoakDeployment(
+            folder,
+            self._timer,
+            tasks,
+            resources,
+            Path(options.other_build).resolve()
+            if options.other_build
+            else None,
+        )
         self._player = FaultPlayer(self.deployment, self.clock)
         self._callers = SoakCallers(
             options.seed,
