--- a/tests/node_deployment.py
+++ b/tests/node_deployment.py
@@ -72,7 +72,7 @@
     client: HttpClient
     settings: NodeSettings
     # Sockets that reserve ports until the end of the test.
-    held: ExitStack
+    reserved_sockets: ExitStack
     stop: Event = field(default_factory=Event)
     stopped: Event = field(default_factory=Event)
     address_by_server: dict[str, str] = field(default_factory=dict)
@@ -140,9 +140,9 @@
         settings = replace(
             self.settings,
             node_id=node_id,
-            caller_endpoint=reserve_endpoint(self.held),
-            readiness_endpoint=reserve_endpoint(self.held),
-            inbox=reserve_endpoint(self.held),
+            caller_endpoint=reserve_endpoint(self.reserved_sockets),
+            readiness_endpoint=reserve_endpoint(self.reserved_sockets),
+            inbox=reserve_endpoint(self.reserved_sockets),
         )
         self.tasks.start_soon(_run, settings, self)
         while await self.readiness_status(settings) != 200:
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -293,7 +293,7 @@
     "restart",
     "heads",
     "freeze",
-    "turned away",
+    "rejected by store",
     "store down",
     "loss",
     "late",
@@ -339,7 +339,7 @@
             return fleet.heads(self._random.choice(ZONES))
         if fault == "store down":
             return fleet.nodes
-        if fault in ("restart", "freeze", "turned away", "alone"):
+        if fault in ("restart", "freeze", "rejected by store", "alone"):
             count = self._random.randint(1, len(fleet.nodes) // 2)
             return self._random.sample(fleet.nodes, count)
         return []
@@ -352,7 +352,7 @@
             elif fault == "freeze":
                 node.paused = True
                 node.transport.paused = True
-            elif fault in ("turned away", "store down"):
+            elif fault in ("rejected by store", "store down"):
                 node.link.unavailable = True
             else:
                 address = node.transport.address
--- a/tests/slot_network.py
+++ b/tests/slot_network.py
@@ -161,7 +161,7 @@
         for allocator in self.allocator_by_controller.values():
             allocator.note_load(self.server.id, sample)
 
-    def usable(self) -> int:
+    def usable_slots(self) -> int:
         """Returns the requests in flight plus the unused slot credits.
 
         The sum is over all gateways.
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -16,7 +16,7 @@
 from tests.examples import running_deployment
 from tests.examples import TEST_TIMEOUT_S
 from tests.stream_caller import send_reclaim_notice
-from tests.stream_caller import slow_down
+from tests.stream_caller import slow_engines
 from tests.stream_caller import StreamCaller
 from tests.stream_caller import wait_gateways_known
 from wasabiwing.handover import Handover
@@ -76,7 +76,7 @@
         seen, handed_over = watch_records(monkeypatch, 6)
         async with running_deployment(CONFIGURATION, 3) as deployment:
             await wait_gateways_known(deployment)
-            slow_down(deployment, 0.03)
+            slow_engines(deployment, 0.03)
             async with create_task_group() as tasks:
                 callers = await open_streams(deployment, tasks, 3, 150)
                 await send_reclaim_notice(deployment.vms[0], 5.0, own_vm=True)
@@ -106,7 +106,7 @@
         _, handed_over = watch_records(monkeypatch, 2)
         async with running_deployment(CONFIGURATION, 3) as deployment:
             await wait_gateways_known(deployment)
-            slow_down(deployment, 0.03)
+            slow_engines(deployment, 0.03)
             replies: list[HttpReply] = []
 
             async def ask() -> None:
@@ -142,7 +142,7 @@
         seen, handed_over = watch_records(monkeypatch, 2)
         async with running_deployment(CONFIGURATION, 3) as deployment:
             await wait_gateways_known(deployment)
-            slow_down(deployment, 0.03)
+            slow_engines(deployment, 0.03)
             async with create_task_group() as tasks:
                 callers = await open_streams(deployment, tasks, 1, 200)
                 deployment.vms[0].stop_gateway.set()
@@ -164,7 +164,7 @@
         seen, handed_over = watch_records(monkeypatch, 8)
         async with running_deployment(CONFIGURATION, 6) as deployment:
             await wait_gateways_known(deployment)
-            slow_down(deployment, 0.03)
+            slow_engines(deployment, 0.03)
             zone = deployment.vms[0].availability_zone
             leaving = [
                 vm for vm in deployment.vms if vm.availability_zone == zone
@@ -211,7 +211,7 @@
 
         async with running_deployment(CONFIGURATION, 3) as deployment:
             await wait_gateways_known(deployment)
-            slow_down(deployment, 0.03)
+            slow_engines(deployment, 0.03)
             async with create_task_group() as tasks:
                 callers = await open_streams(deployment, tasks, 1, 200)
                 monkeypatch.setattr(send, send_unless_silent)
@@ -235,7 +235,7 @@
         """Guards against cutting running requests, streamed or not."""
         async with running_deployment(CONFIGURATION, 2) as deployment:
             await wait_gateways_known(deployment)
-            slow_down(deployment)
+            slow_engines(deployment)
             replies: list[HttpReply] = []
             vm = deployment.vms[0]
 
@@ -264,7 +264,7 @@
         """Guards against losing an answer that ended during the stop."""
         async with running_deployment(CONFIGURATION, 2) as deployment:
             await wait_gateways_known(deployment)
-            slow_down(deployment)
+            slow_engines(deployment)
             caller = StreamCaller()
             await caller.open(deployment.vms[0], "stones", 80, stop_after=5)
             deployment.vms[0].stop_gateway.set()
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -19,7 +19,7 @@
 from tests.fault_injecting_store import FaultInjectingStore
 from tests.policy_examples import policy_bench
 from tests.stream_caller import recomputed_tokens
-from tests.stream_caller import slow_down
+from tests.stream_caller import slow_engines
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
 from wasabiwing.http_client import HttpClient
@@ -136,7 +136,7 @@
         """Guards against losing a result, and against a false not_run."""
         async with running_deployment(CONFIGURATION, 1) as deployment:
             vm = deployment.vms[0]
-            slow_down(deployment, 0.02)
+            slow_engines(deployment, 0.02)
             location = location_of(await submit(vm, "yard", 50))
             with fail_after(TEST_TIMEOUT_S):
                 while not engine_request_count(deployment):
@@ -160,7 +160,7 @@
     async def test_jobs_survive_the_loss_of_every_entry_vm(self) -> None:
         """Guards against jobs that are only kept in the memory of a VM."""
         async with running_deployment(CONFIGURATION, 2) as deployment:
-            slow_down(deployment, 0.1)
+            slow_engines(deployment, 0.1)
             locations = {
                 f"yard {number}": location_of(
                     await submit(deployment.vms[0], f"yard {number}", 60)
@@ -180,7 +180,7 @@
                 await sleep(1.0)
                 lost_vms.append(deployment.vms.pop(0))
                 lost_vms[-1].kill()
-            slow_down(deployment, 0.001)
+            slow_engines(deployment, 0.001)
             for text, location in locations.items():
                 for vm in deployment.vms:
                     assert await wait_for_result(vm, location) == answer_text(
@@ -193,7 +193,7 @@
     ) -> None:
         """Guards against jobs that wait for a gateway that was lost."""
         async with running_deployment(CONFIGURATION, 2) as deployment:
-            slow_down(deployment, 0.1)
+            slow_engines(deployment, 0.1)
             first, second = deployment.vms
             locations = {
                 f"yard {number}": location_of(
@@ -221,7 +221,7 @@
         """Guards against jobs that delay callers."""
         async with running_deployment(CONFIGURATION, 1) as deployment:
             vm = deployment.vms[0]
-            slow_down(deployment)
+            slow_engines(deployment)
             caller = Caller(HttpClient())
             stop = Event()
 
--- a/tests/test_node_path.py
+++ b/tests/test_node_path.py
@@ -194,7 +194,7 @@
             for number in range(2, 20):
                 name = f"server-{number}"
                 system.address_by_server[name] = str(
-                    reserve_endpoint(system.held)
+                    reserve_endpoint(system.reserved_sockets)
                 )
                 system.register(name, "desk")
             await system.wait_ready()
--- a/tests/test_rollout_path.py
+++ b/tests/test_rollout_path.py
@@ -37,7 +37,7 @@
 MODELS = ("quote", "yard-chat")
 
 # Longest wait for a verdict, in seconds; it ends a failing test.
-VERDICT_PATIENCE_S = 60.0
+VERDICT_TIMEOUT_S = 60.0
 
 # Largest number of rounds of 300 requests until the traffic has moved.
 MOVE_ROUNDS = 10
@@ -123,7 +123,7 @@
     async def until_state(self, state: str) -> None:
         """Waits until all controllers report a state of the rollout."""
         client = HttpClient()
-        for _ in range(int(VERDICT_PATIENCE_S / 0.1)):
+        for _ in range(int(VERDICT_TIMEOUT_S / 0.1)):
             states = [
                 await rollout_state(client, vm) for vm in self.deployment.vms
             ]
@@ -160,7 +160,7 @@
 async def new_share(load: Load) -> float:
     """Returns the new version's share of the next requests."""
     received, sent = load.new_requests, load.sent
-    await load.until(lambda: load.sent >= sent + 300, VERDICT_PATIENCE_S)
+    await load.until(lambda: load.sent >= sent + 300, VERDICT_TIMEOUT_S)
     return (load.new_requests - received) / (load.sent - sent)
 
 
@@ -168,7 +168,7 @@
     """Checks that the new version gets no request after a verdict."""
     await sleep(AFTER_VERDICT_S)
     received, sent = load.new_requests, load.sent
-    await load.until(lambda: load.sent >= sent + 300, VERDICT_PATIENCE_S)
+    await load.until(lambda: load.sent >= sent + 300, VERDICT_TIMEOUT_S)
     assert load.new_requests == received
 
 
@@ -177,7 +177,7 @@
     engine.faults.fail = True
 
 
-def slow_down(engine: EngineStandIn) -> None:
+def slow_engines(engine: EngineStandIn) -> None:
     """Makes the engine slower than the other engines at any load."""
     engine.faults.slow_factor = 200.0
 
@@ -199,7 +199,7 @@
 class TestBadVersion:
     """Faulty new versions, which must be rolled back."""
 
-    @pytest.mark.parametrize("fault", [fail, slow_down, fail_one_route])
+    @pytest.mark.parametrize("fault", [fail, slow_engines, fail_one_route])
     async def test_gets_its_probation_share_until_the_verdict_only(
         self, fault: Callable[[EngineStandIn], None]
     ) -> None:
@@ -221,7 +221,7 @@
     async def test_verdict_outlives_every_controller(self) -> None:
         """Guards against a verdict that is lost with its home controller."""
         async with rollout_under_load(rollout_configuration(), fail) as load:
-            await load.until(lambda: load.new_requests > 0, VERDICT_PATIENCE_S)
+            await load.until(lambda: load.new_requests > 0, VERDICT_TIMEOUT_S)
             for vm in load.deployment.vms:
                 await load.deployment.restart_controller(vm)
             await load.until_state("rolled_back")
@@ -264,7 +264,7 @@
             )
             await load.until(
                 lambda: load.new_requests > 2 * MAX_SAMPLES_PER_KEY,
-                VERDICT_PATIENCE_S,
+                VERDICT_TIMEOUT_S,
             )
             client = HttpClient()
             for vm in load.deployment.vms:
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -52,7 +52,7 @@
         network.renew()
         for _ in range(5):
             await network.step(TICK_S / 5)
-            most = max(most, network.usable())
+            most = max(most, network.usable_slots())
     return most
 
 
@@ -228,12 +228,12 @@
         """Guards against overload by two homes with separate gateways."""
         network = SlotNetwork(1, one_server(2, 16))
         await run_ticks(network, 15)
-        assert network.usable() == 2
+        assert network.usable_slots() == 2
         for _ in range(5):
             network.report_load(4, cold=True)
             network.renew()
             await network.step(TICK_S)
-        assert network.usable() == 0
+        assert network.usable_slots() == 0
 
 
 class TestInvariant:
@@ -301,7 +301,7 @@
                 )
                 network.start_controller(name, live)
             await network.step(random.uniform(0.05, TICK_S))
-            assert network.usable() + lost_work <= limit
+            assert network.usable_slots() + lost_work <= limit
 
 
 async def ask_all(
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -15,7 +15,7 @@
 from tests.examples import TEST_TIMEOUT_S
 from tests.stream_caller import recomputed_tokens
 from tests.stream_caller import send_reclaim_notice
-from tests.stream_caller import slow_down
+from tests.stream_caller import slow_engines
 from tests.stream_caller import StreamCaller
 from tests.stream_caller import wait_gateways_known
 from wasabiwing.answer_log import AnswerLog
@@ -120,7 +120,7 @@
         """Guards against request ids that only one entry VM knows."""
         async with running(CONFIGURATION, 3) as deployment:
             await wait_gateways_known(deployment)
-            slow_down(deployment)
+            slow_engines(deployment)
             caller = StreamCaller()
             first, second, third = deployment.vms
             await caller.open(first, "stones", 60, stop_after=5)
@@ -145,7 +145,7 @@
     ) -> None:
         """Guards against engines that go on after the caller has left."""
         async with running(CONFIGURATION, 1, caller_grace_s=0.3) as deployment:
-            slow_down(deployment)
+            slow_engines(deployment)
             engine = deployment.engine_by_id["model-1"]
             caller = StreamCaller()
             await caller.open(deployment.vms[0], "stones", 2000, stop_after=5)
@@ -156,7 +156,7 @@
 
     async def test_a_passed_deadline_cancels_and_answers(self) -> None:
         async with running(CONFIGURATION, 1) as deployment:
-            slow_down(deployment)
+            slow_engines(deployment)
             reply = await Caller(HttpClient()).send(
                 deployment.vms[0],
                 "POST",
@@ -181,7 +181,7 @@
         """Guards against streams that end with their server."""
         async with running(CONFIGURATION, 2) as deployment:
             await wait_gateways_known(deployment)
-            slow_down(deployment)
+            slow_engines(deployment)
             leaving = deployment.engine_by_id["model-1"]
             if not by_cache:
                 leaving.times.transfer_s = 10.0
@@ -214,7 +214,7 @@
     async def test_no_stream_moves_to_a_zone_under_notice(self) -> None:
         """Guards against moving a stream twice, or losing it."""
         async with running(CONFIGURATION, 1) as deployment:
-            slow_down(deployment)
+            slow_engines(deployment)
             caller = StreamCaller()
             async with create_task_group() as tasks:
                 tasks.start_soon(caller.open, deployment.vms[0], "n", 60)
