Let nodes that hear each other choose one issuer when leases lapse

Cause: while the store loses answers, the nodes' leases lapse. The issuer of permits was chosen among registered nodes only, so each node took itself for the only one and issued the whole limit. Change: nodes whose reports arrive count as live, registered or not, as for the receivers of reports. Evidence: test_lapsed_leases_leave_one_issuer fails without the change.

--- a/tests/test_node_fleet.py
+++ b/tests/test_node_fleet.py
@@ -11,6 +11,7 @@
 from tests.examples import TEST_TIMEOUT_S
 from tests.node_deployment import deployment
 from tests.node_deployment import POLL_S
+from tests.node_fleet import node_fleet
 from wasabiwing.events import Event
 from wasabiwing.http_client import find_header
 from wasabiwing_platform_standins.examples import configuration_document
@@ -211,3 +212,23 @@
             # A kept-alive connection is not closed for slow headers.
             await sleep(0.5)
             assert (await found.call("/read/1")).status == 200
+
+
+class TestPermits:
+    """Which of several nodes issues permits for limited servers."""
+
+    async def test_lapsed_leases_leave_one_issuer(self) -> None:
+        """Guards against nodes that each issue the whole limit.
+
+        Leases lapse while the store loses answers; the nodes still hear each
+        other. The server then got twice what it had named.
+        """
+        async with node_fleet(3) as fleet:
+            await fleet.timer.advance(3.0)
+            for node in fleet.nodes:
+                node.nodes.replace_all(())
+            ids = {f"node-{number:03}" for number in range(3)}
+            for number, node in enumerate(fleet.nodes):
+                assert node.nodes.count == 1
+                heard = set(node.live_inboxes())
+                assert heard == ids - {f"node-{number:03}"}
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -324,6 +324,10 @@
         timer.subscribe(DUTY_PERIOD_S, self.duty_runner.run_due)
         timer.subscribe(EXPIRY_PERIOD_S, self._check_connections)
 
+    def live_inboxes(self) -> dict[str, str]:
+        """Returns the inboxes of the other nodes that may issue permits."""
+        return self._reports.live_inboxes()
+
     @property
     def ready(self) -> bool:
         """Whether the load balancer may send new connections to this node."""
--- a/wasabiwing/node_reports.py
+++ b/wasabiwing/node_reports.py
@@ -147,12 +147,19 @@
         """Returns the inboxes of the other nodes that were heard, by id.
 
         In a fleet that uses zone heads, all registered nodes count as heard.
+        In others, a node whose lease expired in an outage of the store counts
+        as long as its reports arrive.
         """
+        if self._heads.uses_heads:
+            return {
+                node_id: f"tcp://{inbox}"
+                for node_id, inbox in self._nodes.peers().items()
+            }
         since = self._timer.now() - REPORT_PERIOD_S * MISSED_REPORTS
         return {
-            node_id: f"tcp://{inbox}"
-            for node_id, inbox in self._nodes.peers().items()
-            if self._heads.uses_heads or self.heard_since(node_id, since)
+            node_id: inbox
+            for node_id, inbox in self._inbox_by_node.items()
+            if self.heard_since(node_id, since)
         }
 
     def heard_since(self, node_id: str, moment: float) -> bool:
