Log what a stopping node takes and what still runs before the kill

request_taken_stopping names each request taken after a stop request with the time since and the time left; stop_unfinished names what still runs 0.3 s before the kill, by route, age and whether its answer has begun. The state of the stop moves from CallerHttp into StopAdmission; no decision changes.

--- a/wasabiwing/call_forwarding.py
+++ b/wasabiwing/call_forwarding.py
@@ -36,6 +36,7 @@
 from wasabiwing.retry_budgets import ServiceRetryBudgets
 from wasabiwing.routed_calls import CallCodec
 from wasabiwing.routed_calls import RoutedCall
+from wasabiwing.running_calls import RunningCalls
 from wasabiwing.server_connections import ServerConnections
 from wasabiwing.server_demand import ServerDemand
 from wasabiwing.server_directory import RegisteredServer
@@ -44,6 +45,7 @@
 from wasabiwing.server_selection import ServerSelector
 from wasabiwing.server_statements import ServerStatements
 from wasabiwing.service_configuration import RouteKind
+from wasabiwing.stop_admission import StopAdmission
 from wasabiwing.suspect_isolation import SuspectIsolation
 from wasabiwing.timers import TimerService
 
@@ -72,6 +74,9 @@
 # Failures of requests of which no byte was sent.
 NOT_SENT_CODES = (ResultCode.CONNECT_FAILED, ResultCode.SERVER_UNWILLING)
 
+# Number of requests that one log line names.
+MAX_LOGGED_REQUESTS = 20
+
 # Urgency of a request at an engine: the difference between urgency classes, in
 # which the organisation's priority breaks ties, and the highest number, which
 # is the least urgent.
@@ -101,6 +106,7 @@
         quarantine: Quarantine[RegisteredServer],
         isolation: SuspectIsolation,
         statements: ServerStatements,
+        stop_admission: StopAdmission,
         random: Random,
     ) -> None:
         self._node_id = node_id
@@ -120,7 +126,31 @@
         self._quarantine = quarantine
         self._isolation = isolation
         self._statements = statements
+        self._stop_admission = stop_admission
         self._random = random
+        self._running = RunningCalls()
+
+    def log_unfinished(self) -> None:
+        """Logs the requests that are running when the process is killed."""
+        running = self._running.all()
+        if not running:
+            return
+        now = self._timer.now()
+        log_event(
+            Event.STOP_UNFINISHED,
+            self._node_id,
+            time_left_s=round(self._stop_admission.time_left_s, 3),
+            requests=[
+                {
+                    "request": item.call.head.attempt_id,
+                    "route": item.call.route.name,
+                    "age_s": round(now - item.call.received_at, 3),
+                    "answer_begun": item.output.started,
+                }
+                for item in running[:MAX_LOGGED_REQUESTS]
+            ],
+            count=len(running),
+        )
 
     async def serve(self, call: RoutedCall, output: AnswerOutput) -> Failure:
         """Serves a request until its answer or final failure is sent.
@@ -129,8 +159,20 @@
         an answer.
         """
         progress = CallProgress(EventSplitter(call.head.last_event_id))
+        if self._stop_admission.stopping:
+            log_event(
+                Event.REQUEST_TAKEN_STOPPING,
+                self._node_id,
+                request=call.head.attempt_id,
+                route=call.route.name,
+                stopped_for_s=round(self._stop_admission.stopped_for_s, 3),
+                time_left_s=round(self._stop_admission.time_left_s, 3),
+            )
         remaining_s = call.deadline - self._timer.now()
-        with move_on_after(max(remaining_s, 0.0)) as scope:
+        with (
+            self._running.add(call, output),
+            move_on_after(max(remaining_s, 0.0)) as scope,
+        ):
             failure = await self._run_attempts(call, progress, output)
         if scope.cancelled_caught:
             run = (
--- a/wasabiwing/caller_http.py
+++ b/wasabiwing/caller_http.py
@@ -39,6 +39,7 @@
 from wasabiwing.service_configuration import ServiceConfiguration
 from wasabiwing.service_configuration import ServiceRoute
 from wasabiwing.service_configuration import WeightedService
+from wasabiwing.stop_admission import StopAdmission
 from wasabiwing.timers import TimerService
 from wasabiwing.usage_caps import UsageCaps
 
@@ -124,6 +125,7 @@
         codec: CallCodec,
         caps: UsageCaps,
         forwarder: CallForwarder,
+        stop_admission: StopAdmission,
         metrics: GatewayMetrics,
         random: Random,
     ) -> None:
@@ -133,11 +135,10 @@
         self._codec = codec
         self._caps = caps
         self._forwarder = forwarder
+        self._stop_admission = stop_admission
         self._metrics = metrics
         self._random = random
         self.running_request_count = 0
-        # Whether the process is about to stop.
-        self.stopping = False
 
     def application(self) -> Application:
         """Returns the ASGI application."""
@@ -157,7 +158,7 @@
 
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         received_at = self._timer.now()
-        output = CallerOutput(send, self.stopping)
+        output = CallerOutput(send, self._stop_admission.stopping)
         configuration = self._view.configuration
         limits = RequestLimits()
         if configuration is not None:
--- a/wasabiwing/events.py
+++ b/wasabiwing/events.py
@@ -28,6 +28,7 @@
     LINES_LEFT_OUT = 107
     PROCESS_SUSPENDED = 108
     READINESS_CHANGED = 109
+    STOP_UNFINISHED = 110
     # 2xx: requests.
     ROUTE_DECISION = 200
     REQUEST_ADMITTED = 201
@@ -43,6 +44,7 @@
     QUARANTINE_ENDED = 211
     CALLER_LEFT = 212
     QUARANTINE_NOT_STORED = 213
+    REQUEST_TAKEN_STOPPING = 214
     # 3xx: configuration.
     CONFIGURATION_IN_FORCE = 300
     CONFIGURATION_REJECTED = 301
@@ -111,6 +113,9 @@
     Event.READINESS_CHANGED: (
         "The readiness that the load balancer reads changed, with the reason."
     ),
+    Event.STOP_UNFINISHED: (
+        "Requests still run shortly before a stopping process is killed."
+    ),
     Event.ROUTE_DECISION: (
         "A backend server was chosen; candidates, scores and filters."
     ),
@@ -132,6 +137,9 @@
     Event.QUARANTINE_NOT_STORED: (
         "A quarantine could not be written to the store yet."
     ),
+    Event.REQUEST_TAKEN_STOPPING: (
+        "A request was taken while the process stops, with the time left."
+    ),
     Event.CALLER_LEFT: "A caller closed the connection before the end.",
     Event.CONFIGURATION_IN_FORCE: "A node put a generation in force.",
     Event.CONFIGURATION_REJECTED: "A received configuration is unusable.",
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -67,6 +67,7 @@
 from wasabiwing.service_configuration import RequestLimits
 from wasabiwing.service_configuration import ServiceConfiguration
 from wasabiwing.statement_listener import StatementListener
+from wasabiwing.stop_admission import StopAdmission
 from wasabiwing.store_progress import StoreProgress
 from wasabiwing.suspect_isolation import SuspectIsolation
 from wasabiwing.timers import TimerService
@@ -86,6 +87,10 @@
 # readiness check and to send no new connections, in seconds.
 READINESS_PROPAGATION_S = 2.2
 
+# Share of the stop grace time in which running requests may end. The rest is
+# for closing the remaining connections before the process is killed.
+DRAIN_SHARE = 0.88
+
 # How often a stopping node checks whether its requests have ended, in seconds.
 STOP_POLL_S = 0.05
 
@@ -257,7 +262,8 @@
         )
         watch = AttemptWatch(timer, self._loads)
         timer.subscribe(WATCH_PERIOD_S, watch.check)
-        forwarder = CallForwarder(
+        self.stop_admission = StopAdmission(timer)
+        self.forwarder = CallForwarder(
             node_id,
             timer,
             platform.codec,
@@ -297,6 +303,7 @@
             quarantine,
             isolation,
             self._statements,
+            self.stop_admission,
             random,
         )
         self.caller_http = CallerHttp(
@@ -305,7 +312,8 @@
             self.view,
             platform.codec,
             self._reported_state.caps,
-            forwarder,
+            self.forwarder,
+            self.stop_admission,
             metrics.gateway,
             random,
         )
@@ -331,7 +339,7 @@
     @property
     def ready(self) -> bool:
         """Whether the load balancer may send new connections to this node."""
-        return self.view.loaded and not self.caller_http.stopping
+        return self.view.loaded and not self.stop_admission.stopping
 
     def report_readiness(self) -> bool:
         """Returns the readiness for the load balancer and logs a change."""
@@ -343,7 +351,7 @@
                 LogEvent.READINESS_CHANGED,
                 self._node_id,
                 ready=ready,
-                stopping=self.caller_http.stopping,
+                stopping=self.stop_admission.stopping,
                 servers_known=self.view.directory.loaded,
                 version=configuration.version if configuration else None,
             )
@@ -380,17 +388,18 @@
             limit_s=self.limits.header_timeout_s,
         )
 
-    async def drain(self, timeout_s: float) -> None:
+    async def drain(self, grace_s: float) -> None:
         """Gives up the duties and waits until all requests have ended.
 
-        The wait lasts at least until the load balancer sends no new
-        connections, and ``timeout_s`` seconds at most.
+        The process is killed after ``grace_s`` seconds. The wait lasts at
+        least until the load balancer sends no new connections, and at most
+        for ``DRAIN_SHARE`` of that time.
         """
-        self.caller_http.stopping = True
+        self.stop_admission.begin(grace_s)
         started_at = self._timer.now()
         await self.duty_runner.resign()
         await self._presence.leave()
-        while self._timer.now() - started_at < timeout_s:
+        while self._timer.now() - started_at < grace_s * DRAIN_SHARE:
             balancer_informed = (
                 self._timer.now() - started_at > READINESS_PROPAGATION_S
             )
--- a/wasabiwing/node_program.py
+++ b/wasabiwing/node_program.py
@@ -19,10 +19,11 @@
 from wasabiwing.node_settings import NodeSettings
 from wasabiwing.readiness_http import readiness_application
 from wasabiwing.timers import SystemTimer
+from wasabiwing.timers import TimerService
 
-# Share of the stop grace time in which running requests may end. The rest is
-# for closing the remaining connections before the process is killed.
-DRAIN_SHARE = 0.88
+# Time before the kill at which the requests that still run are logged, in
+# seconds.
+UNFINISHED_LOG_S = 0.3
 
 
 async def run_node(
@@ -52,7 +53,9 @@
         tasks.start_soon(timer.run)
         tasks.start_soon(messages.run)
         tasks.start_soon(node.follower.run)
-        tasks.start_soon(_drain_when_stopped, settings, node, stop, drained)
+        tasks.start_soon(
+            _drain_when_stopped, settings, timer, node, stop, drained
+        )
         tasks.start_soon(_reload_on_signal, platform)
         tasks.start_soon(
             serve_http,
@@ -82,7 +85,11 @@
 
 
 async def _drain_when_stopped(
-    settings: NodeSettings, node: Node, stop: Event, drained: Event
+    settings: NodeSettings,
+    timer: TimerService,
+    node: Node,
+    stop: Event,
+    drained: Event,
 ) -> None:
     await stop.wait()
     log_event(
@@ -90,8 +97,10 @@
         settings.node_id,
         running=node.caller_http.running_request_count,
     )
-    await node.drain(settings.bounds.stop_grace_s * DRAIN_SHARE)
+    await node.drain(settings.bounds.stop_grace_s)
     drained.set()
+    await timer.sleep(node.stop_admission.time_left_s - UNFINISHED_LOG_S)
+    node.forwarder.log_unfinished()
 
 
 async def _reload_on_signal(platform: NodePlatform) -> None:
