Refuse requests that cannot end before a stopping node is killed

Callers saw: a request on a kept connection was taken 7.0 s after SIGTERM, passed on to a server, and cut at the kill 1 s later.

Cause: nothing compared how long a request takes with the time that is left. Class of fault: work is begun without a look at the time by which its holder is known to end.

Change: stop_admission decides before each attempt, also after a wait and before a retry. A request whose own deadline comes first is served; within 3 s of the stop what probably ends, later what surely ends. The estimate comes from the route's recent runs, scaled by the tokens of the answer, and from the ages of runs that have not ended. Where the estimate was wrong, a request whose answer has not begun gets a final answer 0.3 s before the kill. A node stays 3.2 s in place of 2.2 s. Connection: close is now decided when an answer begins, not when its request came. Duties and the entry in the store are given up while the node drains, so a store that is silent delays nothing.

--- a/tests/node_deployment.py
+++ b/tests/node_deployment.py
@@ -8,6 +8,7 @@
 from dataclasses import field
 from dataclasses import replace
 
+from anyio import CancelScope
 from anyio import create_task_group
 from anyio import Event
 from anyio import sleep
@@ -75,6 +76,8 @@
     reserved_sockets: ExitStack
     stop: Event = field(default_factory=Event)
     stopped: Event = field(default_factory=Event)
+    # Cancelling it ends the first node as a kill does.
+    process: CancelScope = field(default_factory=CancelScope)
     address_by_server: dict[str, str] = field(default_factory=dict)
     requests: int = 0
     started: bool = False
@@ -84,7 +87,7 @@
         """Starts the node once; its first view has all earlier entries."""
         if not self.started:
             self.started = True
-            self.tasks.start_soon(_run, self.settings, self)
+            self.tasks.start_soon(self._run_until_killed)
 
     async def add_server(
         self, service: str, server: ServerStandIn, **fields: object
@@ -163,6 +166,14 @@
         """Ends a server's process and all its connections."""
         self._process_by_server[server_id].kill()
 
+    def kill(self) -> None:
+        """Ends the first node and cuts its connections."""
+        self.process.cancel()
+
+    async def _run_until_killed(self) -> None:
+        with self.process:
+            await _run(self.settings, self)
+
     async def _listen(self, server: ServerStandIn) -> str:
         process = StandInServer(self.tasks, server.application())
         await process.start()
--- /dev/null
+++ b/tests/test_stop_admission.py
@@ -0,0 +1,170 @@
+"""Tests of which requests a stopping process serves, without sockets."""
+
+import pytest
+
+from wasabiwing.codes import ResultCode
+from wasabiwing.codes import RunState
+from wasabiwing.run_durations import MAX_DURATIONS
+from wasabiwing.run_durations import MAX_ROUTES
+from wasabiwing.run_durations import MIN_DURATIONS
+from wasabiwing.run_durations import RunDurations
+from wasabiwing.run_durations import RunEstimate
+from wasabiwing.stop_admission import CLOSING_S
+from wasabiwing.stop_admission import LENIENT_S
+from wasabiwing.stop_admission import may_end_in_time
+from wasabiwing.stop_admission import StopAdmission
+from wasabiwing.timers import FakeTimer
+
+pytestmark = pytest.mark.anyio
+
+GRACE_S = 8.0
+
+# A deadline that is later than any kill, in seconds from now.
+NO_DEADLINE_S = 60.0
+
+
+async def record(
+    timer: FakeTimer,
+    durations: RunDurations,
+    duration_s: float,
+    count: int = MIN_DURATIONS,
+    tokens: int | None = None,
+    route: str = "chat",
+) -> None:
+    """Records runs of one duration."""
+    for _ in range(count):
+        with durations.track(route, tokens) as run:
+            run.counts = True
+            await timer.advance(duration_s)
+
+
+class TestRollingRestart:
+    """The decision at each moment from the request to stop to the kill."""
+
+    @pytest.mark.parametrize(
+        ("stopped_for_s", "typical_s", "longest_s", "served"),
+        [
+            # While callers still come, what probably ends is served.
+            (0.1, 1.5, 30.0, True),
+            (0.1, 7.6, 7.6, False),
+            (LENIENT_S, 4.4, 9.0, True),
+            (LENIENT_S, 4.6, 4.6, False),
+            # Later the longest run, with a margin, has to end.
+            (3.1, 1.5, 2.9, True),
+            (3.1, 0.1, 3.1, False),
+            (7.0, 0.1, 0.3, True),
+            # The record of the incident: 1 s before the kill, a stream.
+            (7.016, 1.2, 1.9, False),
+        ],
+    )
+    def test_runs_that_cannot_end_are_refused(
+        self,
+        stopped_for_s: float,
+        typical_s: float,
+        longest_s: float,
+        served: bool,
+    ) -> None:
+        assert served == may_end_in_time(
+            GRACE_S - stopped_for_s,
+            stopped_for_s,
+            NO_DEADLINE_S,
+            RunEstimate(typical_s, longest_s),
+        )
+
+    @pytest.mark.parametrize(
+        ("stopped_for_s", "served"), [(LENIENT_S, True), (3.1, False)]
+    )
+    def test_unknown_runs_are_served_at_first_only(
+        self, stopped_for_s: float, served: bool
+    ) -> None:
+        assert served == may_end_in_time(
+            GRACE_S - stopped_for_s, stopped_for_s, NO_DEADLINE_S, None
+        )
+
+    def test_a_request_whose_deadline_comes_first_is_served(self) -> None:
+        """It ends at its deadline, whatever its run takes."""
+        for estimate in (None, RunEstimate(9.0, 30.0)):
+            assert may_end_in_time(2.0, 6.0, 2.0 - CLOSING_S, estimate)
+            assert not may_end_in_time(2.0, 6.0, 2.0, estimate)
+
+    def test_a_grace_time_too_short_for_anything_refuses_all(self) -> None:
+        assert not may_end_in_time(CLOSING_S, 0.0, NO_DEADLINE_S, None)
+
+
+class TestStopAdmission:
+    """The state of a stop, and the refusals that callers get."""
+
+    async def test_nothing_is_refused_before_the_stop(self) -> None:
+        timer = FakeTimer()
+        admission = StopAdmission(timer)
+        await record(timer, admission.durations, 100.0)
+        assert admission.refusal("chat", timer.now() + 60.0, None) is None
+        assert not admission.stopping
+
+    async def test_a_refusal_says_not_run_and_how_long_runs_take(
+        self,
+    ) -> None:
+        timer = FakeTimer()
+        admission = StopAdmission(timer)
+        await record(timer, admission.durations, 2.0)
+        admission.begin(GRACE_S)
+        await timer.advance(7.0)
+        refused = admission.refusal("chat", timer.now() + 60.0, None)
+        assert refused is not None
+        assert refused.code is ResultCode.NODE_LEAVING
+        assert refused.run_state is RunState.NOT_RUN
+        assert refused.detail == "1.00 s left, runs take 2.00 to 2.00 s"
+
+    async def test_a_second_request_to_stop_gives_no_more_time(self) -> None:
+        timer = FakeTimer()
+        admission = StopAdmission(timer)
+        admission.begin(GRACE_S)
+        await timer.advance(5.0)
+        admission.begin(GRACE_S)
+        assert admission.time_left_s == pytest.approx(3.0)
+        assert admission.stopped_for_s == pytest.approx(5.0)
+
+
+class TestRunDurations:
+    """Estimates from recent runs."""
+
+    async def test_few_runs_give_no_estimate(self) -> None:
+        timer = FakeTimer()
+        durations = RunDurations(timer)
+        await record(timer, durations, 1.0, MIN_DURATIONS - 1)
+        assert durations.estimate("chat", None) is None
+
+    async def test_requests_that_were_never_sent_do_not_count(self) -> None:
+        timer = FakeTimer()
+        durations = RunDurations(timer)
+        for _ in range(MIN_DURATIONS):
+            with durations.track("chat", None):
+                pass
+        assert durations.estimate("chat", None) is None
+
+    async def test_longer_answers_take_longer(self) -> None:
+        timer = FakeTimer()
+        durations = RunDurations(timer)
+        await record(timer, durations, 1.0, tokens=100)
+        assert durations.estimate("chat", 300) == RunEstimate(3.0, 3.0)
+        assert durations.estimate("chat", 10) == RunEstimate(1.0, 1.0)
+
+    async def test_a_run_that_does_not_end_counts_with_its_age(self) -> None:
+        """Guards against an estimate from the runs that ended alone."""
+        timer = FakeTimer()
+        durations = RunDurations(timer)
+        await record(timer, durations, 1.0)
+        with durations.track("chat", None):
+            await timer.advance(20.0)
+            assert durations.estimate("chat", None) == RunEstimate(1.0, 20.0)
+
+    async def test_memory_is_bounded(self) -> None:
+        timer = FakeTimer()
+        durations = RunDurations(timer)
+        for number in range(MAX_ROUTES + 10):
+            with durations.track(f"route-{number}", None) as run:
+                run.counts = True
+        await record(timer, durations, 9.0, MAX_DURATIONS)
+        await record(timer, durations, 1.0, MAX_DURATIONS)
+        assert durations.estimate("chat", None) == RunEstimate(1.0, 1.0)
+        assert durations.estimate("route-0", None) is None
--- a/wasabiwing/call_forwarding.py
+++ b/wasabiwing/call_forwarding.py
@@ -36,6 +36,7 @@
 from wasabiwing.retry_budgets import ServiceRetryBudgets
 from wasabiwing.routed_calls import CallCodec
 from wasabiwing.routed_calls import RoutedCall
+from wasabiwing.running_calls import RunningCall
 from wasabiwing.running_calls import RunningCalls
 from wasabiwing.server_connections import ServerConnections
 from wasabiwing.server_demand import ServerDemand
@@ -152,6 +153,16 @@
             count=len(running),
         )
 
+    def end_unanswered(self) -> None:
+        """Ends the requests whose answers have not begun.
+
+        Their callers get a final failure before the process is killed.
+        """
+        for running in self._running.all():
+            if not running.output.started:
+                running.ended_by_stop = True
+                running.scope.cancel()
+
     async def serve(self, call: RoutedCall, output: AnswerOutput) -> Failure:
         """Serves a request until its answer or final failure is sent.
 
@@ -170,20 +181,18 @@
             )
         remaining_s = call.deadline - self._timer.now()
         with (
-            self._running.add(call, output),
-            move_on_after(max(remaining_s, 0.0)) as scope,
+            self._running.add(call, output) as running,
+            self._stop_admission.durations.track(
+                call.route.name, call.head.answer_tokens
+            ) as tracked,
         ):
-            failure = await self._run_attempts(call, progress, output)
-        if scope.cancelled_caught:
-            run = (
-                progress.last_failure.run_state
-                if progress.last_failure
-                else None
-            )
-            if progress.possible_runs:
-                run = RunState.MAY_HAVE_RUN
-            failure = Failure(
-                ResultCode.DEADLINE_EXCEEDED, "", run or RunState.NOT_RUN
+            with move_on_after(max(remaining_s, 0.0)) as running.scope:
+                failure = await self._run_attempts(call, progress, output)
+            if running.scope.cancelled_caught:
+                failure = _cancelled_failure(running, progress)
+            tracked.counts = (
+                failure.code is ResultCode.OK
+                or failure.run_state is not RunState.NOT_RUN
             )
         if failure.code is not ResultCode.OK:
             await self._send_failure(call, progress, failure, output)
@@ -194,7 +203,7 @@
         self, call: RoutedCall, progress: CallProgress, output: AnswerOutput
     ) -> Failure:
         while True:
-            placed = await self._wait_for_server(call, progress)
+            placed = await self._wait_for_server(call, progress, output)
             if isinstance(placed, Failure):
                 return (
                     placed
@@ -209,8 +218,21 @@
             if not self._may_retry(call, progress, failure):
                 return _final_failure(progress)
 
+    def _stop_refusal(
+        self, call: RoutedCall, output: AnswerOutput
+    ) -> Failure | None:
+        """Returns why this process, which stops, makes no attempt any more.
+
+        An answer that has begun can't be refused, so it is continued.
+        """
+        if output.started:
+            return None
+        return self._stop_admission.refusal(
+            call.route.name, call.deadline, call.head.answer_tokens
+        )
+
     async def _wait_for_server(
-        self, call: RoutedCall, progress: CallProgress
+        self, call: RoutedCall, progress: CallProgress, output: AnswerOutput
     ) -> SelectedServer | Failure:
         """Returns a server for the next attempt, or why there is none.
 
@@ -221,6 +243,9 @@
             wait_s = SUSPECT_WAIT_S
         wait_until = self._timer.now() + wait_s
         while True:
+            refusal = self._stop_refusal(call, output)
+            if refusal is not None:
+                return refusal
             placed = self._placement.choose_server(
                 call, frozenset(progress.tried_server_ids)
             )
@@ -449,6 +474,21 @@
         )
 
 
+def _cancelled_failure(
+    running: RunningCall, progress: CallProgress
+) -> Failure:
+    """Returns the failure of a request that its deadline or the stop ended."""
+    run_state = RunState.NOT_RUN
+    if progress.last_failure is not None:
+        run_state = progress.last_failure.run_state
+    if progress.possible_runs:
+        run_state = RunState.MAY_HAVE_RUN
+    code = ResultCode.DEADLINE_EXCEEDED
+    if running.ended_by_stop:
+        code = ResultCode.NODE_LEAVING
+    return Failure(code, "", run_state)
+
+
 def _final_failure(progress: CallProgress) -> Failure:
     """Returns the failure of the last attempt, for the whole request.
 
--- a/wasabiwing/caller_http.py
+++ b/wasabiwing/caller_http.py
@@ -5,6 +5,7 @@
 it watches whether the caller disconnects.
 """
 
+from collections.abc import Callable
 from collections.abc import Sequence
 from random import Random
 
@@ -67,17 +68,17 @@
 class CallerOutput:
     """The answer to one caller, as ASGI messages."""
 
-    def __init__(self, send: Send, closing: bool) -> None:
+    def __init__(self, send: Send, closes: Callable[[], bool]) -> None:
         self._send = send
         # Whether the caller is told to close its connection afterwards.
-        self._closing = closing
+        self._closes = closes
         self.started = False
 
     async def start(self, status: int, headers: RawHeaders) -> None:
         """Sends status and headers."""
         self.started = True
         sent = [(name.lower(), value) for name, value in headers]
-        if self._closing:
+        if self._closes():
             sent.append((b"connection", b"close"))
         await self._send(
             {
@@ -158,14 +159,14 @@
 
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         received_at = self._timer.now()
-        output = CallerOutput(send, self._stop_admission.stopping)
+        output = CallerOutput(send, lambda: self._stop_admission.stopping)
         configuration = self._view.configuration
         limits = RequestLimits()
         if configuration is not None:
             limits = configuration.limits
         if _header_bytes(scope["headers"]) > limits.max_header_bytes:
             # The body is not read, so the connection cannot be used again.
-            output = CallerOutput(send, closing=True)
+            output = CallerOutput(send, lambda: True)
             await self._refuse(output, Failure(ResultCode.HEADERS_TOO_LARGE))
             return
         body = await read_body(receive, limits.max_body_bytes)
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -11,6 +11,9 @@
 from random import Random
 from random import SystemRandom
 
+from anyio import create_task_group
+from anyio import Event
+
 from wasabiwing.answer_relay import AnswerRelay
 from wasabiwing.attempt_watch import AttemptWatch
 from wasabiwing.attempt_watch import WATCH_PERIOD_S
@@ -67,6 +70,7 @@
 from wasabiwing.service_configuration import RequestLimits
 from wasabiwing.service_configuration import ServiceConfiguration
 from wasabiwing.statement_listener import StatementListener
+from wasabiwing.stop_admission import LENIENT_S
 from wasabiwing.stop_admission import StopAdmission
 from wasabiwing.store_progress import StoreProgress
 from wasabiwing.suspect_isolation import SuspectIsolation
@@ -83,9 +87,9 @@
 # How often idle connections to backend servers are checked, in seconds.
 EXPIRY_PERIOD_S = 0.5
 
-# Time that the load balancer may take after a stop request to see the failed
-# readiness check and to send no new connections, in seconds.
-READINESS_PROPAGATION_S = 2.2
+# Time for which a stopping node stays, in seconds. The load balancer still
+# sends new connections at first, and requests are on their way.
+STAY_S = LENIENT_S + 0.2
 
 # Share of the stop grace time in which running requests may end. The rest is
 # for closing the remaining connections before the process is killed.
@@ -392,23 +396,30 @@
         """Gives up the duties and waits until all requests have ended.
 
         The process is killed after ``grace_s`` seconds. The wait lasts at
-        least until the load balancer sends no new connections, and at most
-        for ``DRAIN_SHARE`` of that time.
+        least for ``STAY_S`` seconds, and at most for ``DRAIN_SHARE`` of that
+        time. Duties and the store's entry are given up meanwhile: a store
+        that does not answer delays nothing.
         """
         self.stop_admission.begin(grace_s)
-        started_at = self._timer.now()
-        await self.duty_runner.resign()
-        await self._presence.leave()
-        while self._timer.now() - started_at < grace_s * DRAIN_SHARE:
-            balancer_informed = (
-                self._timer.now() - started_at > READINESS_PROPAGATION_S
-            )
-            if (
-                balancer_informed
-                and self.caller_http.running_request_count == 0
-            ):
-                return
-            await self._timer.sleep(STOP_POLL_S)
+        left = Event()
+
+        async def leave() -> None:
+            await self.duty_runner.resign()
+            await self._presence.leave()
+            left.set()
+
+        async with create_task_group() as tasks:
+            tasks.start_soon(leave)
+            while self.stop_admission.stopped_for_s < grace_s * DRAIN_SHARE:
+                callers_gone = self.stop_admission.stopped_for_s > STAY_S
+                if (
+                    callers_gone
+                    and left.is_set()
+                    and self.caller_http.running_request_count == 0
+                ):
+                    break
+                await self._timer.sleep(STOP_POLL_S)
+            tasks.cancel_scope.cancel()
 
     def _build_duties(
         self, settings: NodeSettings, platform: NodePlatform, random: Random
--- a/wasabiwing/node_program.py
+++ b/wasabiwing/node_program.py
@@ -21,9 +21,9 @@
 from wasabiwing.timers import SystemTimer
 from wasabiwing.timers import TimerService
 
-# Time before the kill at which the requests that still run are logged, in
-# seconds.
-UNFINISHED_LOG_S = 0.3
+# Time before the kill at which the requests that still run are logged, and
+# those without an answer ended, in seconds.
+END_UNANSWERED_S = 0.3
 
 
 async def run_node(
@@ -99,8 +99,9 @@
     )
     await node.drain(settings.bounds.stop_grace_s)
     drained.set()
-    await timer.sleep(node.stop_admission.time_left_s - UNFINISHED_LOG_S)
+    await timer.sleep(node.stop_admission.time_left_s - END_UNANSWERED_S)
     node.forwarder.log_unfinished()
+    node.forwarder.end_unanswered()
 
 
 async def _reload_on_signal(platform: NodePlatform) -> None:
--- a/wasabiwing/running_calls.py
+++ b/wasabiwing/running_calls.py
@@ -3,6 +3,9 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
+from dataclasses import field
+
+from anyio import CancelScope
 
 from wasabiwing.answer_relay import AnswerOutput
 from wasabiwing.routed_calls import RoutedCall
@@ -14,6 +17,10 @@
 
     call: RoutedCall
     output: AnswerOutput
+    # The scope in which the request is served.
+    scope: CancelScope = field(default_factory=CancelScope)
+    # Whether it was cancelled because the process is about to be killed.
+    ended_by_stop: bool = False
 
 
 class RunningCalls:
--- a/wasabiwing/stop_admission.py
+++ b/wasabiwing/stop_admission.py
@@ -1,15 +1,62 @@
-"""Decides which requests a process that was asked to stop still serves."""
+"""Decides which requests a process that was asked to stop still serves.
+
+Load pattern: a rolling restart under load. The load balancer goes on for some
+seconds and kept connections until they are closed, so requests arrive up to
+the kill. Refusing all of them would waste what can be served; a request that
+is passed on and cannot end before the kill is lost. It is refused at once
+instead, as not run, so that its caller returns at another process.
+"""
 
 from math import inf
 
+from wasabiwing.codes import Failure
+from wasabiwing.codes import ResultCode
+from wasabiwing.run_durations import RunDurations
+from wasabiwing.run_durations import RunEstimate
 from wasabiwing.timers import TimerService
 
+# Time after a request to stop in which callers still come who can't know of
+# it, in seconds. Until then a request is served unless it probably can't end
+# in time; later only if it surely can.
+LENIENT_S = 3.0
+
+# Time before the kill in which the last answers reach their callers, in
+# seconds.
+CLOSING_S = 0.5
+
+# Factor by which a run may exceed the longest recent one.
+LONGEST_RUN_FACTOR = 1.5
+
+
+def may_end_in_time(
+    time_left_s: float,
+    stopped_for_s: float,
+    deadline_left_s: float,
+    estimate: RunEstimate | None,
+) -> bool:
+    """Whether a stopping process serves a request.
+
+    ``time_left_s`` are the seconds until the process is killed,
+    ``stopped_for_s`` those since it was asked to stop, and ``deadline_left_s``
+    those until the request's own deadline, at which it ends in any case.
+    """
+    usable_s = time_left_s - CLOSING_S
+    if deadline_left_s <= usable_s:
+        return True
+    lenient = stopped_for_s <= LENIENT_S
+    if estimate is None:
+        return lenient and usable_s > 0.0
+    if lenient:
+        return estimate.typical_s <= usable_s
+    return estimate.longest_s * LONGEST_RUN_FACTOR <= usable_s
+
 
 class StopAdmission:
-    """Whether a process is about to stop, and how much time it has left."""
+    """Whether a process is about to stop, and what it still serves."""
 
     def __init__(self, timer: TimerService) -> None:
         self._timer = timer
+        self.durations = RunDurations(timer)
         # Monotonic times in seconds.
         self._stopped_at = inf
         self._killed_at = inf
@@ -38,3 +85,32 @@
     def time_left_s(self) -> float:
         """Seconds until the process is killed."""
         return self._killed_at - self._timer.now()
+
+    def refusal(
+        self, route: str, deadline: float, answer_tokens: int | None
+    ) -> Failure | None:
+        """Returns the refusal of a request that can't end in time.
+
+        It is asked before each attempt. ``deadline`` is the request's own, in
+        monotonic seconds, and ``answer_tokens`` the largest number of tokens
+        of its answer; ``None`` for plain requests.
+        """
+        if not self.stopping:
+            return None
+        estimate = self.durations.estimate(route, answer_tokens)
+        if may_end_in_time(
+            self.time_left_s,
+            self.stopped_for_s,
+            deadline - self._timer.now(),
+            estimate,
+        ):
+            return None
+        takes = (
+            "unknown"
+            if estimate is None
+            else f"{estimate.typical_s:.2f} to {estimate.longest_s:.2f} s"
+        )
+        return Failure(
+            ResultCode.NODE_LEAVING,
+            f"{self.time_left_s:.2f} s left, runs take {takes}",
+        )
