Let a program finish its drain after a second request to stop

Callers saw: requests that a stopping node was serving were cut in the moment in which a second SIGTERM came.

Cause: the receiver of signals was left after the first signal, which brings the default action back, so the second one ended the process at once. All long-running programs share this code, gateways and controllers too.

--- a/wasabiwing/program.py
+++ b/wasabiwing/program.py
@@ -42,10 +42,14 @@
 
 
 def _run(program: Program) -> None:
-    run(_run_until_signal, program, backend_options={"use_uvloop": True})
+    run(run_until_signal, program, backend_options={"use_uvloop": True})
 
 
-async def _run_until_signal(program: Program) -> None:
+async def run_until_signal(program: Program) -> None:
+    """Runs a program to its end; the first signal sets its stop event.
+
+    Later signals change nothing, so that they don't cut what is draining.
+    """
     stop = Event()
     async with create_task_group() as tasks:
 
@@ -53,7 +57,6 @@
             with open_signal_receiver(SIGINT, SIGTERM) as signals:
                 async for _ in signals:
                     stop.set()
-                    return
 
         tasks.start_soon(wait_for_signal)
         await program(stop)
