Take a stream that ends inside an event for broken off

What callers saw: a server that closed its stream inside an event had its partial event passed on as the last one, and the answer was ended as whole with status 200. The stream was resumed nowhere, although its route allowed it, and the crash of a server that ended so was not counted.

Cause: the relay looked at the end of the body only. A body without length ends with its connection, so a close in the middle of an event is an end like any other to the HTTP parser.

Fix: the attempt fails as SERVER_CUT with MAY_HAVE_RUN, like any other cut. The forwarder then resumes the stream or leaves the answer without an end, and the quarantine probes the server. Blank lines after the last event are no event, so a whole stream with one newline more stays whole.

--- /dev/null
+++ b/tests/raw_server.py
@@ -0,0 +1,180 @@
+"""A backend server that answers with exact bytes, on a raw socket."""
+
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from dataclasses import field
+from enum import auto
+from enum import Enum
+from socket import SO_LINGER
+from socket import SOL_SOCKET
+from struct import pack
+
+from anyio import BrokenResourceError
+from anyio import ClosedResourceError
+from anyio import create_task_group
+from anyio import create_tcp_listener
+from anyio import EndOfStream
+from anyio import sleep
+from anyio.abc import Listener
+from anyio.abc import SocketAttribute
+from anyio.abc import SocketStream
+
+HOST = "127.0.0.1"
+
+HEAD_END = b"\r\n\r\n"
+
+# With this value of ``SO_LINGER`` a close sends a reset.
+RESET_ON_CLOSE = pack("ii", 1, 0)
+
+# Time in seconds after which the peer has read the bytes that were sent.
+# Kernels may discard unread bytes when a reset arrives.
+READ_BEFORE_RESET_S = 0.05
+
+# Returns the headers that prove the origin of an answer, by the headers of
+# its request.
+OriginHeaders = Callable[[dict[bytes, bytes]], bytes]
+
+
+class Ending(Enum):
+    """What a server does after the last byte of an answer."""
+
+    # Ends the connection and waits until the peer has closed it, too.
+    FIN = auto()
+    RESET = auto()
+    # Accepts no more connections and ends the connection.
+    CRASH = auto()
+    # Keeps the connection open for another request.
+    KEEP_OPEN = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class RawAnswer:
+    """The bytes of one answer; the server adds the origin headers."""
+
+    body: bytes
+    # Header lines, each with its line end.
+    headers: bytes = b""
+    status: bytes = b"200 OK"
+    ending: Ending = Ending.FIN
+    # Whether the server reads the request's body before it answers.
+    reads_body: bool = True
+
+
+@dataclass(slots=True)
+class RawServer:
+    """Answers each request with the next of ``answers``.
+
+    Without one it answers with an empty document and keeps the connection
+    open.
+    """
+
+    origin_headers: OriginHeaders
+    answers: list[RawAnswer] = field(default_factory=list)
+    # Paths that are answered with an empty document and not recorded, such as
+    # those of status requests.
+    ignored_paths: tuple[bytes, ...] = ()
+    # Numbers of connections on which a request arrived, and the headers of
+    # all requests by lower-case name.
+    connections_used: int = 0
+    requests: list[dict[bytes, bytes]] = field(default_factory=list)
+    bodies: list[bytes] = field(default_factory=list)
+    # Number of connections that the peer closed after a ``FIN``.
+    closed_by_peer: int = 0
+    listener: Listener[SocketStream] | None = None
+
+    async def serve(self, stream: SocketStream) -> None:
+        """Serves one connection."""
+        buffer = b""
+        is_new = True
+        async with stream:
+            while True:
+                try:
+                    while HEAD_END not in buffer:
+                        buffer += await stream.receive()
+                    head, _, buffer = buffer.partition(HEAD_END)
+                    headers = parse_headers(head)
+                    answer = RawAnswer(
+                        b"{}",
+                        b"content-length: 2\r\n",
+                        b"200 OK",
+                        Ending.KEEP_OPEN,
+                    )
+                    if head.split(b" ")[1] not in self.ignored_paths:
+                        self.connections_used += is_new
+                        is_new = False
+                        self.requests.append(headers)
+                        if self.answers:
+                            answer = self.answers.pop(0)
+                    if answer.reads_body:
+                        length = int(headers.get(b"content-length", 0))
+                        while len(buffer) < length:
+                            buffer += await stream.receive()
+                        body, buffer = buffer[:length], buffer[length:]
+                        self.bodies.append(body)
+                    await stream.send(
+                        b"HTTP/1.1 %b\r\n" % answer.status
+                        + self.origin_headers(headers)
+                        + answer.headers
+                        + b"\r\n"
+                        + answer.body
+                    )
+                except (EndOfStream, BrokenResourceError, ClosedResourceError):
+                    return
+                if answer.ending is Ending.RESET:
+                    await sleep(READ_BEFORE_RESET_S)
+                    stream.extra(SocketAttribute.raw_socket).setsockopt(
+                        SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE
+                    )
+                if answer.ending is Ending.CRASH:
+                    assert self.listener is not None
+                    await self.listener.aclose()
+                if answer.ending is Ending.FIN:
+                    await self._wait_closed(stream)
+                if answer.ending is not Ending.KEEP_OPEN:
+                    return
+
+    async def _wait_closed(self, stream: SocketStream) -> None:
+        await stream.send_eof()
+        try:
+            while True:
+                await stream.receive()
+        except EndOfStream:
+            self.closed_by_peer += 1
+        except BrokenResourceError:
+            return
+
+
+def parse_headers(head: bytes) -> dict[bytes, bytes]:
+    """Returns header values by lower-case name."""
+    value_by_name = {}
+    for line in head.split(b"\r\n")[1:]:
+        name, _, value = line.partition(b":")
+        value_by_name[name.strip().lower()] = value.strip()
+    return value_by_name
+
+
+@asynccontextmanager
+async def serve_raw(server: RawServer, port: int = 0) -> AsyncIterator[str]:
+    """Runs a server on a port; yields its address as ``host:port``.
+
+    Port 0 stands for a free port.
+    """
+    listener = await create_tcp_listener(
+        local_host=HOST, local_port=port, reuse_port=False
+    )
+    server.listener = listener
+    async with create_task_group() as tasks:
+        tasks.start_soon(_serve, listener, server)
+        yield f"{HOST}:{listener.extra(SocketAttribute.local_port)}"
+        tasks.cancel_scope.cancel()
+    await listener.aclose()
+
+
+async def _serve(listener: Listener[SocketStream], server: RawServer) -> None:
+    try:
+        await listener.serve(server.serve)
+    except* ClosedResourceError:
+        # The server has crashed.
+        pass
--- a/tests/test_event_splitter.py
+++ b/tests/test_event_splitter.py
@@ -33,9 +33,18 @@
     def test_incomplete_event_is_discarded(self) -> None:
         splitter = EventSplitter()
         assert splitter.feed(STREAM[:30]) == STREAM[:21]
+        assert splitter.is_inside_event
         splitter.discard_incomplete_event()
-        assert splitter.incomplete_event() == b""
+        assert not splitter.is_inside_event
         assert splitter.last_event_id == "1"
+        assert splitter.feed(STREAM[21:42]) == STREAM[21:42]
+
+    def test_blank_lines_belong_to_no_event(self) -> None:
+        splitter = EventSplitter()
+        assert splitter.feed(STREAM + b"\r\n") == STREAM
+        assert not splitter.is_inside_event
+        splitter.feed(b"\nid: 8")
+        assert splitter.is_inside_event
 
     def test_last_event_id_of_the_caller_is_kept(self) -> None:
         assert EventSplitter("12").last_event_id == "12"
--- a/wasabiwing/answer_relay.py
+++ b/wasabiwing/answer_relay.py
@@ -227,10 +227,15 @@
             if not output.started:
                 await output.start(answer.status, head.forwarded_headers)
             await output.write(events)
+        if cutter.is_inside_event:
+            cutter.discard_incomplete_event()
+            return Failure(
+                ResultCode.SERVER_CUT,
+                "ended inside an event",
+                RunState.MAY_HAVE_RUN,
+            )
         if not output.started:
             await output.start(answer.status, head.forwarded_headers)
-        if cutter.incomplete_event():
-            await output.write(cutter.incomplete_event())
         await output.finish()
         return None
 
--- a/wasabiwing/event_splitter.py
+++ b/wasabiwing/event_splitter.py
@@ -22,6 +22,12 @@
         """Whether the incomplete event exceeds ``MAX_EVENT_BYTES``."""
         return len(self._pending) > MAX_EVENT_BYTES
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the bytes so far end inside an event."""
+        # Blank lines between events belong to none of them.
+        return bool(self._pending.strip(b"\r\n"))
+
     def feed(self, data: bytes) -> bytes:
         """Adds bytes; returns those of the events that they complete."""
         self._pending += data
@@ -37,10 +43,6 @@
                 self.last_event_id = line[3:].strip().decode("latin-1")
         return complete
 
-    def incomplete_event(self) -> bytes:
-        """Returns the bytes after the last complete event."""
-        return self._pending
-
     def discard_incomplete_event(self) -> None:
         """Discards the bytes after the last complete event."""
         self._pending = b""
