Do not bind a resumed stream to the length of its first server

What callers saw: a stream whose server named a content-length and broke it off was resumed, and the answer was cut when the events of the second server exceeded that length. The request was lost although it could be served.

Cause: the relay passes the headers of the first server on, its length too, and uvicorn raises for a body that is longer.

Evidence: the test with the framing by length failed before: RuntimeError: Response content longer than Content-Length Failure(code=<ResultCode.SERVER_CUT: 503>, detail='RemoteProtocolError: peer closed connection without sending complete message body (received 42 bytes, expected 52)', ...)

Fix: streams are passed on without the length, so they go out in chunks, and their end is sent only when the stream is whole.

--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -78,7 +78,7 @@
 class TestStreamsAtNodes:
     """Ends of streams that a node relays."""
 
-    @pytest.mark.parametrize("framing", ["connection", "chunks"])
+    @pytest.mark.parametrize("framing", FRAMINGS)
     async def test_stream_that_ended_inside_an_event_is_resumed(
         self, framing: str
     ) -> None:
--- a/wasabiwing/answer_relay.py
+++ b/wasabiwing/answer_relay.py
@@ -37,6 +37,8 @@
 MIN_SERVER_ERROR_STATUS = 500
 SUCCESS_STATUSES = range(200, 300)
 
+CONTENT_LENGTH = b"content-length"
+
 
 class AnswerOutput(Protocol):
     """Sends the answer to one caller."""
@@ -202,6 +204,8 @@
     ) -> Failure | None:
         """Relays the events of a stream, each once it is complete."""
         cutter = progress.event_splitter
+        # Another server may continue the stream with events of other lengths.
+        headers = _without_length(head.forwarded_headers)
         is_first_event = True
         async for chunk in answer.chunks():
             if isinstance(chunk, Err):
@@ -225,7 +229,7 @@
                 is_first_event = False
                 self._note_first_event(call, placed, progress, watched)
             if not output.started:
-                await output.start(answer.status, head.forwarded_headers)
+                await output.start(answer.status, headers)
             await output.write(events)
         if cutter.is_inside_event:
             cutter.discard_incomplete_event()
@@ -235,7 +239,7 @@
                 RunState.MAY_HAVE_RUN,
             )
         if not output.started:
-            await output.start(answer.status, head.forwarded_headers)
+            await output.start(answer.status, headers)
         await output.finish()
         return None
 
@@ -270,6 +274,15 @@
     await output.finish()
 
 
+def _without_length(headers: RawHeaders) -> RawHeaders:
+    """Returns the headers without the length of the body."""
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if name.lower() != CONTENT_LENGTH
+    )
+
+
 def _check_head(
     call: RoutedCall, status: int, head: AnswerHead
 ) -> Failure | None:
