Pass answers without body on without the length of one

What callers saw: after an answer 204 or 304 whose headers name a length, which a server may send with 304, the node closed the caller's connection without saying so, and a request that the caller had sent on it meanwhile found the connection closed.

Cause: uvicorn takes the content-length for that of a body to come and raises at the end of the answer.

Evidence: the test failed before at the second request of a connection: RuntimeError: Response content shorter than Content-Length Failure(code=<ResultCode.SERVER_CUT: 503>, detail='RemoteProtocolError: Server disconnected without sending a response.', ...)

Fix: the length is left out of answers that cannot have a body.

--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -213,6 +213,8 @@
             ("HEAD", b"200 OK", b""),
             ("GET", b"204 No Content", b""),
             ("GET", b"304 Not Modified", b""),
+            ("GET", b"304 Not Modified", b"content-length: 5\r\n"),
+            ("GET", b"204 No Content", b"content-length: 5\r\n"),
         ],
     )
     async def test_answer_without_body_ends_with_its_head(
--- a/wasabiwing/answer_relay.py
+++ b/wasabiwing/answer_relay.py
@@ -37,6 +37,9 @@
 MIN_SERVER_ERROR_STATUS = 500
 SUCCESS_STATUSES = range(200, 300)
 
+# No content and not modified: answers that never have a body.
+BODYLESS_STATUSES = (204, 304)
+
 CONTENT_LENGTH = b"content-length"
 
 
@@ -269,7 +272,11 @@
 
 async def send_whole(output: AnswerOutput, whole_answer: WholeAnswer) -> None:
     """Sends an answer that was read to its end to the caller."""
-    await output.start(whole_answer.status, whole_answer.headers)
+    headers = whole_answer.headers
+    if whole_answer.status in BODYLESS_STATUSES:
+        # The HTTP server would wait for a body of the named length.
+        headers = _without_length(headers)
+    await output.start(whole_answer.status, headers)
     await output.write(whole_answer.body)
     await output.finish()
 
