Keep no connection that an answer has ended

What callers saw: nothing, as the connection was found readable when it was taken from the pool and was closed then. Until then the node held a socket that its server had closed, up to the keep-alive time that the server names.

Cause: h11 reports a body without length that ended with its connection as complete, and the connection as reusable unless a header says "close". The pool asked only for bytes after the answer, not for the connection's end.

Evidence: the test failed before, with "keep-alive: timeout=60": test_answer_that_ends_with_its_connection_is_whole: TimeoutError (the node had not closed its side after 20 s)

Fix: the pool also asks whether the end of the connection was read.

--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -174,6 +174,7 @@
             b"",
             b"connection: close\r\n",
             b"connection: keep-alive\r\n",
+            b"connection: keep-alive\r\nkeep-alive: timeout=60\r\n",
         ],
     )
     async def test_answer_that_ends_with_its_connection_is_whole(
--- a/wasabiwing/server_connections.py
+++ b/wasabiwing/server_connections.py
@@ -1,8 +1,9 @@
 """Pools of HTTP/1.1 connections, one pool for each backend server.
 
 The connections are those of httpcore. Its pool is not used, because a
-connection here belongs to one incarnation of one server, and is closed when
-bytes follow a whole answer: they would be read as the next answer.
+connection here belongs to one incarnation of one server. It is closed when
+bytes follow a whole answer, because they would be read as the next answer, and
+when an answer has ended with its connection.
 """
 
 from collections.abc import AsyncIterator
@@ -146,7 +147,7 @@
 
         The connection is closed instead if ``reusable_s``, the seconds for
         which the server keeps it open, is ``None``, if the answer was not
-        read to its end, or if bytes follow the answer.
+        read to its end, or if bytes or the connection's end follow the answer.
         """
         if self._response is not None:
             await self._response.aclose()
@@ -242,7 +243,7 @@
         if (
             reusable_s is None
             or not connection.is_idle()
-            or _has_surplus(connection)
+            or not _awaits_request(connection)
         ):
             await connection.aclose()
             return
@@ -301,11 +302,11 @@
         return Ok(_PoolEntry(AsyncHTTP11Connection(origin, stream), 0.0))
 
 
-def _has_surplus(connection: AsyncHTTP11Connection) -> bool:
-    """Whether bytes beyond the last answer were already read."""
+def _awaits_request(connection: AsyncHTTP11Connection) -> bool:
+    """Whether neither bytes nor the connection's end follow the answer."""
     # httpcore gives no public access to the parser's buffer.
-    data, _ = connection._h11_state.trailing_data
-    return bool(data)
+    data, ended = connection._h11_state.trailing_data
+    return not data and not ended
 
 
 def _answer_too_long(size: int) -> Failure:
