--- a/tests/raw_server.py
+++ b/tests/raw_server.py
@@ -101,7 +101,8 @@
                         b"200 OK",
                         Ending.KEEP_OPEN,
                     )
-                    if head.split(b" ")[1] not in self.ignored_paths:
+                    path = head.split(b" ")[1].partition(b"?")[0]
+                    if path not in self.ignored_paths:
                         self.connections_used += is_new
                         is_new = False
                         self.requests.append(headers)
--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -8,8 +8,14 @@
 
 from anyio import fail_after
 from anyio import sleep
+from msgspec.json import encode
 import pytest
 
+from tests.examples import Caller
+from tests.examples import chat_text
+from tests.examples import error_of
+from tests.examples import example_configuration
+from tests.examples import running_deployment
 from tests.examples import TEST_TIMEOUT_S
 from tests.node_deployment import Deployment
 from tests.node_deployment import deployment
@@ -18,9 +24,18 @@
 from tests.raw_server import RawAnswer
 from tests.raw_server import RawServer
 from tests.raw_server import serve_raw
+from wasabiwing.asgi import bind_listener
 from wasabiwing.events import Event
+from wasabiwing.http_client import HttpClient
+from wasabiwing.ports import HttpReply
+from wasabiwing.routing_scores import RoutingPolicy
+from wasabiwing_demo.deployment import EntryVm
+from wasabiwing_demo.deployment import LocalDeployment
 from wasabiwing_platform_standins.server import stream_answer
 from wasabiwing_platform_standins.server import stream_event
+from wasabiwing_standins.engine import answer_text
+from wasabiwing_standins.engine import token
+from wasabiwing_standins.server import StandInServer
 
 pytestmark = pytest.mark.anyio
 
@@ -250,3 +265,247 @@
             reply = await system.call("/book/1", body=b"x" * 100_000)
             assert (reply.status, reply.body) == (200, b"whole")
             assert len(server.requests) == 2
+
+
+STATUS_PATHS = (b"/v1/load", b"/v1/cache_events", b"/v1/models")
+
+TOKENS = 20
+
+DONE = b"data: [DONE]\n\n"
+
+
+def engine_event(number: int) -> bytes:
+    """Returns an engine's event with a token of the answer to "drop"."""
+    document = {"choices": [{"delta": {"content": token("drop", number)}}]}
+    return b"id: %d\ndata: %b\n\n" % (number + 1, encode(document))
+
+
+ENGINE_EVENTS = b"".join(engine_event(number) for number in range(TOKENS))
+ENGINE_STREAM = ENGINE_EVENTS + DONE
+PARTIAL_ENGINE_STREAMS = {
+    "first event": ENGINE_EVENTS[:10],
+    "third event": engine_event(0) + engine_event(1) + engine_event(2)[:20],
+    "marker": ENGINE_EVENTS + DONE[:-1],
+}
+
+
+def gateway_origin(headers: dict[bytes, bytes]) -> bytes:
+    """Returns the headers with which an engine names an attempt."""
+    return b"x-request-id: %b\r\nx-attempt: %b\r\n" % (
+        headers.get(b"x-request-id", b""),
+        headers.get(b"x-attempt", b""),
+    )
+
+
+@asynccontextmanager
+async def gateway_before(
+    server_id: str, *answers: RawAnswer
+) -> AsyncIterator[tuple[LocalDeployment, RawServer]]:
+    """Runs a gateway with a raw server in the place of a stand-in.
+
+    The policy sends the first request to the server with the lowest id.
+    """
+    server = RawServer(gateway_origin, list(answers), STATUS_PATHS)
+    async with running_deployment(
+        example_configuration(),
+        1,
+        routing_policy=RoutingPolicy.LEAST_OUTSTANDING,
+    ) as system:
+        replaced = (
+            system.engine_by_id.get(server_id) or system.desk_by_id[server_id]
+        ).server
+        async with serve_raw(server, await free_port(replaced)):
+            yield system, server
+
+
+async def free_port(replaced: StandInServer) -> int:
+    """Ends a stand-in and returns its port once it is free."""
+    replaced.kill()
+    port = int(replaced.address.rpartition(":")[2])
+    with fail_after(TEST_TIMEOUT_S):
+        while True:
+            try:
+                bind_listener("127.0.0.1", port).close()
+            except OSError:
+                await sleep(POLL_S)
+            else:
+                return port
+
+
+class TestStreamsAtGateways:
+    """Ends of streams that a gateway reads."""
+
+    @pytest.mark.parametrize("place", PARTIAL_ENGINE_STREAMS)
+    @pytest.mark.parametrize("framing", FRAMINGS)
+    async def test_stream_that_ended_inside_an_event_is_continued(
+        self, framing: str, place: str
+    ) -> None:
+        answer = stream(PARTIAL_ENGINE_STREAMS[place], framing)
+        async with gateway_before("model-1", answer) as (system, server):
+            reply = await Caller(HttpClient()).chat(
+                system.vms[0], "drop", TOKENS
+            )
+            assert chat_text(reply) == answer_text("drop", TOKENS)
+            assert len(server.requests) == 1
+
+    async def test_stream_that_ended_inside_an_event_is_not_ended_as_whole(
+        self,
+    ) -> None:
+        answer = stream(PARTIAL_ENGINE_STREAMS["third event"])
+        async with gateway_before("model-1", answer) as (system, server):
+            for engine in system.engine_by_id.values():
+                engine.faults.refuse = True
+            reply = await Caller(HttpClient()).chat(
+                system.vms[0], "drop", TOKENS, stream=True
+            )
+            assert len(server.requests) == 1
+            assert b"[DONE]" not in reply.body
+            assert b"event: error" in reply.body
+
+    async def test_crash_inside_an_event_is_noticed(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        events: list[Event] = []
+        monkeypatch.setattr(
+            "wasabiwing.quarantine.log_event",
+            lambda event, node, **fields: events.append(event),
+        )
+        answer = stream(
+            PARTIAL_ENGINE_STREAMS["third event"], ending=Ending.CRASH
+        )
+        async with gateway_before("model-1", answer) as (system, server):
+            reply = await Caller(HttpClient()).chat(
+                system.vms[0], "drop", TOKENS
+            )
+            assert chat_text(reply) == answer_text("drop", TOKENS)
+            assert events == [Event.SERVER_CRASHED]
+
+    @pytest.mark.parametrize("framing", FRAMINGS)
+    async def test_stream_that_ends_after_its_marker_is_whole(
+        self, framing: str
+    ) -> None:
+        answer = stream(ENGINE_STREAM, framing)
+        async with gateway_before("model-1", answer) as (system, server):
+            reply = await Caller(HttpClient()).chat(
+                system.vms[0], "drop", TOKENS
+            )
+            assert chat_text(reply) == answer_text("drop", TOKENS)
+            assert server.connections_used == 1
+            others = [
+                engine.request_ids for engine in system.engine_by_id.values()
+            ]
+            assert not any(others)
+
+    @pytest.mark.parametrize("ending", [Ending.FIN, Ending.RESET])
+    async def test_stream_that_ends_before_its_marker_is_continued(
+        self, ending: Ending
+    ) -> None:
+        answer = stream(engine_event(0) + engine_event(1), ending=ending)
+        async with gateway_before("model-1", answer) as (system, server):
+            reply = await Caller(HttpClient()).chat(
+                system.vms[0], "drop", TOKENS
+            )
+            assert chat_text(reply) == answer_text("drop", TOKENS)
+
+    async def test_stream_without_any_event_is_run_elsewhere(self) -> None:
+        async with gateway_before("model-1", stream(b"")) as (system, server):
+            reply = await Caller(HttpClient()).chat(
+                system.vms[0], "drop", TOKENS
+            )
+            assert chat_text(reply) == answer_text("drop", TOKENS)
+
+
+class TestPlainAnswersAtGateways:
+    """Ends of plain answers that a gateway passes on."""
+
+    @pytest.mark.parametrize(
+        "headers",
+        [
+            b"",
+            b"connection: close\r\n",
+            b"connection: keep-alive\r\nkeep-alive: timeout=60\r\n",
+        ],
+    )
+    async def test_answer_that_ends_with_its_connection_is_whole(
+        self, headers: bytes
+    ) -> None:
+        answer = RawAnswer(b"x" * 100_000, headers)
+        async with gateway_before("desk-1", *[answer] * 3) as (system, server):
+            for number in range(3):
+                reply = await get_status(system.vms[0])
+                assert (reply.status, reply.body) == (200, answer.body)
+                await wait_closed(server, number + 1)
+            assert server.connections_used == 3
+
+    async def test_answer_that_was_reset_is_not_whole(self) -> None:
+        answer = RawAnswer(b"x" * 100, ending=Ending.RESET)
+        async with gateway_before("desk-1", answer) as (system, server):
+            reply = await charge(system.vms[0])
+            assert reply.status == 502
+            assert error_of(reply)["run"] == "may_have_run"
+            assert len(server.requests) == 1
+
+    async def test_answer_that_was_reset_is_replaced_if_it_may_be(
+        self,
+    ) -> None:
+        answer = RawAnswer(b"x" * 100, ending=Ending.RESET)
+        async with gateway_before("desk-1", answer) as (system, server):
+            reply = await get_status(system.vms[0])
+            assert reply.status == 200
+            assert b"desk-" in reply.body
+
+    @pytest.mark.parametrize(
+        ("method", "status", "headers"),
+        [
+            ("HEAD", b"200 OK", b"content-length: 5\r\n"),
+            ("HEAD", b"200 OK", b""),
+            ("GET", b"204 No Content", b""),
+            ("GET", b"304 Not Modified", b""),
+            ("GET", b"304 Not Modified", b"content-length: 5\r\n"),
+        ],
+    )
+    async def test_answer_without_body_ends_with_its_head(
+        self, method: str, status: bytes, headers: bytes
+    ) -> None:
+        answer = RawAnswer(b"", headers, status, Ending.KEEP_OPEN)
+        async with gateway_before("desk-1", *[answer] * 2) as (system, server):
+            for _ in range(2):
+                reply = await get_status(system.vms[0], method)
+                assert reply.status == int(status[:3])
+                assert reply.body == b""
+            assert server.connections_used == 1
+
+    @pytest.mark.parametrize(
+        "ending", [Ending.FIN, Ending.RESET, Ending.KEEP_OPEN]
+    )
+    async def test_answer_before_the_body_was_read_is_passed_on(
+        self, ending: Ending
+    ) -> None:
+        refusal = RawAnswer(
+            b"",
+            b"x-request-started: false\r\ncontent-length: 0\r\n",
+            b"503 Service Unavailable",
+            ending,
+            reads_body=False,
+        )
+        async with gateway_before("desk-1", refusal) as (system, server):
+            reply = await charge(system.vms[0])
+            assert reply.status == 503
+            assert error_of(reply)["run"] == "not_run"
+            assert len(server.requests) == 1
+
+
+async def get_status(vm: EntryVm, method: str = "GET") -> HttpReply:
+    """Sends a request that may be repeated to a gateway."""
+    return await Caller(HttpClient()).send(vm, method, "/orders/status")
+
+
+async def charge(vm: EntryVm) -> HttpReply:
+    """Sends a long request that may run only once to a gateway."""
+    return await Caller(HttpClient()).send(
+        vm,
+        "POST",
+        "/orders/charges",
+        {"note": "x" * 100_000},
+        {"Idempotency-Key": "key-1"},
+    )
