Read events with CRLF line ends on the gateway's data path, too

What callers saw: with an engine that ends its lines with CRLF, a gateway read no event of a whole stream, took it for broken off and ran the request again at other engines. Where all engines do so, the request failed.

Cause: the gateway split events at two line feeds only. The node has a module of its own for this rule, which knows both line ends.

Evidence: test_events_with_crlf_line_ends_are_read failed before: the request had been run at another engine ("AssertionError: assert not True").

Fix: both data paths use EventSplitter. The id that the parser kept was read nowhere and is gone.

--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -396,6 +396,19 @@
             ]
             assert not any(others)
 
+    async def test_events_with_crlf_line_ends_are_read(self) -> None:
+        """Guards against a whole stream that is taken for an empty one."""
+        answer = stream(ENGINE_STREAM.replace(b"\n", b"\r\n"))
+        async with gateway_before("model-1", answer) as (system, server):
+            reply = await Caller(HttpClient()).chat(
+                system.vms[0], "drop", TOKENS
+            )
+            assert chat_text(reply) == answer_text("drop", TOKENS)
+            others = [
+                engine.request_ids for engine in system.engine_by_id.values()
+            ]
+            assert not any(others)
+
     @pytest.mark.parametrize("ending", [Ending.FIN, Ending.RESET])
     async def test_stream_that_ends_before_its_marker_is_continued(
         self, ending: Ending
--- a/wasabiwing/answer_log.py
+++ b/wasabiwing/answer_log.py
@@ -18,6 +18,7 @@
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
+from wasabiwing.event_splitter import EventSplitter
 
 TERMINAL_PAYLOAD = b"[DONE]"
 
@@ -26,21 +27,15 @@
     """Splits the bytes of a server-sent event stream into payloads."""
 
     def __init__(self) -> None:
-        self._pending = b""
-        # Value of the last ``id:`` field, for resuming at the engine.
-        self.last_event_id = 0
+        self._splitter = EventSplitter()
 
     def feed(self, data: bytes) -> list[bytes]:
         """Adds bytes; returns the payloads of the events they complete."""
-        *blocks, self._pending = (self._pending + data).split(b"\n\n")
-        payloads = []
-        for block in blocks:
-            for line in block.split(b"\n"):
-                if line.startswith(b"data:"):
-                    payloads.append(line[5:].strip())
-                elif line.startswith(b"id:") and line[3:].strip().isdigit():
-                    self.last_event_id = int(line[3:])
-        return payloads
+        return [
+            line[5:].strip()
+            for line in self._splitter.feed(data).splitlines()
+            if line.startswith(b"data:")
+        ]
 
 
 class AnswerLog:
--- a/wasabiwing/event_splitter.py
+++ b/wasabiwing/event_splitter.py
@@ -1,4 +1,4 @@
-"""Splits a relayed stream of server-sent events into complete events.
+"""Splits a stream of server-sent events into complete events.
 
 Only complete events are relayed, so that a stream that breaks off within an
 event can be resumed at another backend server.
