Cut off events without an end on the gateway's data path, too

What callers saw: an engine that sent an event without end held its request until the deadline, and the gateway kept all bytes of the event in memory.

Cause: the bound on the length of an event was in the node's relay only.

Evidence: test_event_without_an_end_is_cut_off_at_a_gateway failed before: TimeoutError: deadline exceeded (no answer within 20 s)

Fix: the gateway's reader asks for the same bound and fails the attempt as SERVER_CUT with MAY_HAVE_RUN, so the answer is continued at another engine. The endless server of the tests can leave other paths, such as those of status requests, without an answer.

--- a/tests/raw_server.py
+++ b/tests/raw_server.py
@@ -16,13 +16,19 @@
 from anyio import create_task_group
 from anyio import create_tcp_listener
 from anyio import EndOfStream
+from anyio import fail_after
 from anyio import sleep
 from anyio.abc import Listener
 from anyio.abc import SocketAttribute
 from anyio.abc import SocketStream
 
+from tests.examples import TEST_TIMEOUT_S
+from wasabiwing.asgi import bind_listener
+
 HOST = "127.0.0.1"
 
+POLL_S = 0.01
+
 HEAD_END = b"\r\n\r\n"
 
 # With this value of ``SO_LINGER`` a close sends a reset.
@@ -156,6 +162,19 @@
     return value_by_name
 
 
+async def free_port(address: str) -> int:
+    """Returns the port of a server that ends, once the port is free."""
+    port = int(address.rpartition(":")[2])
+    with fail_after(TEST_TIMEOUT_S):
+        while True:
+            try:
+                bind_listener(HOST, port).close()
+            except OSError:
+                await sleep(POLL_S)
+            else:
+                return port
+
+
 @asynccontextmanager
 async def serve_raw(server: RawServer, port: int = 0) -> AsyncIterator[str]:
     """Runs a server on a port; yields its address as ``host:port``.
--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -21,10 +21,10 @@
 from tests.node_deployment import deployment
 from tests.node_deployment import POLL_S
 from tests.raw_server import Ending
+from tests.raw_server import free_port
 from tests.raw_server import RawAnswer
 from tests.raw_server import RawServer
 from tests.raw_server import serve_raw
-from wasabiwing.asgi import bind_listener
 from wasabiwing.events import Event
 from wasabiwing.http_client import HttpClient
 from wasabiwing.ports import HttpReply
@@ -35,7 +35,6 @@
 from wasabiwing_platform_standins.server import stream_event
 from wasabiwing_standins.engine import answer_text
 from wasabiwing_standins.engine import token
-from wasabiwing_standins.server import StandInServer
 
 pytestmark = pytest.mark.anyio
 
@@ -314,24 +313,12 @@
         replaced = (
             system.engine_by_id.get(server_id) or system.desk_by_id[server_id]
         ).server
-        async with serve_raw(server, await free_port(replaced)):
+        replaced.kill()
+        port = await free_port(replaced.address)
+        async with serve_raw(server, port):
             yield system, server
 
 
-async def free_port(replaced: StandInServer) -> int:
-    """Ends a stand-in and returns its port once it is free."""
-    replaced.kill()
-    port = int(replaced.address.rpartition(":")[2])
-    with fail_after(TEST_TIMEOUT_S):
-        while True:
-            try:
-                bind_listener("127.0.0.1", port).close()
-            except OSError:
-                await sleep(POLL_S)
-            else:
-                return port
-
-
 class TestStreamsAtGateways:
     """Ends of streams that a gateway reads."""
 
--- a/tests/test_endless_servers.py
+++ b/tests/test_endless_servers.py
@@ -15,20 +15,27 @@
 from anyio.abc import SocketStream
 import pytest
 
+from tests.examples import Caller
+from tests.examples import chat_text
+from tests.examples import example_configuration
+from tests.examples import running_deployment
 from tests.examples import TEST_TIMEOUT_S
 from tests.node_deployment import Deployment
 from tests.node_deployment import deployment
 from tests.node_deployment import POLL_S
+from tests.raw_server import free_port
 from wasabiwing import http_client
 from wasabiwing.codes import ResultCode
 from wasabiwing.event_splitter import EventSplitter
 from wasabiwing.event_splitter import MAX_EVENT_BYTES
 from wasabiwing.http_client import HttpClient
 from wasabiwing.http_client import MAX_REPLY_BYTES
+from wasabiwing.routing_scores import RoutingPolicy
 from wasabiwing.server_connections import AnswerMemoryBudget
 from wasabiwing.server_connections import MAX_ANSWER_BYTES
 from wasabiwing.server_connections import MAX_BUFFERED_ANSWER_BYTES
 from wasabiwing_platform_standins.server import ServerStandIn
+from wasabiwing_standins.engine import answer_text
 
 pytestmark = pytest.mark.anyio
 
@@ -84,8 +91,12 @@
 class EndlessServer:
     """Answers each request with bytes until the caller closes."""
 
-    def __init__(self, answer: Answer, pause_s: float = 0.0) -> None:
+    def __init__(
+        self, answer: Answer, pause_s: float = 0.0, path: bytes = b"/"
+    ) -> None:
         self._answer = answer
+        # Requests for other paths are not answered.
+        self._path = path
         # Time between two blocks, in seconds.
         self._pause_s = pause_s
         self.requests = 0
@@ -102,6 +113,8 @@
                     received += await stream.receive()
                 except (EndOfStream, BrokenResourceError):
                     return
+            if self._path not in received.partition(b"\r\n")[0]:
+                return
             self.requests += 1
             first, block = self._answer
             name = b"wasabiwing-attempt-id: "
@@ -180,6 +193,35 @@
                         await sleep(POLL_S)
                 assert server.sent_bytes < MAX_EVENT_BYTES + SOCKET_BYTES
 
+    async def test_event_without_an_end_is_cut_off_at_a_gateway(self) -> None:
+        """Guards against a gateway that buffers an event without bound."""
+        server = EndlessServer(
+            (success(b"connection: close\r\n\r\nid: 1\ndata: "), BLOCK),
+            path=b"/v1/chat/completions",
+        )
+        async with running_deployment(
+            example_configuration(),
+            1,
+            routing_policy=RoutingPolicy.LEAST_OUTSTANDING,
+        ) as system:
+            # The policy sends the first request to this engine.
+            engine = system.engine_by_id["model-1"].server
+            engine.kill()
+            port = await free_port(engine.address)
+            listener = await create_tcp_listener(
+                local_host="127.0.0.1", local_port=port
+            )
+            async with create_task_group() as tasks:
+                tasks.start_soon(listener.serve, server.serve)
+                with fail_after(TEST_TIMEOUT_S):
+                    reply = await Caller(HttpClient()).chat(
+                        system.vms[0], "drop", 20
+                    )
+                assert chat_text(reply) == answer_text("drop", 20)
+                assert server.sent_bytes < MAX_EVENT_BYTES + SOCKET_BYTES
+                tasks.cancel_scope.cancel()
+            await listener.aclose()
+
     async def test_reply_of_another_system_is_cut_off(self) -> None:
         client = HttpClient()
         answer = ENDLESS_ANSWERS["body without length"]
--- a/wasabiwing/answer_log.py
+++ b/wasabiwing/answer_log.py
@@ -29,6 +29,11 @@
     def __init__(self) -> None:
         self._splitter = EventSplitter()
 
+    @property
+    def is_event_too_long(self) -> bool:
+        """Whether the incomplete event is too long to wait for its end."""
+        return self._splitter.is_event_too_long
+
     def feed(self, data: bytes) -> list[bytes]:
         """Adds bytes; returns the payloads of the events they complete."""
         return [
--- a/wasabiwing/attempt_reader.py
+++ b/wasabiwing/attempt_reader.py
@@ -137,6 +137,12 @@
             if isinstance(chunk, Err):
                 return chunk.err_value
             payloads = parser.feed(chunk.ok_value)
+            if parser.is_event_too_long:
+                return Failure(
+                    ResultCode.SERVER_CUT,
+                    "an event without an end",
+                    RunState.MAY_HAVE_RUN,
+                )
             if payloads and answer.first_event_at is None:
                 answer.first_event_at = self._timer.now()
             ended = TERMINAL_PAYLOAD in payloads
