Begin no duty after a request to stop

Operators would see duties (usage reports, orders) without a holder for up to the grace time and a lease more.

Cause: a node looked at the stop before the random pause of an election and not after it, so it could win the lease after it had resigned; a lease whose release failed at the store was extended as long as the process lived; the entry in the store was given up only after the duties.

Evidence: both tests of TestStop failed before (the lease of the stopping node was still in the store). Now the stop is looked at after each wait, a lease that was won meanwhile is released, none is extended, no call of a duty is begun, and duties and entry are given up at the same time.

--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -15,6 +15,7 @@
 from tests.platform_fakes import StoreLink
 from wasabiwing.duties import DUTY_LEASE_NAME
 from wasabiwing.duties import DutyRunner
+from wasabiwing.duties import ELECTION_JITTER_S
 from wasabiwing.leases import LEASE_PREFIX
 from wasabiwing.leases import LeaseHolder
 from wasabiwing.messages import Envelope
@@ -261,6 +262,44 @@
             assert len(holder_by_fencing_number) > 1
 
 
+@pytest.mark.anyio
+class TestStop:
+    """A node that stops while it wins or gives up the duties."""
+
+    async def test_a_stop_in_an_election_leaves_the_duties_free(self) -> None:
+        """Guards against a lease that a stopping node acquires."""
+        async with fleet(1) as nodes:
+            [node] = nodes.nodes
+            async with create_task_group() as tasks:
+                tasks.start_soon(node.duties.renew_lease)
+                await nodes.timer.advance(0.0)
+                await node.stop()
+                await nodes.timer.advance(ELECTION_JITTER_S)
+            assert nodes.holders() == []
+            assert LEASE_PREFIX + DUTY_LEASE_NAME not in (
+                nodes.store.item_by_key
+            )
+
+    async def test_duties_are_free_a_lease_after_a_failed_release(
+        self,
+    ) -> None:
+        """Guards against a lease that a stopping node goes on to extend."""
+        async with fleet(1) as nodes:
+            [node] = nodes.nodes
+            await nodes.run(3.0)
+            assert nodes.holders() == [node.node_id]
+            node.link.unavailable = True
+            await node.stop()
+            node.link.unavailable = False
+            for _ in range(round(LEASE_S / STEP_S) + 1):
+                await nodes.timer.advance(STEP_S)
+                await node.duties.renew_lease()
+                nodes.store.expire()
+            assert LEASE_PREFIX + DUTY_LEASE_NAME not in (
+                nodes.store.item_by_key
+            )
+
+
 @pytest.mark.anyio
 class TestUsage:
     """Each window is reported once, with all counts."""
--- a/wasabiwing/duties.py
+++ b/wasabiwing/duties.py
@@ -71,9 +71,9 @@
 
     async def renew_lease(self) -> None:
         """Extends the duty lease or acquires it if free; runs periodically."""
-        await self._leases.extend()
         if self.stopping:
             return
+        await self._leases.extend()
         if self._usage is None and self._autoscaler is None:
             return
         if self._leases.held_lease(DUTY_LEASE_NAME) is not None:
@@ -86,16 +86,25 @@
         ):
             return
         await self._timer.sleep(self._random.random() * ELECTION_JITTER_S)
-        if DUTY_LEASE_NAME not in self._nodes.held_lease_names:
-            await self._leases.acquire(DUTY_LEASE_NAME)
+        if self.stopping or DUTY_LEASE_NAME in self._nodes.held_lease_names:
+            return
+        await self._leases.acquire(DUTY_LEASE_NAME)
+        if self.stopping:
+            await self._leases.release(DUTY_LEASE_NAME)
 
     async def resign(self) -> None:
-        """Releases the duty lease, so that the next holder need not wait."""
+        """Releases the duty lease, so that the next holder need not wait.
+
+        No call of a duty is begun afterwards. If the store does not take the
+        release, the lease ends by itself, as it is not extended any more.
+        """
         self.stopping = True
         await self._leases.release(DUTY_LEASE_NAME)
 
     async def run_due(self) -> None:
         """Makes the calls that are due if this node holds the duties."""
+        if self.stopping:
+            return
         if self._autoscaler is not None:
             self._autoscaler.note_initial_servers()
         held = self._usable_lease()
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -404,8 +404,9 @@
         left = Event()
 
         async def leave() -> None:
-            await self.duty_runner.resign()
-            await self._presence.leave()
+            async with create_task_group() as leaving:
+                leaving.start_soon(self.duty_runner.resign)
+                leaving.start_soon(self._presence.leave)
             left.set()
 
         async with create_task_group() as tasks:
