Answer each request that was read before a stopping node closes

Callers that pipeline saw: of two requests that were sent and read before SIGTERM only the first was answered; the connection closed before the second.

The answer that closes is now the last one of those that were read; the protocol class tells the application whether one waits. The test that asserted that the second is not run checked the wrong thing: it is replaced by two, each request read is answered, in both orders of stop and requests, and what comes after the close is not passed on.

--- a/tests/test_node_stops.py
+++ b/tests/test_node_stops.py
@@ -321,21 +321,42 @@
             await stream.send(data[-2:])
             assert b"200" in (await read_answer(stream))[:20]
 
-    async def test_the_second_of_two_pipelined_requests_is_not_run(
-        self,
+    @pytest.mark.parametrize("stop_first", [True, False])
+    async def test_each_of_two_pipelined_requests_is_answered(
+        self, stop_first: bool
     ) -> None:
-        """After ``Connection: close`` nothing more on it is passed on."""
+        """Guards against a close before a request that was read already."""
         async with stopping_node(0.3, warm_up=True) as kept:
             stream = await kept.open()
-            kept.system.stop.set()
-            await sleep(0.1)
+            if stop_first:
+                kept.system.stop.set()
+                await sleep(0.1)
             await stream.send(
                 head("/book/1", "first", 20_000, b"first")
                 + head("/book/1", "second", 20_000, b"second")
             )
+            await sleep(0.1)
+            kept.system.stop.set()
+            data = b""
+            with pytest.raises(EndOfStream):
+                while True:
+                    data += await stream.receive()
+            first, _, second = data.partition(b"answer to first")
+            assert b"connection: close" not in first.lower()
+            assert b"connection: close" in second.lower()
+            assert second.endswith(b"answer to second")
+
+    async def test_no_request_is_passed_on_after_the_close(self) -> None:
+        """One that comes after the answer that closes is not read."""
+        async with stopping_node(0.3, warm_up=True) as kept:
+            stream = await kept.open()
+            kept.system.stop.set()
+            await stream.send(head("/book/1", "first", 20_000, b"first"))
             answer = await read_answer(stream)
             assert b"connection: close" in answer.lower()
-            assert b"answer to first" in answer
+            with pytest.raises((EndOfStream, BrokenResourceError)):
+                await stream.send(head("/book/1", "late", 20_000, b"late"))
+                await stream.receive()
             await sleep(0.5)
             bodies = [
                 request.body
@@ -343,7 +364,7 @@
                 for request in server.received_requests
             ]
             assert b"first" in bodies
-            assert b"second" not in bodies
+            assert b"late" not in bodies
 
     async def test_a_broken_stream_is_resumed_while_the_node_stops(
         self,
--- a/wasabiwing/caller_http.py
+++ b/wasabiwing/caller_http.py
@@ -30,6 +30,7 @@
 from wasabiwing.events import Event
 from wasabiwing.events import log_event
 from wasabiwing.fleet_follower import FleetView
+from wasabiwing.header_timeout import PIPELINE_EXTENSION
 from wasabiwing.metrics import GatewayMetrics
 from wasabiwing.routed_calls import CallCodec
 from wasabiwing.routed_calls import CallHead
@@ -159,7 +160,7 @@
 
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         received_at = self._timer.now()
-        output = CallerOutput(send, lambda: self._stop_admission.stopping)
+        output = CallerOutput(send, lambda: self._closes_after(scope))
         configuration = self._view.configuration
         limits = RequestLimits()
         if configuration is not None:
@@ -205,6 +206,16 @@
             self._count(call.route.name, outcome)
             self._refund_cap(call, outcome)
 
+    def _closes_after(self, scope: Scope) -> bool:
+        """Whether the caller's connection is closed after this answer.
+
+        A request that was read already is answered before.
+        """
+        if not self._stop_admission.stopping:
+            return False
+        extension = scope.get("extensions", {}).get(PIPELINE_EXTENSION)
+        return extension is None or not extension["has_next"]()
+
     def _build_call(
         self, scope: Scope, body: bytes, received_at: float
     ) -> Result[RoutedCall, Failure]:
--- a/wasabiwing/header_timeout.py
+++ b/wasabiwing/header_timeout.py
@@ -1,5 +1,6 @@
 """A uvicorn protocol that limits the time for request headers.
 
+It also tells the application whether a connection holds a further request.
 ``asgi.serve_http`` takes it as ``protocol``. uvicorn has no such limit: a
 caller that sends its headers byte by byte would hold its connection for ever.
 """
@@ -9,6 +10,10 @@
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+# ASGI extension with a function ``has_next``, which tells whether a request
+# that was read on the same connection waits for its turn.
+PIPELINE_EXTENSION = "wasabiwing.pipeline"
+
 REQUEST_TIMEOUT = (
     b"HTTP/1.1 408 Request Timeout\r\n"
     b"content-length: 0\r\n"
@@ -31,8 +36,15 @@
 
         def on_message_begin(self) -> None:
             super().on_message_begin()
+            self.scope["extensions"] = {
+                PIPELINE_EXTENSION: {"has_next": self._has_next_request}
+            }
             self._start_header_timer()
 
+        def _has_next_request(self) -> bool:
+            """Whether a further request was read on this connection."""
+            return bool(self.pipeline)
+
         def on_headers_complete(self) -> None:
             self._stop_header_timer()
             super().on_headers_complete()
