Let SIGHUP end no program

Callers would see the requests of a gateway or controller cut in the moment in which an operator sends SIGHUP to all programs of a VM; a node's too, while it starts.

Cause: only the node has a handler, and only once it runs; the default action ends the process. Found in the review.

Evidence: test_a_signal_to_reload_ends_no_program ended its test process before ("worker crashed"). Programs ignore the signal; the node's handler replaces that.

--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -1,25 +1,29 @@
 """Tests of the signals that stop a program."""
 
+from os import devnull
 from os import getpid
 from os import kill
+from signal import getsignal
+from signal import SIGHUP
 from signal import SIGINT
+from signal import signal as set_handler
 from signal import SIGTERM
 
 from anyio import Event
 from anyio import sleep
 import pytest
 
+from wasabiwing.program import run_program
 from wasabiwing.program import run_until_signal
 
-pytestmark = pytest.mark.anyio
-
 # Time in which a signal reaches the event loop, in seconds.
 SIGNAL_S = 0.05
 
 
 class TestSignals:
-    """A program that drains after the first request to stop."""
+    """Signals to a program that serves or drains."""
 
+    @pytest.mark.anyio
     @pytest.mark.parametrize("signal", [SIGTERM, SIGINT])
     async def test_a_second_signal_does_not_end_the_drain(
         self, signal: int
@@ -39,3 +43,18 @@
 
         await run_until_signal(program)
         assert drained
+
+    def test_a_signal_to_reload_ends_no_program(self) -> None:
+        """Guards against requests that SIGHUP cuts off."""
+
+        async def program(stop: Event) -> None:
+            kill(getpid(), SIGHUP)
+            await sleep(SIGNAL_S)
+            kill(getpid(), SIGTERM)
+            await stop.wait()
+
+        earlier = getsignal(SIGHUP)
+        try:
+            run_program(program, devnull)
+        finally:
+            set_handler(SIGHUP, earlier)
--- a/wasabiwing/program.py
+++ b/wasabiwing/program.py
@@ -2,7 +2,10 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from signal import SIG_IGN
+from signal import SIGHUP
 from signal import SIGINT
+from signal import signal
 from signal import SIGTERM
 from sys import stdout
 from time import monotonic
@@ -42,6 +45,8 @@
 
 
 def _run(program: Program) -> None:
+    # A program that follows no changed settings must not end by the signal.
+    signal(SIGHUP, SIG_IGN)
     run(run_until_signal, program, backend_options={"use_uvloop": True})
 
 
