Judge runs at a stop by rare, abandoned and other services' runs, too

Callers could still see a late request cut: the estimate of its run was wrong.

Cause: runs whose callers had left were not counted (20 runs of 5 s that their callers gave up left the longest at 0.1 s); 64 short runs pushed out a rare long one; a route that is split over services had one estimate; a request of the first seconds that waited or was retried was judged as a late one; SIGTERM was taken to come when a suspended process saw it.

Change: durations are kept by route and service; the longest is remembered beyond the 64 newest and halves in 120 s; an abandoned run counts with its age; the lenient time goes by the request's arrival, and ends at 2.9 s, so that the 0.05 s that a signal takes fit; a process whose ticks have stood still counts the time since the last one as passed.

--- a/wasabiwing/call_forwarding.py
+++ b/wasabiwing/call_forwarding.py
@@ -36,6 +36,7 @@
 from wasabiwing.retry_budgets import ServiceRetryBudgets
 from wasabiwing.routed_calls import CallCodec
 from wasabiwing.routed_calls import RoutedCall
+from wasabiwing.run_durations import RunEnd
 from wasabiwing.running_calls import RunningCall
 from wasabiwing.running_calls import RunningCalls
 from wasabiwing.server_connections import ServerConnections
@@ -183,17 +184,18 @@
         with (
             self._running.add(call, output) as running,
             self._stop_admission.durations.track(
-                call.route.name, call.head.answer_tokens
+                _run_kind(call), call.head.answer_tokens
             ) as tracked,
         ):
             with move_on_after(max(remaining_s, 0.0)) as running.scope:
                 failure = await self._run_attempts(call, progress, output)
             if running.scope.cancelled_caught:
                 failure = _cancelled_failure(running, progress)
-            tracked.counts = (
-                failure.code is ResultCode.OK
-                or failure.run_state is not RunState.NOT_RUN
-            )
+            ran = failure.run_state is not RunState.NOT_RUN
+            if failure.code is ResultCode.OK or ran:
+                tracked.end = RunEnd.ENDED
+            else:
+                tracked.end = RunEnd.NOT_RUN
         if failure.code is not ResultCode.OK:
             await self._send_failure(call, progress, failure, output)
         self._log_end(call, progress, failure)
@@ -228,7 +230,10 @@
         if output.started:
             return None
         return self._stop_admission.refusal(
-            call.route.name, call.deadline, call.head.answer_tokens
+            _run_kind(call),
+            call.received_at,
+            call.deadline,
+            call.head.answer_tokens,
         )
 
     async def _wait_for_server(
@@ -242,10 +247,10 @@
         if self._quarantine.suspect_digest(call):
             wait_s = SUSPECT_WAIT_S
         wait_until = self._timer.now() + wait_s
+        refusal = self._stop_refusal(call, output)
+        if refusal is not None:
+            return refusal
         while True:
-            refusal = self._stop_refusal(call, output)
-            if refusal is not None:
-                return refusal
             placed = self._placement.choose_server(
                 call, frozenset(progress.tried_server_ids)
             )
@@ -510,6 +515,11 @@
     return {"digest": request_digest(call)}
 
 
+def _run_kind(call: RoutedCall) -> str:
+    """Returns the kind under which a request's duration is tracked."""
+    return f"{call.route.name}/{call.service}"
+
+
 def _urgency(call: RoutedCall) -> int:
     urgency = call.urgency_class * URGENCY_STEP
     return min(urgency + min(call.organisation_priority, 1), LEAST_URGENT)
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -89,7 +89,7 @@
 
 # Time for which a stopping node stays, in seconds. The load balancer still
 # sends new connections at first, and requests are on their way.
-STAY_S = LENIENT_S + 0.2
+STAY_S = LENIENT_S + 0.3
 
 # Share of the stop grace time in which running requests may end. The rest is
 # for closing the remaining connections before the process is killed.
@@ -400,7 +400,10 @@
         time. Duties and the store's entry are given up meanwhile: a store
         that does not answer delays nothing.
         """
-        self.stop_admission.begin(grace_s)
+        # A process that was suspended has not seen the request to stop.
+        since_tick_s = self._timer.now() - self._last_tick_at
+        lag_s = since_tick_s if since_tick_s > 2 * EXPIRY_PERIOD_S else 0.0
+        self.stop_admission.begin(grace_s, lag_s)
         left = Event()
 
         async def leave() -> None:
--- a/wasabiwing/run_durations.py
+++ b/wasabiwing/run_durations.py
@@ -1,8 +1,8 @@
-"""Recent durations of requests, by route, from which a run is estimated.
+"""Recent durations of requests, by kind, from which a run is estimated.
 
 A duration is the time from a request's arrival to the end of its answer, in
-this process, with all waits and retries. Requests that still run count with
-their age.
+this process, with all waits and retries. Requests that still run, and those
+whose callers left, count with their age.
 """
 
 from collections import deque
@@ -11,17 +11,34 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 from dataclasses import field
+from enum import auto
+from enum import Enum
+from math import exp2
 from statistics import median
 
 from wasabiwing.timers import TimerService
 
-# Number of routes, and of durations for each of them, that are kept.
-MAX_ROUTES = 1024
+# Number of kinds of requests, and of durations for each, that are kept.
+MAX_KINDS = 1024
 MAX_DURATIONS = 64
 
-# Number of durations below which a route's runs count as unknown.
+# Number of durations below which runs of a kind count as unknown.
 MIN_DURATIONS = 6
 
+# Time in which the longest duration halves, in seconds. It outlasts the
+# durations that are kept, because long runs may be rare.
+LONGEST_HALF_LIFE_S = 120.0
+
+
+class RunEnd(Enum):
+    """What the end of a request tells about the durations of its kind."""
+
+    # Nothing, because no server ran the request.
+    NOT_RUN = auto()
+    # The run took at least this long; its caller left.
+    ABANDONED = auto()
+    ENDED = auto()
+
 
 @dataclass(frozen=True, slots=True)
 class RunEstimate:
@@ -38,72 +55,97 @@
     started_at: float
     # Largest number of tokens of the answer; 0 for plain requests.
     answer_tokens: int
-    # Whether the request was sent to a server, so that its duration counts.
-    counts: bool = False
+    # Cancelled blocks leave it unchanged.
+    end: RunEnd = RunEnd.ABANDONED
+
+
+@dataclass(frozen=True, slots=True)
+class _Duration:
+    seconds: float
+    answer_tokens: int
+    at: float
+
+    def scaled_s(self, answer_tokens: int) -> float:
+        """Returns the duration for an answer of more tokens."""
+        if self.answer_tokens <= 0:
+            return self.seconds
+        return self.seconds * max(answer_tokens / self.answer_tokens, 1.0)
+
+    def decayed_s(self, now: float, answer_tokens: int) -> float:
+        """Returns the duration, less the older it is."""
+        half_lives = (now - self.at) / LONGEST_HALF_LIFE_S
+        return self.scaled_s(answer_tokens) * exp2(-half_lives)
 
 
 @dataclass(slots=True)
-class _Route:
-    ended: deque[tuple[float, int]] = field(
+class _Kind:
+    ended: deque[_Duration] = field(
         default_factory=lambda: deque(maxlen=MAX_DURATIONS)
     )
+    longest: _Duration | None = None
     running: set[TrackedRun] = field(default_factory=set)
 
+    def add(self, duration: _Duration, ended: bool) -> None:
+        """Adds a duration, or that of a run that did not end."""
+        if ended:
+            self.ended.append(duration)
+        longest = self.longest
+        tokens = duration.answer_tokens
+        if longest is None or duration.seconds >= longest.decayed_s(
+            duration.at, tokens
+        ):
+            self.longest = duration
+
 
 class RunDurations:
     """Durations of the requests of one gateway or node."""
 
     def __init__(self, timer: TimerService) -> None:
         self._timer = timer
-        self._by_route: OrderedDict[str, _Route] = OrderedDict()
+        self._by_kind: OrderedDict[str, _Kind] = OrderedDict()
 
     @contextmanager
     def track(
-        self, route: str, answer_tokens: int | None
+        self, kind: str, answer_tokens: int | None
     ) -> Iterator[TrackedRun]:
-        """Measures a request while its block runs.
-
-        The block sets ``counts`` if the request was sent to a server.
-        """
+        """Measures a request while its block runs, which sets its ``end``."""
         run = TrackedRun(self._timer.now(), answer_tokens or 0)
-        known = self._by_route.setdefault(route, _Route())
-        self._by_route.move_to_end(route)
-        if len(self._by_route) > MAX_ROUTES:
-            self._by_route.popitem(last=False)
+        known = self._by_kind.setdefault(kind, _Kind())
+        self._by_kind.move_to_end(kind)
+        if len(self._by_kind) > MAX_KINDS:
+            self._by_kind.popitem(last=False)
         known.running.add(run)
         try:
             yield run
         finally:
             known.running.discard(run)
-            if run.counts:
-                duration_s = self._timer.now() - run.started_at
-                known.ended.append((duration_s, run.answer_tokens))
+            if run.end is not RunEnd.NOT_RUN:
+                now = self._timer.now()
+                known.add(
+                    _Duration(now - run.started_at, run.answer_tokens, now),
+                    run.end is RunEnd.ENDED,
+                )
 
     def estimate(
-        self, route: str, answer_tokens: int | None
+        self, kind: str, answer_tokens: int | None
     ) -> RunEstimate | None:
         """Returns how long a request takes; ``None`` if that is unknown.
 
         A request that may get a longer answer than an earlier one takes
         longer in proportion.
         """
-        known = self._by_route.get(route)
+        known = self._by_kind.get(kind)
         if known is None or len(known.ended) < MIN_DURATIONS:
             return None
         tokens = answer_tokens or 0
         now = self._timer.now()
-        durations_s = [
-            _scaled(duration_s, measured_tokens, tokens)
-            for duration_s, measured_tokens in known.ended
-        ]
-        ages_s = [
-            _scaled(now - run.started_at, run.answer_tokens, tokens)
+        durations_s = [item.scaled_s(tokens) for item in known.ended]
+        at_least_s = [
+            _Duration(now - run.started_at, run.answer_tokens, now).scaled_s(
+                tokens
+            )
             for run in known.running
         ]
-        return RunEstimate(median(durations_s), max(durations_s + ages_s))
-
-
-def _scaled(duration_s: float, measured_tokens: int, tokens: int) -> float:
-    if measured_tokens <= 0:
-        return duration_s
-    return duration_s * max(tokens / measured_tokens, 1.0)
+        if known.longest is not None:
+            at_least_s.append(known.longest.decayed_s(now, tokens))
+        return RunEstimate(median(durations_s), max(durations_s + at_least_s))
--- a/wasabiwing/stop_admission.py
+++ b/wasabiwing/stop_admission.py
@@ -16,9 +16,9 @@
 from wasabiwing.timers import TimerService
 
 # Time after a request to stop in which callers still come who can't know of
-# it, in seconds. Until then a request is served unless it probably can't end
-# in time; later only if it surely can.
-LENIENT_S = 3.0
+# it, in seconds. A request of that time is served unless it probably can't end
+# in time; a later one only if the longest run can.
+LENIENT_S = 2.9
 
 # Time before the kill in which the last answers reach their callers, in
 # seconds.
@@ -30,20 +30,21 @@
 
 def may_end_in_time(
     time_left_s: float,
-    stopped_for_s: float,
+    came_after_s: float,
     deadline_left_s: float,
     estimate: RunEstimate | None,
 ) -> bool:
     """Whether a stopping process serves a request.
 
     ``time_left_s`` are the seconds until the process is killed,
-    ``stopped_for_s`` those since it was asked to stop, and ``deadline_left_s``
-    those until the request's own deadline, at which it ends in any case.
+    ``came_after_s`` those from the request to stop to the arrival of this
+    request, negative if it came before, and ``deadline_left_s`` those until
+    its own deadline, at which it ends in any case.
     """
     usable_s = time_left_s - CLOSING_S
     if deadline_left_s <= usable_s:
         return True
-    lenient = stopped_for_s <= LENIENT_S
+    lenient = came_after_s <= LENIENT_S
     if estimate is None:
         return lenient and usable_s > 0.0
     if lenient:
@@ -61,14 +62,15 @@
         self._stopped_at = inf
         self._killed_at = inf
 
-    def begin(self, grace_s: float) -> None:
+    def begin(self, grace_s: float, lag_s: float = 0.0) -> None:
         """Records a request to stop; the process is killed after it.
 
-        ``grace_s`` is the time until then, in seconds. Later calls change
-        nothing.
+        ``grace_s`` is the time until then, in seconds, and ``lag_s`` the time
+        for which the process may have been unable to see the request. Later
+        calls change nothing.
         """
         if not self.stopping:
-            self._stopped_at = self._timer.now()
+            self._stopped_at = self._timer.now() - lag_s
             self._killed_at = self._stopped_at + grace_s
 
     @property
@@ -87,20 +89,25 @@
         return self._killed_at - self._timer.now()
 
     def refusal(
-        self, route: str, deadline: float, answer_tokens: int | None
+        self,
+        kind: str,
+        received_at: float,
+        deadline: float,
+        answer_tokens: int | None,
     ) -> Failure | None:
         """Returns the refusal of a request that can't end in time.
 
-        It is asked before each attempt. ``deadline`` is the request's own, in
-        monotonic seconds, and ``answer_tokens`` the largest number of tokens
-        of its answer; ``None`` for plain requests.
+        It is asked before each attempt. ``kind`` is that under which its
+        duration is tracked, ``received_at`` and ``deadline`` are monotonic
+        seconds, and ``answer_tokens`` is the largest number of tokens of its
+        answer; ``None`` for plain requests.
         """
         if not self.stopping:
             return None
-        estimate = self.durations.estimate(route, answer_tokens)
+        estimate = self.durations.estimate(kind, answer_tokens)
         if may_end_in_time(
             self.time_left_s,
-            self.stopped_for_s,
+            received_at - self._stopped_at,
             deadline - self._timer.now(),
             estimate,
         ):
