Bound the last answers of a stopping node by its kill alone

Cause: the HTTP server had a limit of its own, 5 s from the end of the drain, while admission counts to the kill.

--- a/wasabiwing/asgi.py
+++ b/wasabiwing/asgi.py
@@ -52,9 +52,9 @@
 # Period in seconds at which ``serve_http`` reads the idle timeout again.
 IDLE_TIMEOUT_POLL_S = 0.5
 
-# Time in seconds for unfinished answers to end after ``stop`` was set. A node
-# that stops as planned drains its requests before that.
-GRACEFUL_SHUTDOWN_S = 5
+# Time in seconds for unfinished answers to end after ``stop`` was set, where a
+# program names none.
+GRACEFUL_SHUTDOWN_S = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -257,10 +257,11 @@
     stop: Event,
     idle_timeout_s: Callable[[], float] | None = None,
     protocol: type[HttpToolsProtocol] = HttpToolsProtocol,
+    closing_s: Callable[[], float] = lambda: GRACEFUL_SHUTDOWN_S,
 ) -> None:
     """Serves HTTP on a bound socket until ``stop`` is set.
 
-    Unfinished answers then have ``GRACEFUL_SHUTDOWN_S`` seconds to end.
+    Unfinished answers then have ``closing_s()`` seconds to end.
     Cancelling the task closes all connections. ``idle_timeout_s`` is called
     every ``IDLE_TIMEOUT_POLL_S`` seconds, since the timeout may change.
     """
@@ -273,13 +274,14 @@
         date_header=False,
         lifespan="off",
         backlog=SOCKET_BACKLOG,
-        timeout_graceful_shutdown=GRACEFUL_SHUTDOWN_S,
     )
     server = _EmbeddedServer(config)
     async with create_task_group() as tasks:
 
         async def wait_for_stop() -> None:
             await stop.wait()
+            # uvicorn takes fractions of a second, unlike its type says.
+            setattr(config, "timeout_graceful_shutdown", closing_s())
             server.should_exit = True
 
         async def follow_idle_timeout() -> None:
--- a/wasabiwing/node_program.py
+++ b/wasabiwing/node_program.py
@@ -79,6 +79,8 @@
             header_timeout_protocol(
                 lambda: node.limits.header_timeout_s, node.log_slow_headers
             ),
+            # The time until the kill bounds the answers, and nothing before.
+            lambda: max(node.stop_admission.time_left_s, 0.0),
         )
         tasks.cancel_scope.cancel()
     log_event(LogEvent.PROGRAM_STOPPED, settings.node_id)
