Let the soak play planned stops in series and judge them by requests

Cause: the soak's planned stops came one at a time among other faults, its callers paused 30 ms between requests, and all runs took 20 ms.

Runs take 10 ms to 5 s, some unforeseeable; 20 callers for each node keep a connection open and idle for up to 8 s. New promise: a request sent after SIGTERM is served, refused as not run, or its connection closes before a server got it. The report counts by route what became of these requests. SIGHUP now also reaches nodes that are stopping.

Two checks now know more. The time for an answer is each caller's own limit and 1 s, as before for callers with 3 s.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -31,8 +31,17 @@
 from wasabiwing_platform_standins.balancer import BalancerStandIn
 from wasabiwing_soak.fault_schedule import draw_schedule
 from wasabiwing_soak.fault_schedule import FaultKind
+from wasabiwing_soak.kept_connection import KeptConnection
+from wasabiwing_soak.kept_connection import KeptReply
 from wasabiwing_soak.loopback_proxy import HOST
 from wasabiwing_soak.loopback_proxy import LoopbackProxy
+from wasabiwing_soak.node_process import STOP_GRACE_S
+from wasabiwing_soak.planned_stops import check_stopping_nodes
+from wasabiwing_soak.planned_stops import draw_stop_series
+from wasabiwing_soak.planned_stops import NodeStop
+from wasabiwing_soak.planned_stops import RUN_S_BY_ROUTE
+from wasabiwing_soak.planned_stops import run_seconds
+from wasabiwing_soak.planned_stops import stop_outcomes
 from wasabiwing_soak.promises import CallRecord
 from wasabiwing_soak.promises import check_answers
 from wasabiwing_soak.promises import check_leaving
@@ -70,6 +79,7 @@
     node="node-0",
     sent_s=10.0,
     ended_s=10.2,
+    timeout_s=3.0,
     status=200,
     answer=b"answer to book 1",
     expected=b"answer to book 1",
@@ -174,6 +184,139 @@
         )
 
 
+class TestStopSeries:
+    """Planned stops drawn from a seed."""
+
+    NODES = 6
+
+    def test_stops_overlap_and_come_with_other_faults(self) -> None:
+        faults = draw_stop_series(1, 60.0, self.NODES)
+        assert faults == draw_stop_series(1, 60.0, self.NODES)
+        assert faults != draw_stop_series(2, 60.0, self.NODES)
+        assert {fault.kind for fault in faults} == {
+            FaultKind.NODE_STOPPED,
+            FaultKind.SETTINGS_SIGNAL,
+            FaultKind.CONFIGURATION_CHANGED,
+            FaultKind.SERVER_FAILS,
+            FaultKind.STORE_SILENT,
+        }
+        stops = [item for item in faults if item.kind is faults[0].kind]
+        # All nodes are stopped, half of them at once, and some of them again
+        # within the grace time.
+        assert {stop.target for stop in stops} == set(range(self.NODES))
+        assert any(
+            [stop.at_s for stop in stops].count(first.at_s) == self.NODES // 2
+            for first in stops
+        )
+        assert any(
+            first.target == second.target
+            and 0.0 < second.at_s - first.at_s < STOP_GRACE_S
+            for first in stops
+            for second in stops
+        )
+
+    def test_runs_are_short_long_and_unforeseeable(self) -> None:
+        for route, (shortest_s, longest_s) in RUN_S_BY_ROUTE.items():
+            durations = [
+                run_seconds(f"{route} {number}".encode())
+                for number in range(500)
+            ]
+            assert shortest_s <= min(durations) < max(durations) <= longest_s
+            assert durations[7] == run_seconds(f"{route} 7".encode())
+        # The last route's runs.
+        assert sorted(durations)[250] < 1.0 < 3.0 < max(durations)
+
+
+class TestStoppingNodes:
+    """Checks of requests that are sent to a node after SIGTERM."""
+
+    STOP = NodeStop("node-0", 10.0, 18.0, True)
+    # Sent 5 s after SIGTERM and cut at the end of the process.
+    LATE = replace(CUT, sent_s=15.0, ended_s=18.0, timeout_s=15.0)
+    ARRIVAL = RequestArrival("server-0", 0, "book 1", 15.1, 19.0)
+
+    def check(
+        self, call: CallRecord, arrival: RequestArrival | None
+    ) -> list[Promise]:
+        """Returns which promises the call broke."""
+        arrivals = [] if arrival is None else [arrival]
+        return promises(
+            check_stopping_nodes([call], arrivals, [self.STOP], True)
+        )
+
+    def test_no_request_is_sent_to_a_server_and_cut(self) -> None:
+        assert self.check(self.LATE, self.ARRIVAL) == [Promise.STOPPING_NODE]
+        served = replace(self.LATE, status=200)
+        assert self.check(served, self.ARRIVAL) == []
+        # Sent before the stop, after it, or to another node.
+        for other in (
+            replace(self.LATE, sent_s=9.9),
+            replace(self.LATE, sent_s=18.0),
+            replace(self.LATE, node="node-1"),
+        ):
+            assert self.check(other, self.ARRIVAL) == []
+
+    def test_only_an_early_request_with_a_long_run_may_be_cut(self) -> None:
+        early = replace(self.LATE, sent_s=13.0)
+        assert self.check(early, self.ARRIVAL) == []
+        short = replace(self.ARRIVAL, run_ends_s=16.6)
+        assert self.check(early, short) == [Promise.STOPPING_NODE]
+        late = replace(self.LATE, sent_s=13.1)
+        assert self.check(late, self.ARRIVAL) == [Promise.STOPPING_NODE]
+
+    def test_a_refusal_states_that_the_request_has_not_run(self) -> None:
+        refused = replace(self.LATE, status=503, claim=RunState.NOT_RUN)
+        assert self.check(refused, None) == []
+        for claim in (RunState.MAY_HAVE_RUN, None):
+            unknown = replace(refused, claim=claim)
+            for arrival in (None, self.ARRIVAL):
+                assert self.check(unknown, arrival) == [Promise.STOPPING_NODE]
+
+    def test_a_connection_closes_at_once_or_not_at_all(self) -> None:
+        closed = replace(self.LATE, ended_s=15.1)
+        assert self.check(closed, None) == []
+        assert self.check(self.LATE, None) == [Promise.STOPPING_NODE]
+        assert not check_stopping_nodes([self.LATE], [], [self.STOP], False)
+
+    def test_servers_that_fail_and_the_callers_time_excuse_a_node(
+        self,
+    ) -> None:
+        failed = replace(self.ARRIVAL, server_failed=True)
+        assert self.check(self.LATE, failed) == []
+        # A node that sends the request once more answers for the second run.
+        found = check_stopping_nodes(
+            [self.LATE],
+            [replace(failed, at_s=15.05), self.ARRIVAL],
+            [self.STOP],
+            True,
+        )
+        assert promises(found) == [Promise.STOPPING_NODE]
+        hurried = replace(self.LATE, timeout_s=3.0)
+        assert self.check(hurried, self.ARRIVAL) == []
+
+    def test_outcomes_are_counted_by_route(self) -> None:
+        bodies = [f"book {number}" for number in range(4)]
+        calls = [
+            replace(self.LATE, body=bodies[0], sent_s=11.0, status=200),
+            replace(
+                self.LATE,
+                body=bodies[1],
+                sent_s=11.0,
+                status=503,
+                claim=RunState.NOT_RUN,
+            ),
+            replace(self.LATE, body=bodies[2]),
+            replace(self.LATE, body=bodies[3]),
+        ]
+        arrivals = [
+            replace(self.ARRIVAL, body=body) for body in (bodies[0], bodies[2])
+        ]
+        [outcome] = stop_outcomes(calls, arrivals, [self.STOP])
+        assert (outcome.servable, outcome.servable_served) == (2, 1)
+        assert (outcome.served, outcome.refused) == (1, 1)
+        assert (outcome.cut, outcome.closed_unsent) == (1, 1)
+
+
 class TestPromises:
     """Each check finds what breaks its promise, and nothing else."""
 
@@ -200,22 +343,40 @@
         assert promises(found) == [Promise.WHOLE_ANSWER] * 2
 
     def test_a_planned_stop_must_not_cut_what_came_before(self) -> None:
-        assert promises(check_stops([CUT], [STOP])) == [Promise.PLANNED_STOP]
-        assert check_stops([SERVED], [STOP]) == []
+        assert promises(check_stops([CUT], [], [STOP])) == [
+            Promise.PLANNED_STOP
+        ]
+        assert check_stops([SERVED], [], [STOP]) == []
         later = replace(CUT, sent_s=10.15)
-        assert check_stops([later], [STOP]) == []
+        assert check_stops([later], [], [STOP]) == []
         killed = replace(STOP, planned=False)
-        assert check_stops([CUT], [killed]) == []
-        assert check_stops([CUT], [STOP, killed]) == []
+        assert check_stops([CUT], [], [killed]) == []
+        assert check_stops([CUT], [], [STOP, killed]) == []
+
+    def test_a_stream_ends_early_at_its_time_limit_or_its_server(self) -> None:
+        stream = replace(CUT, is_stream=True)
+        sound = RequestArrival("server-0", 0, "book 1", 10.05)
+        failed = replace(sound, server_failed=True)
+        for arrivals in ([], [sound], [replace(failed, at_s=10.01), sound]):
+            found = check_stops([stream], arrivals, [STOP])
+            assert promises(found) == [Promise.PLANNED_STOP]
+        assert check_stops([stream], [failed], [STOP]) == []
+        late = replace(stream, ended_s=13.0)
+        assert check_stops([late], [sound], [STOP]) == []
+        # A plain request gets an answer at its limit.
+        plain = replace(late, is_stream=False)
+        assert promises(check_stops([plain], [failed], [STOP])) == [
+            Promise.PLANNED_STOP
+        ]
 
     def test_a_node_that_works_must_answer_in_time(self) -> None:
         late = replace(SERVED, ended_s=15.0)
-        assert check_times([SERVED], [], 4.0) == []
-        assert promises(check_times([late], [], 4.0)) == [Promise.IN_TIME]
-        assert promises(check_times([CUT], [], 4.0)) == [Promise.IN_TIME]
-        assert check_times([late, CUT], [STOP], 4.0) == []
+        assert check_times([SERVED], [], 1.0) == []
+        assert promises(check_times([late], [], 1.0)) == [Promise.IN_TIME]
+        assert promises(check_times([CUT], [], 1.0)) == [Promise.IN_TIME]
+        assert check_times([late, CUT], [STOP], 1.0) == []
         # A stream that cannot be completed ends without its end.
-        assert check_times([replace(CUT, is_stream=True)], [], 4.0) == []
+        assert check_times([replace(CUT, is_stream=True)], [], 1.0) == []
 
     def test_only_a_new_process_may_start_with_an_older_version(self) -> None:
         seen = [SeenVersion("node-0#1", 1.0, 5), SeenVersion("node-0#2", 2, 4)]
@@ -304,6 +465,43 @@
                     await stream.receive()
 
 
+class TestKeptConnection:
+    """A connection that is used until the other side closes it."""
+
+    @staticmethod
+    async def send(answer: bytes) -> tuple[KeptReply, bool]:
+        """Returns the reply to a request, and whether the peer is open."""
+
+        async def serve(stream: SocketStream) -> None:
+            async with stream:
+                await stream.receive()
+                await stream.send(answer)
+
+        async with create_task_group() as tasks:
+            listener = await create_tcp_listener(local_host=HOST, local_port=0)
+            port = listener.extra(SocketAttribute.local_port)
+            tasks.start_soon(listener.serve, serve)
+            connection = await KeptConnection.open(f"{HOST}:{port}")
+            assert connection is not None
+            reply = await connection.send("/", {"Host": "a"}, b"body", 5.0)
+            is_open = await connection.stays_open(5.0)
+            await connection.close()
+            tasks.cancel_scope.cancel()
+        return reply, is_open
+
+    async def test_whole_answers_are_told_from_broken_ones(self) -> None:
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"
+        with fail_after(TEST_TIMEOUT_S):
+            reply, is_open = await self.send(head + b"\r\nbody")
+            assert (reply.status, reply.body) == (200, b"body")
+            assert (reply.reusable, is_open) == (True, False)
+            reply, _ = await self.send(head + b"Connection: close\r\n\r\nbody")
+            assert (reply.status, reply.reusable) == (200, False)
+            for answer in (b"", head + b"\r\nbo"):
+                reply, _ = await self.send(answer)
+                assert (reply.status, reply.reusable) == (0, False)
+
+
 class TestBalancer:
     """The stand-in of the load balancer."""
 
--- a/wasabiwing_soak/__main__.py
+++ b/wasabiwing_soak/__main__.py
@@ -27,6 +27,7 @@
     callers: int = 6,
     check_times: bool = True,
     other_build: str = "",
+    stops: bool = False,
     output: str = "out/soak",
 ) -> None:
     """Runs ``count`` soaks with consecutive seeds from ``seed`` on.
@@ -34,8 +35,9 @@
     The first seed is random if ``seed`` is missing. Each soak plays faults
     for ``seconds`` and writes settings, logs, a report and a plot into
     OUTPUT/SEED. With ``other_build``, the path of another checkout, each
-    second start of a node runs that checkout's program. The exit status is 1
-    if a promise was broken.
+    second start of a node runs that checkout's program. With ``stops``, the
+    faults are series of planned stops and what may accompany them. The exit
+    status is 1 if a promise was broken.
     """
     first = randbelow(RANDOM_SEEDS) if seed is None else seed
     broken = 0
@@ -48,6 +50,7 @@
             callers,
             check_times,
             other_build,
+            stops,
         )
         folder = Path(output) / str(number)
         result = run(run_soak, options, folder)
--- a/wasabiwing_soak/callers.py
+++ b/wasabiwing_soak/callers.py
@@ -11,22 +11,40 @@
 from msgspec import Struct
 from msgspec.json import decode
 from result import Err
-from result import Result
 
-from wasabiwing.codes import Failure
 from wasabiwing.codes import RunState
 from wasabiwing.http_client import find_header
 from wasabiwing.http_client import HttpClient
-from wasabiwing.ports import HttpReply
 from wasabiwing_platform_standins.balancer import BalancerStandIn
 from wasabiwing_platform_standins.examples import caller_headers
 from wasabiwing_platform_standins.server import plain_answer
 from wasabiwing_platform_standins.server import stream_answer
+from wasabiwing_soak.kept_connection import KeptConnection
+from wasabiwing_soak.planned_stops import RUN_S_BY_ROUTE
+from wasabiwing_soak.planned_stops import run_seconds
 from wasabiwing_soak.promises import CallRecord
+from wasabiwing_soak.promises import SUCCESS
 
 # The caller's time limit for an answer, in milliseconds.
 REQUEST_TIMEOUT_MS = 3000
 
+# Time limits of idle callers, which also send long requests.
+IDLE_TIMEOUTS_MS = (3000, 6000, 12_000)
+
+# Time in seconds that an idle caller waits beyond its time limit, and its
+# longest pause, which is shorter than the nodes' idle timeout.
+IDLE_OVERTIME_S = 1.0
+MAX_IDLE_PAUSE_S = 8.0
+
+# Fraction of an idle caller's requests whose body comes after the headers, and
+# the longest time between them in seconds.
+SLOW_BODY_PROBABILITY = 0.2
+MAX_BODY_DELAY_S = 1.5
+
+# Tokens that a stream generates in each second, for the callers that state
+# how many they expect.
+TOKENS_PER_S = 100
+
 # Time in seconds after which a caller gives up waiting on a connection.
 CONNECTION_TIMEOUT_S = 6.0
 
@@ -42,6 +60,7 @@
 
 # Fraction of the requests for each route of the example configuration.
 SHARE_BY_ROUTE = {"read": 0.4, "book": 0.3, "chat": 0.3}
+STREAM_ROUTES = ("chat", "notes")
 
 
 class _Problem(Struct, frozen=True):
@@ -88,6 +107,70 @@
             await sleep(random.expovariate(1 / MEAN_PAUSE_S))
         await client.close()
 
+    async def run_idle_caller(self, number: int) -> None:
+        """Runs a caller that mostly keeps its connection open and idle."""
+        random = Random(f"{self.seed}/idle/{number}")
+        kept: tuple[str, KeptConnection] | None = None
+        count = 0
+        while not self.stop_requested.is_set():
+            if kept is None:
+                kept = await self._open_connection(random)
+            if kept is None:
+                await sleep(NO_NODE_PAUSE_S)
+                continue
+            count += 1
+            route = random.choice(list(RUN_S_BY_ROUTE))
+            body = f"{route} {self.seed}-idle-{number}-{count}"
+            timeout_ms = random.choice(IDLE_TIMEOUTS_MS)
+            headers = caller_headers(
+                body.replace(" ", "-"), timeout_ms=timeout_ms
+            )
+            if route == "chat" and random.random() < 0.5:
+                tokens = round(run_seconds(body.encode()) * TOKENS_PER_S)
+                headers["Wasabiwing-Token-Counts"] = f"10,{tokens}"
+            body_delay_s = 0.0
+            if random.random() < SLOW_BODY_PROBABILITY:
+                body_delay_s = random.uniform(0.0, MAX_BODY_DELAY_S)
+            node, connection = kept
+            sent_s = self.clock() + body_delay_s
+            reply = await connection.send(
+                f"/{route}/1",
+                headers,
+                body.encode(),
+                timeout_ms / 1000 + IDLE_OVERTIME_S,
+                body_delay_s,
+            )
+            ended_s = self.clock()
+            self.records.append(
+                _record(
+                    node,
+                    route,
+                    body,
+                    min(sent_s, ended_s),
+                    ended_s,
+                    timeout_ms / 1000 - body_delay_s,
+                    reply.status,
+                    reply.body,
+                    reply.detail,
+                )
+            )
+            pause_s = random.uniform(0.0, MAX_IDLE_PAUSE_S)
+            if not (reply.reusable and await connection.stays_open(pause_s)):
+                await connection.close()
+                kept = None
+        if kept is not None:
+            await kept[1].close()
+
+    async def _open_connection(
+        self, random: Random
+    ) -> tuple[str, KeptConnection] | None:
+        """Connects to a ready node; returns it and the connection."""
+        node = self.balancer.pick_node(random)
+        if node is None:
+            return None
+        connection = await KeptConnection.open(self.address_by_node[node])
+        return None if connection is None else (node, connection)
+
     async def send_request(
         self, client: HttpClient, node: str, route: str, body: str
     ) -> bool:
@@ -102,8 +185,26 @@
             body.encode(),
             CONNECTION_TIMEOUT_S,
         )
+        status = 0
+        answer = b""
+        detail = ""
+        if isinstance(reply, Err):
+            detail = str(reply.err_value)
+        else:
+            status = reply.ok_value.status
+            answer = reply.ok_value.body
         self.records.append(
-            _record(node, route, body, sent_s, self.clock(), reply)
+            _record(
+                node,
+                route,
+                body,
+                sent_s,
+                self.clock(),
+                REQUEST_TIMEOUT_MS / 1000,
+                status,
+                answer,
+                detail,
+            )
         )
         if isinstance(reply, Err):
             return False
@@ -116,30 +217,25 @@
     body: str,
     sent_s: float,
     ended_s: float,
-    reply: Result[HttpReply, Failure],
+    timeout_s: float,
+    status: int,
+    answer: bytes,
+    detail: str,
 ) -> CallRecord:
-    is_stream = route == "chat"
-    status = 0
-    answer = b""
-    claim = None
-    detail = ""
-    if isinstance(reply, Err):
-        detail = str(reply.err_value)
-    else:
-        status = reply.ok_value.status
-        answer = reply.ok_value.body
-        claim = None if status == 200 else _stated_run_state(answer)
+    is_stream = route in STREAM_ROUTES
+    stated = status not in (0, SUCCESS)
     return CallRecord(
         body=body,
-        repeatable=route != "book",
+        repeatable=route not in ("book", "notes"),
         is_stream=is_stream,
         node=node,
         sent_s=sent_s,
         ended_s=ended_s,
+        timeout_s=timeout_s,
         status=status,
         answer=answer,
         expected=stream_answer() if is_stream else plain_answer(body.encode()),
-        claim=claim,
+        claim=_stated_run_state(answer) if stated else None,
         detail=detail,
     )
 
--- a/wasabiwing_soak/deployment.py
+++ b/wasabiwing_soak/deployment.py
@@ -80,11 +80,13 @@
         tasks: TaskGroup,
         resources: ExitStack,
         other_build: Path | None = None,
+        run_s: Callable[[bytes], float] | None = None,
     ) -> None:
         self._folder = folder
         self._tasks = tasks
         self._resources = resources
         self._other_build = other_build
+        self._run_s = run_s
         self._client = HttpClient()
         self.store = StoreStandIn(timer)
         self.cloud = CloudStandIn()
@@ -191,7 +193,10 @@
     async def _add_server(self, number: int) -> None:
         service = SERVICES[number % len(SERVICES)]
         server = ServerStandIn(
-            f"server-{number}", streams=service == "models", work_s=WORK_S
+            f"server-{number}",
+            streams=service == "models",
+            work_s=WORK_S,
+            run_s=self._run_s,
         )
         link = LoopbackProxy(
             await self._serve_application(server.application())
--- a/wasabiwing_soak/fault_player.py
+++ b/wasabiwing_soak/fault_player.py
@@ -13,6 +13,7 @@
 from wasabiwing_soak.fault_schedule import FaultKind
 from wasabiwing_soak.fault_schedule import PlannedFault
 from wasabiwing_soak.loopback_proxy import LoopbackProxy
+from wasabiwing_soak.planned_stops import NodeStop
 from wasabiwing_soak.promises import LinkFault
 from wasabiwing_soak.promises import NodeDisturbance
 from wasabiwing_soak.server_limits import NamedLimit
@@ -86,6 +87,7 @@
         self._deployment = deployment
         self._clock = clock
         self.disturbances: list[NodeDisturbance] = []
+        self.stops: list[NodeStop] = []
         self.link_faults: list[LinkFault] = []
         self.named_limits: list[NamedLimit] = []
         # Begin of the limits that servers name now, by server id.
@@ -106,6 +108,8 @@
         ]
         process = node.process
         if process.disturbed:
+            if process.stopping and fault.kind is FaultKind.NODE_STOPPED:
+                process.ask_to_stop()
             return
         process.disturbed = True
         from_s = self._clock()
@@ -114,8 +118,13 @@
             await sleep(fault.duration_s)
             process.resume()
         else:
-            stopped = fault.kind is FaultKind.NODE_STOPPED
-            await (process.stop() if stopped else process.kill())
+            if fault.kind is FaultKind.NODE_STOPPED:
+                killed = await process.stop()
+                self.stops.append(
+                    NodeStop(process.name, from_s, self._clock(), killed)
+                )
+            else:
+                await process.kill()
             await sleep(fault.duration_s)
             await process.start()
         with move_on_after(RECOVERY_TIMEOUT_S):
@@ -138,7 +147,8 @@
         random = Random(fault.detail_seed)
         kind = fault.kind
         if kind is FaultKind.SETTINGS_SIGNAL:
-            if not node.process.disturbed:
+            # A process that starts would be ended by the signal.
+            if node.process.stopping or not node.process.disturbed:
                 node.process.reload_settings()
         elif kind in STORE_FAULT_BY_KIND:
             return self._fail_store(STORE_FAULT_BY_KIND[kind])
--- a/wasabiwing_soak/node_process.py
+++ b/wasabiwing_soak/node_process.py
@@ -37,6 +37,8 @@
     process: Process | None = None
     # Whether a fault is being played on the node or the soak is stopping it.
     disturbed: bool = False
+    # Whether the process was asked to stop and may still run.
+    stopping: bool = False
 
     @property
     def incarnation_id(self) -> str:
@@ -63,13 +65,24 @@
             },
         )
 
-    async def stop(self) -> None:
-        """Asks the process to stop and kills it after the grace period."""
-        self._signal(SIGTERM)
+    async def stop(self) -> bool:
+        """Asks the process to stop and kills it after the grace period.
+
+        Returns whether it had to be killed.
+        """
+        self.stopping = True
+        self.ask_to_stop()
         with move_on_after(STOP_GRACE_S):
             await self._wait()
-        if not self.ended():
+        still_runs = not self.ended()
+        if still_runs:
             await self.kill()
+        self.stopping = False
+        return still_runs
+
+    def ask_to_stop(self) -> None:
+        """Signals the process to stop."""
+        self._signal(SIGTERM)
 
     async def kill(self) -> None:
         """Kills the process and waits for its end."""
--- a/wasabiwing_soak/promises.py
+++ b/wasabiwing_soak/promises.py
@@ -9,6 +9,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import StrEnum
+from math import inf
 
 from wasabiwing.codes import RunState
 
@@ -32,6 +33,7 @@
     TRUE_REFUSAL = "a request that is said not to have run has not run"
     WHOLE_ANSWER = "an answer that ends well is whole and the request's own"
     PLANNED_STOP = "a planned stop cuts no request that came before it"
+    STOPPING_NODE = "a stopping node serves a request or does not send it on"
     IN_TIME = "a node that works answers within the caller's time"
     CONFIGURATION = "a process never goes back to an older configuration"
     USAGE_ONCE = "no window's usage is reported with two different counts"
@@ -63,6 +65,8 @@
     node: str
     sent_s: float
     ended_s: float
+    # The caller's time limit.
+    timeout_s: float
     # HTTP status; 0 without a whole answer.
     status: int
     answer: bytes
@@ -72,6 +76,11 @@
     claim: RunState | None
     detail: str = ""
 
+    @property
+    def timed_out(self) -> bool:
+        """Whether the call ended at the caller's time limit or later."""
+        return self.ended_s - self.sent_s >= self.timeout_s
+
 
 @dataclass(frozen=True, slots=True)
 class NodeDisturbance:
@@ -114,6 +123,10 @@
     incarnation_id: int
     body: str
     at_s: float
+    # End of the run, also if its answer was no longer wanted.
+    run_ends_s: float = inf
+    # Whether the server failed the request or broke off its answer.
+    server_failed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,12 +173,21 @@
 
 
 def check_stops(
-    calls: Iterable[CallRecord], disturbances: Sequence[NodeDisturbance]
+    calls: Iterable[CallRecord],
+    arrivals: Iterable[RequestArrival],
+    disturbances: Sequence[NodeDisturbance],
 ) -> list[Violation]:
-    """Checks that planned stops cut no request that was sent before."""
+    """Checks that planned stops cut no request that was sent before.
+
+    A stream may also end early at the caller's time limit, or because its
+    server failed.
+    """
     violations: list[Violation] = []
+    last_arrival = last_arrival_by_body(arrivals)
     for call in calls:
-        if call.status:
+        arrival = last_arrival.get(call.body)
+        failed = arrival is not None and arrival.server_failed
+        if call.status or (call.is_stream and (failed or call.timed_out)):
             continue
         met_disturbances = _disturbances_during(call, disturbances)
         if not met_disturbances or not all(
@@ -183,7 +205,7 @@
 def check_times(
     calls: Iterable[CallRecord],
     disturbances: Sequence[NodeDisturbance],
-    longest_s: float,
+    tolerance_s: float,
 ) -> list[Violation]:
     """Checks that nodes that were not disturbed answered in time."""
     violations: list[Violation] = []
@@ -192,7 +214,7 @@
         if _disturbances_during(call, disturbances):
             continue
         cut = call.status == 0 and not call.is_stream
-        if cut or took_s > longest_s:
+        if cut or took_s > call.timeout_s + tolerance_s:
             detail = (
                 f"{call.body} at {call.node}: status {call.status} after"
                 f" {took_s:.2f} s {call.detail}"
@@ -324,6 +346,16 @@
     )
 
 
+def last_arrival_by_body(
+    arrivals: Iterable[RequestArrival],
+) -> dict[str, RequestArrival]:
+    """Returns each request's arrival at the last server that it reached."""
+    return {
+        arrival.body: arrival
+        for arrival in sorted(arrivals, key=lambda item: item.at_s)
+    }
+
+
 def _node_disturbed(
     node: str,
     from_s: float,
--- a/wasabiwing_soak/report.py
+++ b/wasabiwing_soak/report.py
@@ -36,6 +36,14 @@
             f" window {use.worst}, allowed {use.allowed}, used share"
             f" {use.used_share:.2f}"
         )
+    for outcome in result.stop_outcomes:
+        lines.append(
+            f"  {outcome.route} after SIGTERM: {outcome.servable_served} of"
+            f" {outcome.servable} servable served; in all {outcome.served}"
+            f" served, {outcome.refused} refused as not run,"
+            f" {outcome.closed_unsent} closed before a server,"
+            f" {outcome.cut} cut, {outcome.other} other"
+        )
     for violation in result.violations[:MAX_SHOWN_VIOLATIONS]:
         lines.append(
             f"  {violation.at_s:7.3f} s  {violation.promise}:"
@@ -51,6 +59,7 @@
         "endings": count_endings(result.calls),
         "violations": result.violations,
         "limits": result.limit_uses,
+        "stops": result.stop_outcomes,
         "disturbances": result.disturbances,
         "faults": result.schedule,
     }
--- a/wasabiwing_soak/soak.py
+++ b/wasabiwing_soak/soak.py
@@ -13,7 +13,7 @@
 
 from wasabiwing.http_client import HttpClient
 from wasabiwing.timers import SystemTimer
-from wasabiwing_soak.callers import REQUEST_TIMEOUT_MS
+from wasabiwing_platform_standins.server import ServerFault
 from wasabiwing_soak.callers import SoakCallers
 from wasabiwing_soak.deployment import SoakDeployment
 from wasabiwing_soak.deployment import SoakNode
@@ -22,6 +22,11 @@
 from wasabiwing_soak.fault_player import RECOVERY_TIMEOUT_S
 from wasabiwing_soak.fault_schedule import draw_schedule
 from wasabiwing_soak.fault_schedule import PlannedFault
+from wasabiwing_soak.planned_stops import check_stopping_nodes
+from wasabiwing_soak.planned_stops import draw_stop_series
+from wasabiwing_soak.planned_stops import run_seconds
+from wasabiwing_soak.planned_stops import stop_outcomes
+from wasabiwing_soak.planned_stops import StopOutcome
 from wasabiwing_soak.promises import CallRecord
 from wasabiwing_soak.promises import check_answers
 from wasabiwing_soak.promises import check_leaving
@@ -44,6 +49,10 @@
 # Consecutive requests that a node must serve to count as recovered.
 RECOVERY_CALLS = 5
 
+# Callers for each node that mostly keep their connection idle, in a soak of
+# planned stops.
+IDLE_CALLERS_PER_NODE = 20
+
 # Interval at which versions and processes are checked, in seconds.
 WATCH_INTERVAL_S = 0.25
 
@@ -51,6 +60,9 @@
 # all programs of the soak.
 ANSWER_TOLERANCE_S = 1.0
 
+# What a server does with a request that it does not fail.
+SOUND_RUNS = (ServerFault.NONE, ServerFault.FULL)
+
 GENERATION_METRIC = "wasabiwing_configuration_generation"
 
 
@@ -67,6 +79,8 @@
     check_times: bool = True
     # Checkout of another build, in which each second start of a node runs.
     other_build: str = ""
+    # Plays series of planned stops in place of faults of all kinds.
+    stops: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +93,7 @@
     disturbances: tuple[NodeDisturbance, ...]
     violations: tuple[Violation, ...]
     limit_uses: tuple[LimitUse, ...]
+    stop_outcomes: tuple[StopOutcome, ...]
 
 
 class Soak:
@@ -103,6 +118,7 @@
             Path(options.other_build).resolve()
             if options.other_build
             else None,
+            run_seconds if options.stops else None,
         )
         self._player = FaultPlayer(self.deployment, self.clock)
         self._callers = SoakCallers(
@@ -125,6 +141,12 @@
         await self.deployment.start(options.nodes, options.servers)
         self._started_at = self._timer.now()
         schedule = draw_schedule(options.seed, options.seconds)
+        if options.stops:
+            schedule = draw_stop_series(
+                options.seed, options.seconds, options.nodes
+            )
+            for number in range(IDLE_CALLERS_PER_NODE * options.nodes):
+                self._tasks.start_soon(self._callers.run_idle_caller, number)
         for number in range(options.callers):
             self._tasks.start_soon(self._callers.run_caller, number)
         self._tasks.start_soon(self._watch)
@@ -227,6 +249,8 @@
                     request.incarnation_id,
                     request.body.decode(),
                     request.arrived_at + offset_s,
+                    request.ended_at + offset_s,
+                    request.fault not in SOUND_RUNS,
                 )
                 for request in server.received_requests
             ]
@@ -244,15 +268,15 @@
                     body = request.body.decode()
                     runs_by_body[body] = runs_by_body.get(body, 0) + 1
         calls = tuple(self._callers.records)
+        statements, arrivals = self._statements_and_arrivals()
         violations = [
             *self._violations,
             *check_runs(calls, runs_by_body),
             *check_answers(calls),
-            *check_stops(calls, disturbances),
+            *check_stops(calls, arrivals, disturbances),
             *check_versions(self._versions),
             *check_usage(self.deployment.cloud.usage, self.clock()),
         ]
-        statements, arrivals = self._statements_and_arrivals()
         violations += check_leaving(calls, statements, arrivals, disturbances)
         violations += check_pauses(
             calls,
@@ -261,6 +285,11 @@
             disturbances,
             self._player.link_faults,
         )
+        stops = self._player.stops
+        if self._options.stops:
+            violations += check_stopping_nodes(
+                calls, arrivals, stops, self._options.check_times
+            )
         uses = limit_uses(
             self._player.named_limits,
             arrivals,
@@ -269,8 +298,7 @@
         )
         violations += check_limits(uses)
         if self._options.check_times:
-            longest_s = REQUEST_TIMEOUT_MS / 1000 + ANSWER_TOLERANCE_S
-            violations += check_times(calls, disturbances, longest_s)
+            violations += check_times(calls, disturbances, ANSWER_TOLERANCE_S)
         return SoakResult(
             self._options,
             schedule,
@@ -278,6 +306,9 @@
             tuple(disturbances),
             tuple(violations),
             tuple(uses),
+            stop_outcomes(calls, arrivals, stops)
+            if self._options.stops
+            else (),
         )
 
 
