Let the soak play prompt parts that crash servers

Two promises: at most three requests with such a part reach servers from 3 s after the fifth crash on, sent by nodes that were not disturbed; from 6 s after it, sound requests with the same key and parts are served at least half as often as at other times. The kinds of the mixed schedule stay as they are.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -29,8 +29,18 @@
 from wasabiwing.codes import RunState
 from wasabiwing.http_client import HttpClient
 from wasabiwing_platform_standins.balancer import BalancerStandIn
+from wasabiwing_soak.crashing_parts import check_parts
+from wasabiwing_soak.crashing_parts import draw_part_crashes
+from wasabiwing_soak.crashing_parts import OTHER_KINDS
+from wasabiwing_soak.crashing_parts import part_outcomes
+from wasabiwing_soak.crashing_parts import PartOutcome
+from wasabiwing_soak.crashing_parts import PartPeriod
+from wasabiwing_soak.crashing_parts import prompt_header
+from wasabiwing_soak.crashing_parts import PromptDraw
+from wasabiwing_soak.crashing_parts import store_absences
 from wasabiwing_soak.fault_schedule import draw_schedule
 from wasabiwing_soak.fault_schedule import FaultKind
+from wasabiwing_soak.fault_schedule import PlannedFault
 from wasabiwing_soak.kept_connection import KeptConnection
 from wasabiwing_soak.kept_connection import KeptReply
 from wasabiwing_soak.loopback_proxy import HOST
@@ -175,7 +185,9 @@
         faults = [
             fault for seed in range(20) for fault in draw_schedule(seed, 30.0)
         ]
-        assert {fault.kind for fault in faults} == set(FaultKind)
+        assert {fault.kind for fault in faults} == set(FaultKind) - {
+            FaultKind.PART_CRASHES
+        }
         assert all(fault.ends_s <= 30.0 for fault in faults)
         # Faults come in series and overlap.
         assert any(
@@ -317,6 +329,136 @@
         assert (outcome.cut, outcome.closed_unsent) == (1, 1)
 
 
+class TestCrashingParts:
+    """Checks of prompt parts that crash servers."""
+
+    PERIOD = PartPeriod("dead", 10.0, 30.0)
+
+    @staticmethod
+    def call(number: int, sent_s: float, *parts: str) -> CallRecord:
+        """Returns a served call with a part of its own at the end."""
+        return replace(
+            SERVED, body=f"chat {number}", sent_s=sent_s, parts=(*parts, "own")
+        )
+
+    @staticmethod
+    def arrival(
+        call: CallRecord, at_s: float, crashed: bool = True
+    ) -> RequestArrival:
+        """Returns a call's arrival at a server, which it crashes."""
+        return RequestArrival("server-0", 0, call.body, at_s, crashed=crashed)
+
+    def outcome(
+        self,
+        calls: list[CallRecord],
+        arrivals: list[RequestArrival],
+        absences: list[NodeDisturbance],
+    ) -> PartOutcome:
+        """Returns what the part of the period cost."""
+        [outcome] = part_outcomes(calls, arrivals, [self.PERIOD], absences)
+        return outcome
+
+    def test_few_requests_reach_servers_after_five_crashes(self) -> None:
+        calls = [self.call(n, 11.0, "a0", "dead") for n in range(9)]
+        # The fifth crash is at 14 s, and nodes know of it at 17 s.
+        arrivals = [
+            self.arrival(calls[n], 10.0 + n if n < 5 else 12.5 + n)
+            for n in range(9)
+        ]
+        outcome = self.outcome(calls, arrivals, [])
+        assert (outcome.crashes, outcome.late_arrivals) == (9, 4)
+        [found] = check_parts([outcome])
+        assert found.promise is Promise.CRASHING_PART
+        # A repeat counts too, and a request that a server refuses.
+        repeat = [*arrivals[:-1], self.arrival(calls[0], 20.0, False)]
+        assert self.outcome(calls, repeat, []).late_arrivals == 4
+        three = self.outcome(calls, arrivals[:-1], [])
+        assert check_parts([three]) == []
+        # One of the four arrives while nodes need not know yet.
+        early = [*arrivals[:5], replace(arrivals[5], at_s=17.0), *arrivals[6:]]
+        assert check_parts([self.outcome(calls, early, [])]) == []
+        # A node that was restarted or without the store is not judged.
+        absent = NodeDisturbance("node-0", False, 15.0, 16.0)
+        assert self.outcome(calls, arrivals, [absent]).late_arrivals == 2
+        elsewhere = replace(absent, node="node-1")
+        assert self.outcome(calls, arrivals, [elsewhere]).late_arrivals == 4
+
+    def test_the_last_part_of_a_prompt_crashes_nothing(self) -> None:
+        calls = [replace(self.call(1, 11.0), parts=("a0", "dead"))]
+        arrivals = [self.arrival(calls[0], 11.1)]
+        assert part_outcomes(calls, arrivals, [self.PERIOD], []) == ()
+
+    def test_sound_requests_are_served_as_at_other_times(self) -> None:
+        bad = [self.call(n, 10.0, "a0", "dead") for n in range(5)]
+        arrivals = [self.arrival(call, 10.0) for call in bad]
+        # Sound requests count from 6 s after the fifth crash on.
+        during = [self.call(n, 16.0, "a0", "b1") for n in range(10, 30)]
+        before = [self.call(n, 5.0, "a0", "b1") for n in range(30, 50)]
+        ignored = [self.call(n, 15.9, "a0", "b1") for n in range(50, 60)]
+        calls = [*bad, *during, *before, *ignored]
+        outcome = self.outcome(calls, arrivals, [])
+        assert (outcome.sound, outcome.sound_served) == (20, 20)
+        assert (outcome.other, outcome.other_served) == (20, 20)
+        assert check_parts([outcome]) == []
+        half = replace(outcome, sound_served=10)
+        assert check_parts([half]) == []
+        [found] = check_parts([replace(outcome, sound_served=9)])
+        assert found.promise is Promise.SOUND_REQUESTS
+        # Too few to compare.
+        few = replace(outcome, sound=19, sound_served=1)
+        assert check_parts([few]) == []
+        # Before, sound requests fared no better.
+        weak = replace(outcome, sound_served=5, other_served=10)
+        assert check_parts([weak]) == []
+
+    def test_prompts_share_parts_with_those_that_crash(self) -> None:
+        random = Random(1)
+        prompts = PromptDraw({"dead": 0.3})
+        drawn = [prompts.draw(random, f"chat {n}") for n in range(300)]
+        crashing = [
+            parts
+            for parts in drawn
+            if prompts.crashes(
+                {"wasabiwing-prompt-prefix": prompt_header(parts)}
+            )
+        ]
+        assert 60 < len(crashing) < 120
+        assert {parts.index("dead") for parts in crashing} == {0, 1, 2}
+        assert len({parts[-1] for parts in drawn}) == len(drawn)
+        for position in (0, 1):
+            shared = {parts[position] for parts in crashing}
+            assert shared & {parts[position] for parts in drawn}
+        last = {"wasabiwing-prompt-prefix": prompt_header(["a0", "dead"])}
+        assert not prompts.crashes(last)
+        assert not prompts.crashes({})
+
+    def test_parts_crash_alone_and_in_pairs_beside_other_faults(self) -> None:
+        faults = [
+            fault
+            for seed in range(10)
+            for fault in draw_part_crashes(seed, 60.0)
+        ]
+        kinds = {fault.kind for fault in faults}
+        assert kinds == {FaultKind.PART_CRASHES, *OTHER_KINDS}
+        assert all(fault.ends_s <= 60.0 for fault in faults)
+        begins = [
+            fault.at_s
+            for fault in faults
+            if fault.kind is FaultKind.PART_CRASHES
+        ]
+        assert {begins.count(at_s) for at_s in begins} == {1, 2}
+
+    def test_a_silent_store_is_an_absence_of_its_nodes(self) -> None:
+        fault = PlannedFault(FaultKind.STORE_LINK_SILENT, 1.0, 2.0, 3, 0)
+        nodes = ["node-0", "node-1"]
+        expected = [NodeDisturbance("node-1", False, 1.0, 3.0)]
+        assert store_absences([fault], nodes) == expected
+        silent = replace(fault, kind=FaultKind.STORE_SILENT)
+        assert len(store_absences([silent], nodes)) == 2
+        other = replace(fault, kind=FaultKind.SETTINGS_SIGNAL)
+        assert store_absences([other], nodes) == []
+
+
 class TestPromises:
     """Each check finds what breaks its promise, and nothing else."""
 
@@ -452,6 +594,13 @@
             with fail_after(TEST_TIMEOUT_S):
                 assert await stream.receive() == b"hello"
 
+    async def test_a_closed_proxy_takes_no_connection(self) -> None:
+        async with echo_behind_proxy() as proxy:
+            proxy.closed = True
+            async with await connect(proxy) as stream:
+                with fail_after(TEST_TIMEOUT_S), pytest.raises(EndOfStream):
+                    await stream.receive()
+
     async def test_reset_ends_connections_at_once(self) -> None:
         async with (
             echo_behind_proxy() as proxy,
--- a/wasabiwing_soak/__main__.py
+++ b/wasabiwing_soak/__main__.py
@@ -28,6 +28,7 @@
     check_times: bool = True,
     other_build: str = "",
     stops: bool = False,
+    parts: bool = False,
     output: str = "out/soak",
 ) -> None:
     """Runs ``count`` soaks with consecutive seeds from ``seed`` on.
@@ -36,8 +37,9 @@
     for ``seconds`` and writes settings, logs, a report and a plot into
     OUTPUT/SEED. With ``other_build``, the path of another checkout, each
     second start of a node runs that checkout's program. With ``stops``, the
-    faults are series of planned stops and what may accompany them. The exit
-    status is 1 if a promise was broken.
+    faults are series of planned stops and what may accompany them; with
+    ``parts``, they are prompt parts that crash servers. The exit status is 1
+    if a promise was broken.
     """
     first = randbelow(RANDOM_SEEDS) if seed is None else seed
     broken = 0
@@ -51,6 +53,7 @@
             check_times,
             other_build,
             stops,
+            parts,
         )
         folder = Path(output) / str(number)
         result = run(run_soak, options, folder)
--- a/wasabiwing_soak/callers.py
+++ b/wasabiwing_soak/callers.py
@@ -19,6 +19,8 @@
 from wasabiwing_platform_standins.examples import caller_headers
 from wasabiwing_platform_standins.server import plain_answer
 from wasabiwing_platform_standins.server import stream_answer
+from wasabiwing_soak.crashing_parts import prompt_header
+from wasabiwing_soak.crashing_parts import PromptDraw
 from wasabiwing_soak.kept_connection import KeptConnection
 from wasabiwing_soak.planned_stops import RUN_S_BY_ROUTE
 from wasabiwing_soak.planned_stops import run_seconds
@@ -81,6 +83,8 @@
     clock: Callable[[], float]
     address_by_node: dict[str, str]
     balancer: BalancerStandIn
+    # Draws the prompts of streams; without it, they have none.
+    prompts: PromptDraw | None = None
     stop_requested: Event = field(default_factory=Event)
     records: list[CallRecord] = field(default_factory=list)
 
@@ -101,7 +105,10 @@
                 list(SHARE_BY_ROUTE), list(SHARE_BY_ROUTE.values())
             )[0]
             body = f"{route} {self.seed}-{number}-{count}"
-            keep = await self.send_request(client, node, route, body)
+            parts: tuple[str, ...] = ()
+            if self.prompts is not None and route == "chat":
+                parts = self.prompts.draw(random, body)
+            keep = await self.send_request(client, node, route, body, parts)
             if not keep:
                 node = None
             await sleep(random.expovariate(1 / MEAN_PAUSE_S))
@@ -172,16 +179,24 @@
         return None if connection is None else (node, connection)
 
     async def send_request(
-        self, client: HttpClient, node: str, route: str, body: str
+        self,
+        client: HttpClient,
+        node: str,
+        route: str,
+        body: str,
+        parts: tuple[str, ...] = (),
     ) -> bool:
         """Sends one request; returns whether its connection stays open."""
+        headers = caller_headers(
+            body.replace(" ", "-"), timeout_ms=REQUEST_TIMEOUT_MS
+        )
+        if parts:
+            headers["Wasabiwing-Prompt-Prefix"] = prompt_header(parts)
         sent_s = self.clock()
         reply = await client.send(
             "POST",
             f"http://{self.address_by_node[node]}/{route}/1",
-            caller_headers(
-                body.replace(" ", "-"), timeout_ms=REQUEST_TIMEOUT_MS
-            ),
+            headers,
             body.encode(),
             CONNECTION_TIMEOUT_S,
         )
@@ -204,6 +219,7 @@
                 status,
                 answer,
                 detail,
+                parts,
             )
         )
         if isinstance(reply, Err):
@@ -221,6 +237,7 @@
     status: int,
     answer: bytes,
     detail: str,
+    parts: tuple[str, ...] = (),
 ) -> CallRecord:
     is_stream = route in STREAM_ROUTES
     stated = status not in (0, SUCCESS)
@@ -237,6 +254,7 @@
         expected=stream_answer() if is_stream else plain_answer(body.encode()),
         claim=_stated_run_state(answer) if stated else None,
         detail=detail,
+        parts=parts,
     )
 
 
--- a/wasabiwing_soak/deployment.py
+++ b/wasabiwing_soak/deployment.py
@@ -25,6 +25,7 @@
 from wasabiwing_platform_standins.examples import settings_text
 from wasabiwing_platform_standins.server import ServerStandIn
 from wasabiwing_platform_standins.store import StoreStandIn
+from wasabiwing_soak.crashing_parts import PromptDraw
 from wasabiwing_soak.loopback_proxy import HOST
 from wasabiwing_soak.loopback_proxy import LoopbackProxy
 from wasabiwing_soak.node_process import NodeProcess
@@ -45,6 +46,9 @@
 READINESS_TIMEOUT_S = 0.25
 
 
+# Time that a crashed server takes to start again, in seconds.
+CRASHED_S = 1.5
+
 # Unix time in milliseconds of each server's first start. Each incarnation
 # adds 1.
 FIRST_START_MS = 1_000
@@ -81,12 +85,14 @@
         resources: ExitStack,
         other_build: Path | None = None,
         run_s: Callable[[bytes], float] | None = None,
+        prompts: PromptDraw | None = None,
     ) -> None:
         self._folder = folder
         self._tasks = tasks
         self._resources = resources
         self._other_build = other_build
         self._run_s = run_s
+        self.prompts = prompts
         self._client = HttpClient()
         self.store = StoreStandIn(timer)
         self.cloud = CloudStandIn()
@@ -161,12 +167,26 @@
 
         def undo() -> None:
             item.server.leaving = False
-            item.server.incarnation_id += 1
-            item.sequence += 1
-            self.register_server(item)
+            self._register_new_incarnation(item)
 
         return undo
 
+    def _register_new_incarnation(self, item: SoakServer) -> None:
+        item.server.incarnation_id += 1
+        item.sequence += 1
+        self.register_server(item)
+
+    def _start_crash(self, item: SoakServer) -> None:
+        self._tasks.start_soon(self._crash_server, item)
+
+    async def _crash_server(self, item: SoakServer) -> None:
+        """Ends a server's connections; it starts again after a while."""
+        item.link.closed = True
+        item.link.reset()
+        await sleep(CRASHED_S)
+        item.link.closed = False
+        self._register_new_incarnation(item)
+
     async def is_ready(self, node: SoakNode) -> bool:
         """Requests a node's readiness page; returns whether it is ready."""
         reply = await self._client.send(
@@ -202,8 +222,12 @@
             await self._serve_application(server.application())
         )
         await self._tasks.start(link.run)
-        self.servers.append(SoakServer(server, service, link))
-        self.register_server(self.servers[-1])
+        item = SoakServer(server, service, link)
+        if self.prompts is not None:
+            server.crashes_on = self.prompts.crashes
+            server.crash = lambda: self._start_crash(item)
+        self.servers.append(item)
+        self.register_server(item)
 
     async def _add_node(self, number: int, store: str, cloud: str) -> None:
         name = f"node-{number}"
--- a/wasabiwing_soak/fault_player.py
+++ b/wasabiwing_soak/fault_player.py
@@ -9,6 +9,8 @@
 from wasabiwing_platform_standins.server import ServerFault
 from wasabiwing_platform_standins.server import ServerStandIn
 from wasabiwing_platform_standins.store import StoreFault
+from wasabiwing_soak.crashing_parts import CRASHING_SHARES
+from wasabiwing_soak.crashing_parts import PartPeriod
 from wasabiwing_soak.deployment import SoakDeployment
 from wasabiwing_soak.fault_schedule import FaultKind
 from wasabiwing_soak.fault_schedule import PlannedFault
@@ -88,6 +90,7 @@
         self._clock = clock
         self.disturbances: list[NodeDisturbance] = []
         self.stops: list[NodeStop] = []
+        self.part_periods: list[PartPeriod] = []
         self.link_faults: list[LinkFault] = []
         self.named_limits: list[NamedLimit] = []
         # Begin of the limits that servers name now, by server id.
@@ -162,6 +165,8 @@
             return self._deployment.remove_server(item)
         elif kind is FaultKind.SERVER_SAYS_LEAVING:
             return self._deployment.announce_leaving(item)
+        elif kind is FaultKind.PART_CRASHES:
+            return self._crash_on_part(fault, random)
         elif kind is FaultKind.SERVER_NAMES_LIMIT:
             return self._name_limit(item.server, random)
         elif kind is FaultKind.SERVER_TURNS_AWAY:
@@ -178,6 +183,23 @@
             return _disturb_link(link, kind, random)
         return _revert_nothing
 
+    def _crash_on_part(
+        self, fault: PlannedFault, random: Random
+    ) -> Callable[[], None]:
+        """Lets a new part of prompts crash servers."""
+        prompts = self._deployment.prompts
+        if prompts is None:
+            return _revert_nothing
+        part = f"{fault.detail_seed:08x}"
+        prompts.share_by_part[part] = random.choice(CRASHING_SHARES)
+        from_s = self._clock()
+
+        def revert() -> None:
+            del prompts.share_by_part[part]
+            self.part_periods.append(PartPeriod(part, from_s, self._clock()))
+
+        return revert
+
     def _name_limit(
         self, server: ServerStandIn, random: Random
     ) -> Callable[[], None]:
--- a/wasabiwing_soak/fault_schedule.py
+++ b/wasabiwing_soak/fault_schedule.py
@@ -51,6 +51,14 @@
     # A backend server names a limit of requests in its answers.
     SERVER_NAMES_LIMIT = "server_names_limit"
     CONFIGURATION_CHANGED = "configuration_changed"
+    # A part of prompts crashes the servers that run them; only in a soak of
+    # its own.
+    PART_CRASHES = "part_crashes"
+
+
+MIXED_KINDS = tuple(
+    kind for kind in FaultKind if kind is not FaultKind.PART_CRASHES
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,7 +85,7 @@
     faults: list[PlannedFault] = []
     at_s = random.expovariate(1 / MEAN_GAP_S)
     while at_s + MIN_DURATION_S < duration_s:
-        kind = random.choice(list(FaultKind))
+        kind = random.choice(MIXED_KINDS)
         longest_s = MAX_DURATION_S
         if kind is FaultKind.SERVER_NAMES_LIMIT:
             longest_s = MAX_LIMIT_DURATION_S
--- a/wasabiwing_soak/loopback_proxy.py
+++ b/wasabiwing_soak/loopback_proxy.py
@@ -49,6 +49,8 @@
     # Whether data to the target, or from the target, is held back.
     silent_to_target: bool = False
     silent_from_target: bool = False
+    # Whether new connections are closed at once.
+    closed: bool = False
     address: str = ""
     _connections: set[_Connection] = field(default_factory=set)
     _changed: Event = field(default_factory=Event)
@@ -87,6 +89,8 @@
     async def _serve(self, caller: SocketStream) -> None:
         host, _, port = self.target.rpartition(":")
         try:
+            if self.closed:
+                raise ConnectionRefusedError
             target = await connect_tcp(host, int(port))
         except OSError:
             # The target is unreachable: close the caller's connection.
--- a/wasabiwing_soak/promises.py
+++ b/wasabiwing_soak/promises.py
@@ -41,6 +41,10 @@
     LEAVING = "a server that said it leaves gets nothing more from a node"
     PAUSE = "a server that wants no requests gets two more at most"
     LIMIT = "a server gets what it named as its limit from all nodes together"
+    CRASHING_PART = (
+        "a part that crashes servers is refused after a few crashes"
+    )
+    SOUND_REQUESTS = "sound requests go on beside a part that crashes servers"
     RECOVERY = "after the last fault all nodes serve again"
 
 
@@ -75,6 +79,8 @@
     # Run state that the node states in its refusal; ``None`` without one.
     claim: RunState | None
     detail: str = ""
+    # Parts of the prompt; the last one is the request's own.
+    parts: tuple[str, ...] = ()
 
     @property
     def timed_out(self) -> bool:
@@ -127,6 +133,8 @@
     run_ends_s: float = inf
     # Whether the server failed the request or broke off its answer.
     server_failed: bool = False
+    # Whether the request crashed the server.
+    crashed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/wasabiwing_soak/report.py
+++ b/wasabiwing_soak/report.py
@@ -44,6 +44,13 @@
             f" {outcome.closed_unsent} closed before a server,"
             f" {outcome.cut} cut, {outcome.other} other"
         )
+    for part in result.part_outcomes:
+        lines.append(
+            f"  part {part.part} crashed servers {part.crashes} times, sent"
+            f" {part.late_arrivals} times after the verdict; sound requests:"
+            f" {part.sound_served} of {part.sound} served, at other times"
+            f" {part.other_served} of {part.other}"
+        )
     for violation in result.violations[:MAX_SHOWN_VIOLATIONS]:
         lines.append(
             f"  {violation.at_s:7.3f} s  {violation.promise}:"
@@ -60,6 +67,7 @@
         "violations": result.violations,
         "limits": result.limit_uses,
         "stops": result.stop_outcomes,
+        "parts": result.part_outcomes,
         "disturbances": result.disturbances,
         "faults": result.schedule,
     }
--- a/wasabiwing_soak/soak.py
+++ b/wasabiwing_soak/soak.py
@@ -15,6 +15,12 @@
 from wasabiwing.timers import SystemTimer
 from wasabiwing_platform_standins.server import ServerFault
 from wasabiwing_soak.callers import SoakCallers
+from wasabiwing_soak.crashing_parts import check_parts
+from wasabiwing_soak.crashing_parts import draw_part_crashes
+from wasabiwing_soak.crashing_parts import part_outcomes
+from wasabiwing_soak.crashing_parts import PartOutcome
+from wasabiwing_soak.crashing_parts import PromptDraw
+from wasabiwing_soak.crashing_parts import store_absences
 from wasabiwing_soak.deployment import SoakDeployment
 from wasabiwing_soak.deployment import SoakNode
 from wasabiwing_soak.fault_player import FaultPlayer
@@ -81,6 +87,8 @@
     other_build: str = ""
     # Plays series of planned stops in place of faults of all kinds.
     stops: bool = False
+    # Plays parts of prompts that crash servers instead.
+    parts: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +102,7 @@
     violations: tuple[Violation, ...]
     limit_uses: tuple[LimitUse, ...]
     stop_outcomes: tuple[StopOutcome, ...]
+    part_outcomes: tuple[PartOutcome, ...]
 
 
 class Soak:
@@ -119,6 +128,7 @@
             if options.other_build
             else None,
             run_seconds if options.stops else None,
+            PromptDraw() if options.parts else None,
         )
         self._player = FaultPlayer(self.deployment, self.clock)
         self._callers = SoakCallers(
@@ -126,6 +136,7 @@
             self.clock,
             self.deployment.address_by_node,
             self.deployment.balancer,
+            self.deployment.prompts,
         )
         self._versions: list[SeenVersion] = []
         self._violations: list[Violation] = []
@@ -147,6 +158,8 @@
             )
             for number in range(IDLE_CALLERS_PER_NODE * options.nodes):
                 self._tasks.start_soon(self._callers.run_idle_caller, number)
+        elif options.parts:
+            schedule = draw_part_crashes(options.seed, options.seconds)
         for number in range(options.callers):
             self._tasks.start_soon(self._callers.run_caller, number)
         self._tasks.start_soon(self._watch)
@@ -250,7 +263,8 @@
                     request.body.decode(),
                     request.arrived_at + offset_s,
                     request.ended_at + offset_s,
-                    request.fault not in SOUND_RUNS,
+                    request.crashed or request.fault not in SOUND_RUNS,
+                    request.crashed,
                 )
                 for request in server.received_requests
             ]
@@ -290,6 +304,16 @@
             violations += check_stopping_nodes(
                 calls, arrivals, stops, self._options.check_times
             )
+        parts = part_outcomes(
+            calls,
+            arrivals,
+            self._player.part_periods,
+            [
+                *disturbances,
+                *store_absences(schedule, list(self._callers.address_by_node)),
+            ],
+        )
+        violations += check_parts(parts)
         uses = limit_uses(
             self._player.named_limits,
             arrivals,
@@ -309,6 +333,7 @@
             stop_outcomes(calls, arrivals, stops)
             if self._options.stops
             else (),
+            parts,
         )
 
 
