Log which prompt parts a crashed server's requests shared

On-call saw crashes of servers under requests with different digests and could not tell what these had in common, nor whether a request was a possible culprit or merely ran beside it.

SERVER_CRASHED now has the parts of the prompt that other requests may share (on a gateway the digests of the prompt's blocks), each with a short key, and whether the answer had begun. No decision changes.

--- a/wasabiwing/attempt_reader.py
+++ b/wasabiwing/attempt_reader.py
@@ -143,6 +143,8 @@
                     "an event without an end",
                     RunState.MAY_HAVE_RUN,
                 )
+            if payloads and request.attempt_began_at is None:
+                request.attempt_began_at = self._timer.now()
             if payloads and answer.first_event_at is None:
                 answer.first_event_at = self._timer.now()
             ended = TERMINAL_PAYLOAD in payloads
--- a/wasabiwing/attempt_watch.py
+++ b/wasabiwing/attempt_watch.py
@@ -40,7 +40,8 @@
     silence_limit_s: float
     # Time of the latest event of the attempt.
     heard_at: float
-    started: bool = False
+    # Time of the first event of the attempt; ``None`` before it.
+    started_at: float | None = None
     overtaken_count: int = 0
     # Whether the watch has cancelled the attempt.
     cancel_requested: bool = False
@@ -86,11 +87,11 @@
         Earlier and no less urgent attempts at the same server that have not
         started count as overtaken.
         """
-        attempt.started = True
+        attempt.started_at = self._timer.now()
         for other in self._running:
             if (
                 other.server_id == attempt.server_id
-                and not other.started
+                and other.started_at is None
                 and other.sent_at < attempt.sent_at
                 and other.urgency <= attempt.urgency
             ):
@@ -107,7 +108,7 @@
                 self._loads.last_heard_at(attempt.server_id), attempt.heard_at
             )
             overtaken = (
-                not attempt.started
+                attempt.started_at is None
                 and attempt.overtaken_count >= OVERTAKEN_LIMIT
             )
             if server_silence_s > SERVER_SILENCE_S or overtaken:
--- a/wasabiwing/call_forwarding.py
+++ b/wasabiwing/call_forwarding.py
@@ -336,7 +336,9 @@
             if failure is not None and failure.code is ResultCode.SERVER_CUT:
                 # The cut must be recorded even if the caller disconnects.
                 with CancelScope(shield=True):
-                    await self._quarantine.note_cut(call, server, sent_at)
+                    await self._quarantine.note_cut(
+                        call, server, sent_at, watched.started_at
+                    )
             if failure is not None and failure.run_state is RunState.NOT_RUN:
                 progress.possible_runs -= 1
                 if failure.code is not ResultCode.CONNECT_FAILED:
--- a/wasabiwing/calls.py
+++ b/wasabiwing/calls.py
@@ -39,6 +39,16 @@
         """Ids of organisation and route; the same in all repeats."""
         return self.organisation.id, self.route.id
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Digests of the prompt's blocks that other prompts may share."""
+        return tuple(f"{digest:016x}" for digest in self.prefix_digests[:-1])
+
+    @property
+    def prompt_scope(self) -> str:
+        """Id of the pool within which equal blocks are compared."""
+        return self.pool.id
+
 
 @dataclass(frozen=True, slots=True)
 class ServerAssignment:
--- a/wasabiwing/model_dispatch.py
+++ b/wasabiwing/model_dispatch.py
@@ -343,6 +343,7 @@
         )
         first_token_s: float | None = None
         request.last_attempt_cut = crashed = False
+        request.attempt_began_at = started if position else None
         try:
             with request.interruptible():
                 failure, first_token_s = await self._read_stream(
@@ -352,7 +353,10 @@
             # must be noted even if its caller leaves.
             if request.last_attempt_cut:
                 crashed = await self._quarantine.note_cut(
-                    request.call, assignment.server, started
+                    request.call,
+                    assignment.server,
+                    started,
+                    request.attempt_began_at,
                 )
         finally:
             request.server = None
--- a/wasabiwing/quarantine.py
+++ b/wasabiwing/quarantine.py
@@ -18,6 +18,7 @@
 
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
+from wasabiwing.crashing_parts import part_keys
 from wasabiwing.events import Event
 from wasabiwing.events import log_event
 from wasabiwing.facts import FactRule
@@ -94,6 +95,14 @@
     def body(self) -> bytes:
         """Body of the request."""
 
+    @property
+    def prompt_scope(self) -> str:
+        """Service or pool within which equal parts are compared."""
+
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Ids of the prompt's parts that other requests may have too."""
+
 
 def request_digest(call: IdentifiedCall) -> str:
     """Returns the digest that all repeats of a request share."""
@@ -196,11 +205,16 @@
         return self._timer.now() - suspected_at
 
     async def note_cut(
-        self, call: IdentifiedCall, server: ServerT, started_at: float
+        self,
+        call: IdentifiedCall,
+        server: ServerT,
+        started_at: float,
+        answer_began_at: float | None = None,
     ) -> bool:
         """Handles a connection that a server cut while it ran a request.
 
-        ``started_at`` is the monotonic time at which the attempt began.
+        ``started_at`` is the monotonic time at which the attempt began,
+        ``answer_began_at`` that of its first event, ``None`` without one.
         Returns whether the server has crashed: a server that still answers
         has only cut a connection, and a leaving server was stopped.
         """
@@ -217,6 +231,8 @@
             server=server.id,
             crash=number,
             digest=digest,
+            parts=part_keys(call),
+            answer_began=answer_began_at is not None,
         )
         self._locally_seen_digests.add(digest)
         self._facts.publish(CRASH_FACT_KIND, server.id, "", number)
--- a/wasabiwing/routed_calls.py
+++ b/wasabiwing/routed_calls.py
@@ -85,6 +85,20 @@
             self.target.decode("latin-1"),
         )
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Ids of the prompt's parts that other requests may have too.
+
+        The last part belongs to the request. The ids are in the order of
+        the prompt.
+        """
+        return tuple(part.id for part in self.head.prompt_parts[:-1])
+
+    @property
+    def prompt_scope(self) -> str:
+        """Name of the service within which equal parts are compared."""
+        return self.service
+
     @property
     def total_tokens(self) -> int | None:
         """Tokens of prompt and longest answer; ``None`` for plain requests."""
--- a/wasabiwing/running_request.py
+++ b/wasabiwing/running_request.py
@@ -60,6 +60,9 @@
         self.failures = 0
         # Whether the server cut the connection of the last attempt.
         self.last_attempt_cut = False
+        # Monotonic time of the first event of the last attempt, in seconds;
+        # ``None`` before it.
+        self.attempt_began_at: float | None = None
         self.run_state = (
             RunState.NOT_RUN if attempt == 0 else RunState.MAY_HAVE_RUN
         )
