Replace an expired fact by one with a smaller epoch

A fact that had expired and was not dropped yet was no longer returned, and still kept out a new one of its key that counts its epochs from 1. Facts are dropped every 2 s at best, on a process without links never.

--- a/tests/test_facts.py
+++ b/tests/test_facts.py
@@ -55,6 +55,15 @@
 class TestFacts:
     """Gossip and merging of facts."""
 
+    async def test_expired_fact_makes_way_for_a_smaller_epoch(self) -> None:
+        """Guards against a fact that is neither held nor replaced."""
+        async with bench() as on:
+            node = start_facts_node(on, 0, ())
+            node.publish("notice", "key", "old", 5)
+            await on.timer.advance(31.0)
+            assert node.publish("notice", "key", "new", 1)
+            assert values([node], "notice", "key") == ["new"]
+
     async def test_a_fact_reaches_nodes_without_a_direct_link(self) -> None:
         async with bench() as on:
             nodes = start_chain(on)
--- a/wasabiwing/facts.py
+++ b/wasabiwing/facts.py
@@ -188,7 +188,7 @@
             return False
         held_by_key = self._held_by_kind.setdefault(fact.kind, {})
         held = held_by_key.get(fact.key)
-        if held is not None:
+        if held is not None and not self._is_expired(held):
             known = (held.fact.epoch, held.fact.value)
             if (fact.epoch, fact.value) <= known:
                 return False
