Refuse requests with a part of the prompt that crashes servers

Callers saw server after server crash under requests that share one part of the prompt, never the last one, and are otherwise unlike each other; sound requests beside them were cut or found no server.

A crash now accuses the shared parts of the requests whose answers had not begun at it. An answer that begins clears its parts, for all processes and for the evidence up to then only. A part with three crashes of two different requests is quarantined one second later, if it explains most of the crashes that no other part explains and if other answers have begun meanwhile. Each part of the evidence carries the epoch of the clearance that its reporter knew, so a node that has just started draws the same conclusions in whatever order facts arrive. One request probes the part after 30 s, then after doubled pauses; its answer ends the quarantine. Gateway and node use the same module.

--- a/tests/test_node_crashing_requests.py
+++ b/tests/test_node_crashing_requests.py
@@ -1,5 +1,6 @@
 """Tests of requests that crash their servers, through whole nodes."""
 
+from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -11,13 +12,17 @@
 from tests.node_deployment import deployment
 from tests.node_deployment import POLL_S
 from tests.node_fleet import node_fleet
+from tests.part_fleet import CONTACT_S
+from tests.part_fleet import CRASHES_BEFORE
+from tests.part_fleet import MAX_SENT_AFTER
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
 from wasabiwing.http_client import find_header
 from wasabiwing.node_settings import NodeSettings
+from wasabiwing.ports import HttpReply
 from wasabiwing.quarantine import CRASH_FACT_KIND
 from wasabiwing.quarantine import JUDGEMENT_DELAY_S
-from wasabiwing.quarantine import QUARANTINE_FACT_KIND
+from wasabiwing.quarantine_facts import QUARANTINE_FACT_KIND
 from wasabiwing.quarantine_records import QUARANTINE_PREFIX
 from wasabiwing.quarantine_records import QuarantineRecords
 from wasabiwing_platform_standins.server import ServerStandIn
@@ -41,6 +46,9 @@
 # Largest number of servers of a service that one request may crash.
 MAX_CRASHES = 2
 
+# Requests with a crashing part; they come for longer than ``CONTACT_S``.
+PART_REQUESTS = 20
+
 SERVICE_BY_PATH = {
     "/read/1": "desk",
     "/book/1": "desk",
@@ -77,6 +85,22 @@
         return 0
 
 
+async def call_with_parts(
+    found: Deployment,
+    path: str,
+    parts: list[str],
+    via: NodeSettings | None = None,
+) -> HttpReply:
+    """Sends a request whose prompt has parts of 50 tokens each."""
+    headers = {
+        "Wasabiwing-Model": "m",
+        "Wasabiwing-Token-Counts": f"{50 * len(parts)},20",
+        "Wasabiwing-Prompt-Prefix": ",".join(f"{part}:50" for part in parts),
+    }
+    body = parts[-1].encode()
+    return await found.call(path, body=body, headers=headers, via=via)
+
+
 def crashes(servers: list[ServerStandIn]) -> int:
     """Returns the number of times that servers have crashed."""
     return sum(server.crashes for server in servers)
@@ -125,6 +149,58 @@
             ).status == 502
 
 
+class TestCrashingPart:
+    """Different requests that share a part of the prompt."""
+
+    @pytest.mark.parametrize("path", ["/chat/1", "/notes/1"])
+    @pytest.mark.parametrize("position", [0, 1])
+    async def test_requests_that_share_a_part_are_refused(
+        self, path: str, position: int
+    ) -> None:
+        """Guards against one crash for each request with the part.
+
+        Sound requests have the same key and the other parts.
+        """
+        async with crashing("models") as (found, servers):
+            other = await found.start_another("node-2")
+            await sleep(NODE_KNOWN_S)
+            for server in servers:
+                server.crashing_part = "bad"
+            statuses = []
+            refusals: list[object] = []
+            restarts: Counter[str] = Counter()
+            for number in range(PART_REQUESTS):
+                via = other if number % 2 else None
+                parts = ["first", "second", f"own-{number}"]
+                for _ in range(2):
+                    reply = await call_with_parts(found, path, parts, via)
+                    statuses.append(reply.status)
+                parts[position] = "bad"
+                try:
+                    reply = await call_with_parts(found, path, parts, via)
+                    refusals.append(error_of(reply).get("code"))
+                except Exception:
+                    # ``unwrap`` of a stream that was cut.
+                    refusals.append(None)
+                await sleep(0.3)
+                for server in servers:
+                    if server.crashes > restarts[server.id]:
+                        restarts[server.id] = server.crashes
+                        await found.restart_server(server.id)
+            assert statuses == [200] * len(statuses)
+            assert refusals[-3:] == [ResultCode.QUARANTINED] * 3
+            arrivals = sorted(
+                request.arrived_at
+                for server in servers
+                for request in server.received_requests
+                if "bad:" in request.headers["wasabiwing-prompt-prefix"]
+            )
+            # Each arrival crashed a server.
+            since = arrivals[min(CRASHES_BEFORE, len(arrivals)) - 1]
+            late = [at for at in arrivals if at > since + CONTACT_S]
+            assert len(late) <= MAX_SENT_AFTER
+
+
 class TestOtherNodes:
     """Crashes and quarantines shared between nodes."""
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -329,6 +329,37 @@
                 assert refusal["run"] == "not_run"
 
 
+class TestCrashingBlock:
+    """Different prompts that begin with the same text, over real sockets."""
+
+    async def test_prompts_that_share_a_beginning_are_refused(self) -> None:
+        """Guards against one crash for each prompt with the beginning."""
+        async with running_deployment(CONFIGURATION, 2) as deployment:
+            await wait_gateways_known(deployment)
+            engines = deployment.engine_by_id.values()
+            for engine in engines:
+                engine.faults.crash_on_text = "poison"
+            stop = Event()
+            answered: list[str] = []
+            codes: list[object] = []
+            async with create_task_group() as tasks:
+                for engine in engines:
+                    tasks.start_soon(_restart_after_crash, engine, stop)
+                _start_healthy(deployment, tasks, stop, answered)
+                await sleep(0.2)
+                caller = Caller(HttpClient())
+                for number in range(14):
+                    text = "poison" + "x" * 600 + f"{number:03}" * 200
+                    vm = deployment.vms[number % 2]
+                    reply = await caller.chat(vm, text)
+                    codes.append(error_of(reply)["code"])
+                    await sleep(0.3)
+                crashes = sum(engine.crashes for engine in engines)
+                stop.set()
+            assert codes[-3:] == [ResultCode.QUARANTINED] * 3
+            assert crashes <= 8
+
+
 async def _restart_after_crash(engine: EngineStandIn, stop: Event) -> None:
     crashes = 0
     while not stop.is_set():
--- a/wasabiwing/answer_relay.py
+++ b/wasabiwing/answer_relay.py
@@ -100,6 +100,7 @@
         windows: UsageWindows,
         metrics: GatewayMetrics,
         note_cold: Callable[[str, float], None],
+        note_answer_began: Callable[[RoutedCall], None],
         listener: StatementListener,
     ) -> None:
         self._timer = timer
@@ -110,6 +111,7 @@
         self._windows = windows
         self._metrics = metrics
         self._note_cold = note_cold
+        self._note_answer_began = note_answer_began
         self._listener = listener
 
     async def relay_answer(
@@ -192,6 +194,8 @@
                 f"status {answer.status}",
                 RunState.RAN,
             )
+        if answer.status in SUCCESS_STATUSES:
+            self._note_answer_began(call)
         await send_whole(output, whole_answer)
         return None
 
@@ -255,6 +259,7 @@
     ) -> None:
         self._loads.note_first_event(placed.server.id, call.head.attempt_id)
         self._watch.note_started(watched)
+        self._note_answer_began(call)
         self._count_run(call, progress)
         first_event_s = self._timer.now() - watched.sent_at
         computed_tokens = round(placed.queued_tokens) + placed.uncached_tokens
--- a/wasabiwing/attempt_reader.py
+++ b/wasabiwing/attempt_reader.py
@@ -4,12 +4,15 @@
 A reply that belongs to another attempt is dropped here.
 """
 
+from collections.abc import Callable
+
 from result import Err
 
 from wasabiwing.answer_log import EventParser
 from wasabiwing.answer_log import TERMINAL_PAYLOAD
 from wasabiwing.attempts import attempt_body
 from wasabiwing.attempts import is_reply_to_attempt
+from wasabiwing.calls import Call
 from wasabiwing.calls import ServerAssignment
 from wasabiwing.cluster_view import ClusterView
 from wasabiwing.codes import Failure
@@ -37,11 +40,13 @@
         timer: TimerService,
         view: ClusterView,
         engine: ModelEngine,
+        note_answer_began: Callable[[Call], None],
     ) -> None:
         self._node_id = node_id
         self._timer = timer
         self._view = view
         self._engine = engine
+        self._note_answer_began = note_answer_began
 
     async def run_attempt(
         self, request: RunningRequest, choice: ServerAssignment
@@ -145,6 +150,7 @@
                 )
             if payloads and request.attempt_began_at is None:
                 request.attempt_began_at = self._timer.now()
+                self._note_answer_began(request.call)
             if payloads and answer.first_event_at is None:
                 answer.first_event_at = self._timer.now()
             ended = TERMINAL_PAYLOAD in payloads
--- a/wasabiwing/events.py
+++ b/wasabiwing/events.py
@@ -45,6 +45,10 @@
     CALLER_LEFT = 212
     QUARANTINE_NOT_STORED = 213
     REQUEST_TAKEN_STOPPING = 214
+    PART_QUARANTINED = 215
+    PART_QUARANTINE_ENDED = 216
+    PART_CLEARED = 217
+    PART_PROBED = 218
     # 3xx: configuration.
     CONFIGURATION_IN_FORCE = 300
     CONFIGURATION_REJECTED = 301
@@ -140,6 +144,14 @@
     Event.REQUEST_TAKEN_STOPPING: (
         "A request was taken while the process stops, with the time left."
     ),
+    Event.PART_QUARANTINED: (
+        "A part of prompts was in repeated crashes; requests are refused."
+    ),
+    Event.PART_QUARANTINE_ENDED: (
+        "Requests with a part of a prompt are no longer refused."
+    ),
+    Event.PART_CLEARED: "An answer began on a part that was in crashes.",
+    Event.PART_PROBED: "One request with a quarantined part is let through.",
     Event.CALLER_LEFT: "A caller closed the connection before the end.",
     Event.CONFIGURATION_IN_FORCE: "A node put a generation in force.",
     Event.CONFIGURATION_REJECTED: "A received configuration is unusable.",
--- a/wasabiwing/gateway.py
+++ b/wasabiwing/gateway.py
@@ -134,6 +134,7 @@
             self.facts,
             self.view.is_leaving,
             partial(server_answers, client),
+            count_refusal=self.metrics.count_part_refusal,
         )
         self.decisions = DecisionLog(node_id, timer)
         self.directory = GatewayDirectory(timer)
--- a/wasabiwing/metrics.py
+++ b/wasabiwing/metrics.py
@@ -56,6 +56,16 @@
             ("header",),
             registry=self.registry,
         )
+        self.part_refusals = Counter(
+            "wasabiwing_part_refusals",
+            "Refusals of requests with a quarantined part of a prompt.",
+            ("part",),
+            registry=self.registry,
+        )
+
+    def count_part_refusal(self, part: str) -> None:
+        """Counts a refusal for a quarantined part of a prompt."""
+        self.part_refusals.labels(part).inc()
 
     def count_unknown_header(self, name: str) -> None:
         """Counts an answer with a header that the program does not read."""
--- a/wasabiwing/model_dispatch.py
+++ b/wasabiwing/model_dispatch.py
@@ -21,6 +21,7 @@
 from wasabiwing.attempts import RecomputationCause
 from wasabiwing.attempts import RESUMABLE_CODES
 from wasabiwing.calls import AttemptOutcome
+from wasabiwing.calls import Call
 from wasabiwing.calls import ServerAssignment
 from wasabiwing.cluster_view import ClusterView
 from wasabiwing.codes import Failure
@@ -70,7 +71,9 @@
         self._view = view
         self._admission = admission
         self._engine = engine
-        self._reader = AttemptReader(node_id, timer, view, engine)
+        self._reader = AttemptReader(
+            node_id, timer, view, engine, self._note_answer_began
+        )
         self._metrics = metrics
         self._retries = retries
         self._quarantine = quarantine
@@ -237,6 +240,9 @@
                     )
                 )
 
+    def _note_answer_began(self, call: Call) -> None:
+        self._quarantine.note_answer_began(call)
+
     async def _transfer(
         self,
         request: RunningRequest,
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -234,6 +234,7 @@
             directory,
             self._statements,
             CRASH_FACT_PERIOD_S,
+            metrics.gateway.count_part_refusal,
         )
         isolation = SuspectIsolation(
             quarantine, MAX_UNJUDGED_CRASHES, ownership_s=0.0
@@ -282,6 +283,7 @@
                 self._reported_state.windows,
                 metrics.gateway,
                 directory.mark_cold,
+                quarantine.note_answer_began,
                 StatementListener(
                     node_id,
                     directory,
--- a/wasabiwing/node_quarantine.py
+++ b/wasabiwing/node_quarantine.py
@@ -1,5 +1,7 @@
 """Builds a node's quarantine from its server directory and its store."""
 
+from collections.abc import Callable
+
 from wasabiwing.facts import Facts
 from wasabiwing.fleet_follower import FleetFollower
 from wasabiwing.ports import LeaseStore
@@ -23,6 +25,7 @@
     directory: ServerDirectory,
     statements: ServerStatements,
     judge_period_s: float,
+    count_refusal: Callable[[str], None],
 ) -> Quarantine[RegisteredServer]:
     """Returns a node's quarantine, with its records kept in the store."""
     records = QuarantineRecords(node_id, timer, store, facts)
@@ -43,4 +46,5 @@
         SharedProbe(server_accepts_connection).probe,
         records.queue_write,
         judge_period_s,
+        count_refusal,
     )
--- a/wasabiwing/quarantine.py
+++ b/wasabiwing/quarantine.py
@@ -18,18 +18,22 @@
 
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
+from wasabiwing.crashing_parts import CrashingParts
 from wasabiwing.crashing_parts import part_keys
 from wasabiwing.events import Event
 from wasabiwing.events import log_event
 from wasabiwing.facts import FactRule
 from wasabiwing.facts import Facts
 from wasabiwing.messages import Fact
+from wasabiwing.quarantine_facts import is_quarantined
+from wasabiwing.quarantine_facts import publish_quarantine
+from wasabiwing.quarantine_facts import QUARANTINE_FACT_KIND
+from wasabiwing.quarantine_facts import QUARANTINE_RULE
 from wasabiwing.rendezvous import rank_members
 from wasabiwing.timers import TimerService
 
 CRASH_FACT_KIND = "crash"
 SUSPICION_FACT_KIND = "suspicion"
-QUARANTINE_FACT_KIND = "quarantine"
 
 # Lifetime of a suspicion that leads to no quarantine, in seconds.
 SUSPICION_LIFETIME_S = 600.0
@@ -39,8 +43,6 @@
 # restarts at 1 when the count has expired.
 CRASH_LIFETIME_S = 1200.0
 
-QUARANTINE_LIFETIME_S = 3600.0
-
 # Number of unexplained crashes after which a digest is quarantined.
 CRASHES_TO_QUARANTINE = 2
 
@@ -116,8 +118,10 @@
 class Quarantine(Generic[ServerT]):
     """Suspicions and quarantines known to one gateway or node.
 
-    ``store_verdict`` is called with each digest whose quarantine begins or
-    ends on evidence of this process, so that the verdict can be stored.
+    ``store_verdict`` is called with each digest or part whose quarantine
+    begins or ends on evidence of this process, so that the verdict can be
+    stored. ``count_refusal`` is called with the part for which a request is
+    refused.
     """
 
     def __init__(
@@ -129,6 +133,7 @@
         probe: Probe,
         store_verdict: Callable[[str], None] = lambda digest: None,
         judge_period_s: float = JUDGE_PERIOD_S,
+        count_refusal: Callable[[str], None] = lambda part: None,
     ) -> None:
         self._node_id = node_id
         self._timer = timer
@@ -150,9 +155,17 @@
         self._digest_by_request: OrderedDict[str, str] = OrderedDict()
         facts.set_rule(CRASH_FACT_KIND, FactRule(CRASH_LIFETIME_S))
         facts.set_rule(SUSPICION_FACT_KIND, FactRule(SUSPICION_LIFETIME_S))
-        facts.set_rule(QUARANTINE_FACT_KIND, FactRule(QUARANTINE_LIFETIME_S))
+        facts.set_rule(QUARANTINE_FACT_KIND, QUARANTINE_RULE)
         facts.subscribe(CRASH_FACT_KIND, self._on_crash)
         facts.subscribe(SUSPICION_FACT_KIND, self._on_suspicion)
+        self.parts = CrashingParts(
+            node_id,
+            timer,
+            facts,
+            judge_period_s,
+            store_verdict,
+            count_refusal,
+        )
         timer.subscribe(judge_period_s, self._judge_due_crashes)
         timer.subscribe(EXPIRY_PERIOD_S, self._expire)
 
@@ -161,9 +174,12 @@
         if not self._facts.all(QUARANTINE_FACT_KIND):
             return None
         digest = self._digest(call)
-        if not self._is_quarantined(digest):
-            return None
-        return Failure(ResultCode.QUARANTINED, f"digest {digest}")
+        if self._is_quarantined(digest):
+            return Failure(ResultCode.QUARANTINED, f"digest {digest}")
+        part = self.parts.refused_part(call)
+        if part:
+            return Failure(ResultCode.QUARANTINED, part)
+        return None
 
     def suspect_digest(self, call: IdentifiedCall) -> str:
         """Returns the digest of a suspected request; empty for others."""
@@ -238,8 +254,15 @@
         self._facts.publish(CRASH_FACT_KIND, server.id, "", number)
         key = f"{digest}/{server.id}/{number}"
         self._facts.publish(SUSPICION_FACT_KIND, key, "", SUSPECTED_EPOCH)
+        self.parts.note_crash(
+            call, f"{server.id}/{number}", digest, answer_began_at
+        )
         return True
 
+    def note_answer_began(self, call: IdentifiedCall) -> None:
+        """Handles the first event of an answer that a server computes."""
+        self.parts.note_answer_began(call)
+
     def note_success(self, call: IdentifiedCall) -> None:
         """Clears a suspected digest after a request got its whole answer."""
         digest = self.suspect_digest(call)
@@ -333,15 +356,12 @@
         )
 
     def _is_quarantined(self, digest: str) -> bool:
-        fact = self._facts.get(QUARANTINE_FACT_KIND, digest)
-        return fact is not None and fact.epoch % 2 == 1
+        return is_quarantined(self._facts, digest)
 
     def _publish_quarantine(self, digest: str, begins: bool) -> None:
         """Publishes a quarantine (odd epoch) or its end (even epoch)."""
-        known = self._facts.get(QUARANTINE_FACT_KIND, digest)
-        epoch = known.epoch + 1 if known else 1
         value = "crashes" if begins else "cleared"
-        if self._facts.publish(QUARANTINE_FACT_KIND, digest, value, epoch):
+        if publish_quarantine(self._facts, digest, begins, value):
             log_event(
                 Event.REQUEST_QUARANTINED
                 if begins
--- a/wasabiwing/quarantine_records.py
+++ b/wasabiwing/quarantine_records.py
@@ -19,7 +19,7 @@
 from wasabiwing.events import log_event
 from wasabiwing.facts import Facts
 from wasabiwing.ports import LeaseStore
-from wasabiwing.quarantine import QUARANTINE_FACT_KIND
+from wasabiwing.quarantine_facts import QUARANTINE_FACT_KIND
 from wasabiwing.timers import TimerService
 
 QUARANTINE_PREFIX = "/wasabiwing/quarantine/"
