Isolate no request that a crash merely cut or that a part explains

All streams on a server are resumed in the same moment, so a small pool has fewer servers than suspects.

A request whose answer had gone on for a while at its only crash is no longer isolated; a second crash makes it a suspect as before, so a request that crashes servers late in its answer is still quarantined after two. Crashes that a quarantined part of a prompt explains neither isolate nor quarantine the requests that ran beside it.

--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -397,6 +397,56 @@
         on.accuse()
 
 
+class TestSuspects:
+    """Requests that ran beside a crash, and their isolation."""
+
+    def crash_twice(self, on: Parts, began_s: float) -> list[bool]:
+        """Reports two crashes under a request; returns whether suspected."""
+        call = on.fleet.call("part")
+        suspected = []
+        for server in on.fleet.servers[:2]:
+            now = on.fleet.clock.now()
+            server.up = False
+            run_now(
+                on.node.quarantine.note_cut(call, server, now, now - began_s)
+            )
+            on.fleet.clock.advance(SPREAD_S)
+            suspected.append(bool(on.node.quarantine.suspect_digest(call)))
+        assert on.node.quarantine.refusal(call) is not None
+        return suspected
+
+    def test_one_crash_during_its_answer_isolates_no_request(self) -> None:
+        """Guards against sound streams that wait for a server of their own.
+
+        All streams on a crashed server are resumed at the same moment.
+        """
+        assert self.crash_twice(Parts(), 1.0) == [False, True]
+
+    def test_crash_before_its_answer_isolates_a_request(self) -> None:
+        assert self.crash_twice(Parts(), 0.0) == [True, True]
+
+    def test_verdict_about_a_part_frees_the_requests_beside_it(self) -> None:
+        """Guards against refusing sound requests for the crashes of others."""
+        on = Parts()
+        sound = on.fleet.call("sound")
+        for number in range(MIN_CRASHES):
+            on.crash("bad", f"second-{number}", beside=(sound,))
+        assert on.node.quarantine.suspect_digest(sound)
+        on.judge()
+        assert on.refused("bad")
+        assert not on.node.quarantine.suspect_digest(sound)
+
+    def test_success_clears_a_request_that_is_no_suspect(self) -> None:
+        on = Parts()
+        call = on.crash("part", began_s=1.0)
+        on.node.quarantine.note_success(call)
+        server = on.fleet.servers[9]
+        server.up = False
+        now = on.fleet.clock.now()
+        run_now(on.node.quarantine.note_cut(call, server, now, now - 1.0))
+        assert not on.node.quarantine.suspect_digest(call)
+
+
 class TestBounds:
     """Memory for evidence."""
 
--- a/wasabiwing/crashing_parts.py
+++ b/wasabiwing/crashing_parts.py
@@ -151,6 +151,14 @@
     }
 
 
+def has_answer_settled(answer_began_at: float | None, now: float) -> bool:
+    """Whether an answer had gone on for long enough before a crash.
+
+    Times are in monotonic seconds; ``None`` stands for no first event.
+    """
+    return answer_began_at is not None and answer_began_at + SETTLE_S < now
+
+
 def _bounded(parts: tuple[str, ...]) -> Iterable[str]:
     """Returns parts at growing distances, the last one among them.
 
@@ -248,6 +256,8 @@
         self._heard_at_by_verdict: dict[str, float] = {}
         self._probing_request_by_part: dict[str, str] = {}
         self._evidence_changed = False
+        # Crashes that parts explain; ``None`` after changes.
+        self._explained: set[str] | None = None
         # Sample of the times at which answers began here, or elsewhere as
         # clearances show.
         self._answer_times: deque[float] = deque(maxlen=MAX_ANSWER_SAMPLES)
@@ -272,6 +282,18 @@
         """Number of requests in crashes that are remembered."""
         return len(self._sighting_by_key)
 
+    def explained_crashes(self) -> set[str]:
+        """Returns the crashes, "server/number", that parts explain."""
+        if not self._heard_at_by_verdict:
+            return set()
+        if self._explained is None:
+            self._explained = {
+                crash
+                for part in self._heard_at_by_verdict
+                for crash in self._explained_crashes(part)
+            }
+        return self._explained
+
     def refused_part(self, call: PromptCall) -> str:
         """Returns a part for which a request is refused; empty for none.
 
@@ -323,7 +345,7 @@
     ) -> None:
         """Reports a request that ran on a server when it crashed."""
         now = self._timer.now()
-        if answer_began_at is not None and answer_began_at + SETTLE_S < now:
+        if has_answer_settled(answer_began_at, now):
             return
         parts = part_keys(call)
         for part, planned in tuple(self._clearance_by_part.items()):
@@ -381,6 +403,7 @@
         if len(self._sighting_by_key) > MAX_SIGHTINGS:
             self._remove_sighting(next(iter(self._sighting_by_key)))
         self._evidence_changed = True
+        self._explained = None
 
     def _on_cleared(self, fact: Fact) -> None:
         part = fact.key
@@ -390,6 +413,7 @@
                 self._remove_key(part, key)
         self._sample_answer(self._timer.now() - SETTLE_S)
         self._evidence_changed = True
+        self._explained = None
 
     def _on_verdict(self, fact: Fact) -> None:
         if not fact.key.startswith(PART_PREFIX):
@@ -402,11 +426,13 @@
         else:
             self._accused_at_by_part.pop(part, None)
         self._evidence_changed = True
+        self._explained = None
 
     def _remove_sighting(self, key: str) -> None:
         sighting = self._sighting_by_key.pop(key, None)
         if sighting is None:
             return
+        self._explained = None
         for part in sighting.epoch_by_part:
             self._remove_key(part, key)
 
--- a/wasabiwing/quarantine.py
+++ b/wasabiwing/quarantine.py
@@ -19,6 +19,7 @@
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.crashing_parts import CrashingParts
+from wasabiwing.crashing_parts import has_answer_settled
 from wasabiwing.crashing_parts import part_keys
 from wasabiwing.events import Event
 from wasabiwing.events import log_event
@@ -58,6 +59,10 @@
 
 DIGEST_BYTES = 16
 
+# Value of the suspicion of a request whose answer had begun. It ran beside the
+# crash more likely than it caused it.
+ANSWERED_VALUE = "answered"
+
 # Epochs of a suspicion fact; the larger epoch wins.
 SUSPECTED_EPOCH = 1
 CLEARED_EPOCH = 2
@@ -145,6 +150,8 @@
         self._locally_seen_digests: set[str] = set()
         # A crash is identified by server id and number, "server/number".
         self._crashes_by_digest: dict[str, set[str]] = {}
+        # Digests of requests whose answers had begun at their crashes.
+        self._answered_digests: set[str] = set()
         self._digests_by_crash: dict[str, set[str]] = {}
         self._suspected_at_by_digest: dict[str, float] = {}
         # Monotonic time from which a crash is judged, by crash.
@@ -182,7 +189,23 @@
         return None
 
     def suspect_digest(self, call: IdentifiedCall) -> str:
-        """Returns the digest of a suspected request; empty for others."""
+        """Returns the digest of a suspected request; empty for others.
+
+        A request is no suspect if parts of other prompts explain all of its
+        crashes, or if its only crash came after its answer had begun.
+        """
+        digest = self._known_digest(call)
+        if not digest:
+            return ""
+        crashes = self._crashes_by_digest[digest]
+        if len(crashes) == 1 and digest in self._answered_digests:
+            return ""
+        if crashes <= self.parts.explained_crashes():
+            return ""
+        return digest
+
+    def _known_digest(self, call: IdentifiedCall) -> str:
+        """Returns the digest of a request that was in crashes, or empty."""
         if not self._crashes_by_digest:
             return ""
         digest = self._digest(call)
@@ -253,7 +276,13 @@
         self._locally_seen_digests.add(digest)
         self._facts.publish(CRASH_FACT_KIND, server.id, "", number)
         key = f"{digest}/{server.id}/{number}"
-        self._facts.publish(SUSPICION_FACT_KIND, key, "", SUSPECTED_EPOCH)
+        answered = has_answer_settled(answer_began_at, self._timer.now())
+        self._facts.publish(
+            SUSPICION_FACT_KIND,
+            key,
+            ANSWERED_VALUE if answered else "",
+            SUSPECTED_EPOCH,
+        )
         self.parts.note_crash(
             call, f"{server.id}/{number}", digest, answer_began_at
         )
@@ -265,7 +294,7 @@
 
     def note_success(self, call: IdentifiedCall) -> None:
         """Clears a suspected digest after a request got its whole answer."""
-        digest = self.suspect_digest(call)
+        digest = self._known_digest(call)
         for crash in tuple(self._crashes_by_digest.get(digest, ())):
             self._facts.publish(
                 SUSPICION_FACT_KIND,
@@ -306,6 +335,10 @@
         if fact.epoch >= CLEARED_EPOCH:
             self._remove_suspicion(digest, crash)
             return
+        if fact.value != ANSWERED_VALUE:
+            self._answered_digests.discard(digest)
+        elif digest not in self._crashes_by_digest:
+            self._answered_digests.add(digest)
         self._crashes_by_digest.setdefault(digest, set()).add(crash)
         self._suspected_at_by_digest[digest] = self._timer.now()
         self._digests_by_crash.setdefault(crash, set()).add(digest)
@@ -345,9 +378,14 @@
             self._publish_quarantine(repeated[0], True)
 
     def _unexplained_crashes(self, digest: str) -> int:
-        """Counts crashes with a digest but without a quarantined other one."""
+        """Counts crashes with a digest that nothing else explains.
+
+        A quarantined other digest explains them, or a quarantined part.
+        """
+        explained = self.parts.explained_crashes()
         return sum(
-            not any(
+            crash not in explained
+            and not any(
                 self._is_quarantined(other)
                 for other in self._digests_by_crash.get(crash, ())
                 if other != digest
@@ -385,6 +423,7 @@
                 if f"{digest}/{crash}" not in held_keys:
                     self._remove_suspicion(digest, crash)
         self._locally_seen_digests.intersection_update(self._crashes_by_digest)
+        self._answered_digests.intersection_update(self._crashes_by_digest)
         for digest in tuple(self._suspected_at_by_digest):
             if digest not in self._crashes_by_digest:
                 del self._suspected_at_by_digest[digest]
