Let a stopping gateway serve what can end before its kill

Callers saw: from SIGTERM on, a gateway refused each request on a kept connection at once as NODE_LEAVING, kept the connection open and named no time to return. Nothing that could end was served, and a caller that came back on its connection was refused again until the port closed.

Cause: the gateway set one flag for a reclaim notice, where records go to peers and the platform kills at its own time, and for a planned stop. It had no rule of its own for the time until the kill, and did not know that time. The node decides by stop_admission; the gateway kept another rule.

Change: admission asks stop_admission before each first attempt, before each retry unless the answer has begun, and for waiting requests at each look for capacity. Refusals are not run, with Retry-After; each answer of a leaving gateway carries Connection: close, except that requests which were read on the connection are answered first, as at a node. The setting kill_grace_s names the time until the kill.

A reclaim notice is handled as before: all is refused at once and moved.

--- a/tests/examples.py
+++ b/tests/examples.py
@@ -116,6 +116,8 @@
     routing_policy: RoutingPolicy = RoutingPolicy.EXPECTED_TIME,
     cloud_url: str = "",
     weight_store_url: str = "",
+    stop_grace_s: float = 0.0,
+    kill_grace_s: float = 30.0,
 ) -> AsyncIterator[LocalDeployment]:
     """Runs a deployment in which a configuration is in force on all VMs.
 
@@ -129,6 +131,8 @@
         deployment.credit_lifetime_s = credit_lifetime_s
         deployment.cloud_url = cloud_url
         deployment.weight_store_url = weight_store_url
+        deployment.stop_grace_s = stop_grace_s
+        deployment.kill_grace_s = kill_grace_s
         local = await deployment.start_standins(configuration)
         for number in range(vm_count):
             zone = local.availability_zones[
--- a/tests/policy_examples.py
+++ b/tests/policy_examples.py
@@ -29,6 +29,7 @@
 from wasabiwing.prefix_index import block_digests
 from wasabiwing.routing import Router
 from wasabiwing.routing_scores import RoutingPolicy
+from wasabiwing.stop_admission import StopAdmission
 from wasabiwing.timers import FakeTimer
 from wasabiwing.version_gate import VersionGate
 
@@ -93,6 +94,7 @@
     router: Router
     admission: Admission
     decisions: DecisionLog
+    stop_admission: StopAdmission
 
     def call(
         self,
@@ -184,8 +186,11 @@
         policy,
         VersionGate(timer, transport, facts, "", lambda: 1),
     )
-    admission = Admission(timer, router, credits, decisions)
-    bench = PolicyBench(timer, view, router, admission, decisions)
+    stop_admission = StopAdmission(timer)
+    admission = Admission(timer, router, credits, decisions, stop_admission)
+    bench = PolicyBench(
+        timer, view, router, admission, decisions, stop_admission
+    )
     bench.apply(pool_configuration(servers_per_zone, slots))
     return bench
 
--- a/tests/test_node_stops.py
+++ b/tests/test_node_stops.py
@@ -24,6 +24,8 @@
 from tests.node_deployment import Deployment
 from tests.node_deployment import deployment
 from tests.node_deployment import POLL_S
+from tests.raw_caller import is_whole
+from tests.raw_caller import read_answer
 from wasabiwing_platform_standins.examples import caller_headers
 from wasabiwing_platform_standins.server import ReceivedRequest
 from wasabiwing_platform_standins.server import ServerFault
@@ -85,28 +87,6 @@
     return "\r\n".join(lines).encode() + body
 
 
-async def read_answer(stream: SocketStream) -> bytes:
-    """Reads an answer to its end or to that of the connection."""
-    data = b""
-    try:
-        while not is_whole(data):
-            data += await stream.receive()
-    except (EndOfStream, BrokenResourceError):
-        pass
-    return data
-
-
-def is_whole(data: bytes) -> bool:
-    """Whether an answer is complete by its length or its last chunk."""
-    start, separator, body = data.partition(b"\r\n\r\n")
-    if not separator:
-        return False
-    for line in start.lower().split(b"\r\n"):
-        if line.startswith(b"content-length:"):
-            return len(body) >= int(line.partition(b":")[2])
-    return body.endswith(b"0\r\n\r\n")
-
-
 def ending_of(data: bytes, received: ReceivedRequest | None) -> Ending:
     """Classifies what came back for one request."""
     if not is_whole(data):
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -58,6 +58,17 @@
         assert "'colour' was unexpected" in text_out
         assert "'node_id' is a required property" in text_out
 
+    def test_a_gateway_closes_its_port_before_it_is_killed(
+        self, tmp_path: Path
+    ) -> None:
+        text = (EXAMPLES / "lakeshore" / "gateway.json").read_bytes()
+        document = decode(text, type=dict[str, object])
+        document.update(stop_grace_s=5.0, kill_grace_s=5.0)
+        path = tmp_path / "gateway.json"
+        path.write_bytes(encode(document))
+        loaded = load_settings(path, GatewaySettings)
+        assert loaded == Err(["$: kill_grace_s must exceed stop_grace_s"])
+
     def test_a_missing_file_is_named(self, tmp_path: Path) -> None:
         loaded = load_settings(tmp_path / "none.json", GatewaySettings)
         assert isinstance(loaded, Err)
--- a/wasabiwing/admission.py
+++ b/wasabiwing/admission.py
@@ -7,7 +7,9 @@
 """
 
 from collections import defaultdict
+from contextlib import AbstractContextManager
 from dataclasses import dataclass
+from dataclasses import replace
 from heapq import heapify
 from heapq import heappop
 from heapq import heappush
@@ -33,8 +35,10 @@
 from wasabiwing.gateway_credits import GatewayCredits
 from wasabiwing.routing import is_long_prompt
 from wasabiwing.routing import Router
+from wasabiwing.run_durations import TrackedRun
 from wasabiwing.server_statements import stated_pause_s
 from wasabiwing.server_statements import UNKNOWN_START
+from wasabiwing.stop_admission import StopAdmission
 from wasabiwing.timers import TimerService
 
 # Period in seconds at which free slots are looked for in each pool with
@@ -75,8 +79,10 @@
         router: Router,
         credits: GatewayCredits,
         decisions: DecisionLog,
+        stop_admission: StopAdmission,
     ) -> None:
         self._timer = timer
+        self._stop_admission = stop_admission
         self._router = router
         self._credits = credits
         self.decisions = decisions
@@ -88,14 +94,29 @@
         self._sequence = count()
         timer.subscribe(CAPACITY_CHECK_S, self.check_capacity)
 
+    def track_run(self, call: Call) -> AbstractContextManager[TrackedRun]:
+        """Measures how long a request takes while the block runs."""
+        return self._stop_admission.durations.track(
+            call.route.id, call.max_tokens
+        )
+
     async def acquire(
-        self, call: Call, attempt: int, excluded: frozenset[str]
+        self,
+        call: Call,
+        attempt: int,
+        excluded: frozenset[str],
+        answer_begun: bool = False,
     ) -> Result[ServerAssignment, Failure]:
         """Takes a slot for a call, which may wait for it in its pool's queue.
 
         The wait ends at the call's deadline. ``excluded`` holds the ids of
-        the servers of earlier attempts.
+        the servers of earlier attempts. A process that stops refuses a call
+        that cannot end in time, unless its answer has begun.
         """
+        stop_refusal = None if answer_begun else self._stop_refusal(call)
+        if stop_refusal is not None:
+            self._write(call, attempt, Event.ADMISSION_REFUSED, stop_refusal)
+            return Err(stop_refusal)
         queue = self._queue_by_pool[call.pool.id]
         kind = self._kind(call, excluded)
         if not queue.has_precedence(call, kind):
@@ -113,7 +134,14 @@
         if refusal is not None:
             self._write(call, attempt, Event.ADMISSION_REFUSED, refusal)
             return Err(refusal)
-        waiter = Waiter(call, attempt, excluded, kind, total_tokens(call))
+        waiter = Waiter(
+            call,
+            attempt,
+            excluded,
+            kind,
+            total_tokens(call),
+            refusable=not answer_begun,
+        )
         queue.push(waiter)
         heappush(
             self._deadlines, (call.deadline, next(self._sequence), waiter)
@@ -172,6 +200,7 @@
     async def check_capacity(self) -> None:
         """Refuses requests past their deadline and assigns free slots."""
         self._expire()
+        self._refuse_at_stop()
         if self._credits.controller_lost:
             self._refuse_all(self._credits.controller_lost_failure())
         for pool_id, queue in tuple(self._queue_by_pool.items()):
@@ -262,6 +291,33 @@
                 failure,
             )
 
+    def _stop_refusal(self, call: Call) -> Failure | None:
+        """Returns why this process, which stops, begins no attempt."""
+        refusal = self._stop_admission.refusal(
+            call.route.id, call.received_at, call.deadline, call.max_tokens
+        )
+        if refusal is None:
+            return None
+        return replace(refusal, retry_after_s=DEFAULT_RETRY_AFTER_S)
+
+    def _refuse_at_stop(self) -> None:
+        """Refuses waiting requests that can no longer end in time."""
+        if not self._stop_admission.stopping:
+            return
+        for _, _, waiter in tuple(self._deadlines):
+            if waiter.result is not None or not waiter.refusable:
+                continue
+            refusal = self._stop_refusal(waiter.call)
+            if refusal is not None:
+                self._queue_by_pool[waiter.call.pool.id].remove(waiter)
+                waiter.resolve(Err(refusal))
+                self._write(
+                    waiter.call,
+                    waiter.attempt,
+                    Event.ADMISSION_REFUSED,
+                    refusal,
+                )
+
     def _refuse_all(self, failure: Failure) -> None:
         for queue in self._queue_by_pool.values():
             for waiter in tuple(queue.heads_in_order()):
--- a/wasabiwing/asgi.py
+++ b/wasabiwing/asgi.py
@@ -82,9 +82,16 @@
 class Responder:
     """Writes the answer to one HTTP request."""
 
-    def __init__(self, receive: Receive, send: Send) -> None:
+    def __init__(
+        self,
+        receive: Receive,
+        send: Send,
+        closes: Callable[[], bool] = lambda: False,
+    ) -> None:
         self._receive = receive
         self._send = send
+        # Whether the caller is told to close its connection afterwards.
+        self._closes = closes
         self.started = False
 
     async def send_json(
@@ -122,6 +129,8 @@
         pairs = [(b"content-type", content_type.encode())]
         for name, value in (headers or {}).items():
             pairs.append((name.lower().encode(), value.encode()))
+        if self._closes():
+            pairs.append((b"connection", b"close"))
         await self._send(
             {
                 "type": "http.response.start",
@@ -169,9 +178,13 @@
     fallback: HttpHandler,
     max_body_bytes: Callable[[], int],
     node: str = "",
+    closes: Callable[[Scope], bool] = lambda scope: False,
 ) -> Application:
     """Returns an ASGI application that serves the routes.
 
+    ``closes`` is asked when an answer begins whether the caller is told to
+    close its connection afterwards.
+
     An exception of a handler is logged; the caller gets status 500, or a
     cut connection when the answer has begun.
     """
@@ -179,7 +192,7 @@
     async def application(scope: Scope, receive: Receive, send: Send) -> None:
         if scope["type"] != "http":
             return
-        responder = Responder(receive, send)
+        responder = Responder(receive, send, lambda: closes(scope))
         try:
             await respond(scope, receive, responder)
         except get_cancelled_exc_class():
--- a/wasabiwing/caller_http.py
+++ b/wasabiwing/caller_http.py
@@ -30,7 +30,7 @@
 from wasabiwing.events import Event
 from wasabiwing.events import log_event
 from wasabiwing.fleet_follower import FleetView
-from wasabiwing.header_timeout import PIPELINE_EXTENSION
+from wasabiwing.header_timeout import has_next_request
 from wasabiwing.metrics import GatewayMetrics
 from wasabiwing.routed_calls import CallCodec
 from wasabiwing.routed_calls import CallHead
@@ -211,10 +211,7 @@
 
         A request that was read already is answered before.
         """
-        if not self._stop_admission.stopping:
-            return False
-        extension = scope.get("extensions", {}).get(PIPELINE_EXTENSION)
-        return extension is None or not extension["has_next"]()
+        return self._stop_admission.stopping and not has_next_request(scope)
 
     def _build_call(
         self, scope: Scope, body: bytes, received_at: float
--- a/wasabiwing/fair_queue.py
+++ b/wasabiwing/fair_queue.py
@@ -39,6 +39,8 @@
     kind: WaiterKind
     # Tokens of the prompt and of the longest possible answer.
     total_tokens: int
+    # Whether a process that stops may still refuse the request.
+    refusable: bool = True
     resolved: Event = field(default_factory=Event)
     result: Result[ServerAssignment, Failure] | None = None
 
--- a/wasabiwing/gateway.py
+++ b/wasabiwing/gateway.py
@@ -33,6 +33,7 @@
 from wasabiwing.gateway_limits import live_inboxes
 from wasabiwing.gateway_limits import live_share
 from wasabiwing.handover import Handover
+from wasabiwing.header_timeout import PipelineProtocol
 from wasabiwing.http_client import HttpClient
 from wasabiwing.job_client import JobClient
 from wasabiwing.message_router import MessageRouter
@@ -68,6 +69,7 @@
 from wasabiwing.server_records import LoadReport
 from wasabiwing.settings import GatewaySettings
 from wasabiwing.settings import settings_or_exit
+from wasabiwing.stop_admission import StopAdmission
 from wasabiwing.suspect_isolation import SuspectIsolation
 from wasabiwing.timers import SystemTimer
 from wasabiwing.timers import TimerService
@@ -82,6 +84,11 @@
 # seconds.
 STOP_POLL_S = 0.05
 
+# Times before the kill at which the port closes and at which requests without
+# an answer are ended, in seconds.
+CLOSE_PORT_S = 1.0
+END_UNANSWERED_S = 0.3
+
 # Added to the seed for routing, so that its random numbers are independent of
 # those of request ids.
 ROUTING_SEED_OFFSET = 1
@@ -118,6 +125,7 @@
         self._load_report_count = 0
         seed = settings.seed or SystemRandom().getrandbits(SEED_BITS)
         self.view = ClusterView()
+        self.stop_admission = StopAdmission(timer)
         self.metrics = GatewayMetrics()
         self.credits = GatewayCredits(
             node_id, timer, self.view, settings.credit_lifetime_s
@@ -181,7 +189,11 @@
             self.permits,
         )
         self.admission = Admission(
-            timer, self.routing, self.credits, self.decisions
+            timer,
+            self.routing,
+            self.credits,
+            self.decisions,
+            self.stop_admission,
         )
         self.cache_poller = CachePoller(
             timer,
@@ -268,6 +280,8 @@
             self.claims,
             self.credits,
             self.jobs,
+            self.stop_admission,
+            self.handover.has_holder,
         )
         self.messages = MessageRouter(node_id, transport)
         self.configuration = ConfigurationFollower(
@@ -334,24 +348,34 @@
             )
 
     async def drain(self) -> None:
-        """Refuses new requests and waits until the accepted ones have ended.
+        """Serves what can end before the kill and waits until all has ended.
 
-        It also waits until the controllers have recorded all outcomes.
+        It also waits until the controllers have recorded all outcomes, and at
+        least until the load balancer has noticed the failed health check.
         """
+        self.stop_admission.begin(self._settings.kill_grace_s)
         await self.leave()
-        # The load balancer must notice the failed health check before the
-        # port closes.
-        await self._timer.sleep(self._settings.stop_grace_s)
-        while (
+        while self.stop_admission.time_left_s > CLOSE_PORT_S:
+            callers_gone = (
+                self.stop_admission.stopped_for_s
+                >= self._settings.stop_grace_s
+            )
+            if callers_gone and not self._has_work:
+                return
+            await self._timer.sleep(STOP_POLL_S)
+
+    @property
+    def _has_work(self) -> bool:
+        """Whether requests run or their outcomes are not yet recorded."""
+        return bool(
             self.http.running_request_count
             or self.handover.has_pending_renewals
             or self.claims.unacknowledged_reports
             or self.jobs.running_requests
-        ):
-            await self._timer.sleep(STOP_POLL_S)
+        )
 
     async def leave(self) -> None:
-        """Refuses new requests and sends records of the running ones to peers.
+        """Announces the leave and sends records of running requests to peers.
 
         The records are sent first, because the process may be killed at any
         moment.
@@ -474,6 +498,10 @@
             )
             await gateway.drain()
             drained.set()
+            await timer.sleep(
+                gateway.stop_admission.time_left_s - END_UNANSWERED_S
+            )
+            gateway.http.end_unanswered()
 
         tasks.start_soon(drain_when_stopped)
         await gateway.send_heartbeat()
@@ -488,7 +516,14 @@
             inbox=addresses.inbox,
         )
         task_status.started(addresses)
-        await serve_http(gateway.http.application(), listener, drained)
+        await serve_http(
+            gateway.http.application(),
+            listener,
+            drained,
+            protocol=PipelineProtocol,
+            # The time until the kill bounds the answers, and nothing before.
+            closing_s=lambda: max(gateway.stop_admission.time_left_s, 0.0),
+        )
         tasks.cancel_scope.cancel()
     await engine.close()
     await service.close()
--- a/wasabiwing/gateway_http.py
+++ b/wasabiwing/gateway_http.py
@@ -1,8 +1,13 @@
 """HTTP routes of a gateway for callers and the load balancer."""
 
+from collections.abc import Callable
+from collections.abc import Iterator
 from collections.abc import Mapping
+from contextlib import contextmanager
+from dataclasses import replace
 from random import Random
 
+from anyio import CancelScope
 from anyio import create_task_group
 from anyio import Event
 from prometheus_client import CONTENT_TYPE_LATEST
@@ -35,11 +40,13 @@
 from wasabiwing.events import Event as LogEvent
 from wasabiwing.events import log_event
 from wasabiwing.gateway_credits import GatewayCredits
+from wasabiwing.header_timeout import has_next_request
 from wasabiwing.http_client import find_header
 from wasabiwing.job_client import JobClient
 from wasabiwing.job_client import wants_job
 from wasabiwing.job_records import JobState
 from wasabiwing.messages import ClaimState
+from wasabiwing.messages import JobReply
 from wasabiwing.metrics import GatewayMetrics
 from wasabiwing.plain_dispatch import PlainDispatcher
 from wasabiwing.ports import HttpReply
@@ -47,7 +54,9 @@
 from wasabiwing.request_parsing import bearer_token
 from wasabiwing.request_parsing import parse_request
 from wasabiwing.request_table import RequestTable
+from wasabiwing.run_durations import RunEnd
 from wasabiwing.running_request import RunningRequest
+from wasabiwing.stop_admission import StopAdmission
 from wasabiwing.timers import TimerService
 
 STATUS_BY_CODE: Mapping[ResultCode, int] = {
@@ -75,6 +84,16 @@
 # Status of all other failures; a retry may succeed.
 DEFAULT_ERROR_STATUS = 503
 
+# Seconds after which a caller that a leaving gateway refuses may return, at
+# another gateway.
+LEAVING_RETRY_S = 1.0
+
+# Kind under which the duration of job submissions is tracked.
+JOB_SUBMISSION = "job submission"
+
+# Model requests that are named in the log before the kill.
+MAX_LOGGED_REQUESTS = 32
+
 DEFAULT_MAX_BODY_BYTES = 1_000_000
 
 
@@ -95,6 +114,8 @@
         claims: ClaimClient,
         credits: GatewayCredits,
         jobs: JobClient,
+        stop_admission: StopAdmission,
+        has_holder: Callable[[str], bool],
     ) -> None:
         self._node_id = node_id
         self._timer = timer
@@ -108,7 +129,10 @@
         self._claims = claims
         self._credits = credits
         self._jobs = jobs
-        self._running_service_calls = 0
+        self._stop_admission = stop_admission
+        # Whether a peer gateway can continue a model request.
+        self._has_holder = has_holder
+        self._service_call_scopes: set[CancelScope] = set()
         # Set when the VM is reclaimed and peer gateways hold the records that
         # they need to continue its requests.
         self._requests_moved = Event()
@@ -123,17 +147,41 @@
             HttpRoute("GET", "/v1/jobs/{id}", self._job_status),
         )
         return build_application(
-            routes, self._handle_call, self._max_body_bytes, self._node_id
+            routes,
+            self._handle_call,
+            self._max_body_bytes,
+            self._node_id,
+            lambda scope: self._view.leaving and not has_next_request(scope),
         )
 
     def redirect_callers(self) -> None:
         """Redirects callers of model requests whose answers are not begun."""
         self._requests_moved.set()
 
+    def end_unanswered(self) -> None:
+        """Ends the requests whose answers have not begun.
+
+        Called shortly before the process is killed. Callers of model requests
+        are redirected to a peer that can continue them, others get a failure.
+        """
+        log_event(
+            LogEvent.STOP_UNFINISHED,
+            self._node_id,
+            time_left_s=round(self._stop_admission.time_left_s, 3),
+            requests=[
+                request.call.request_id
+                for request in self._requests.running()[:MAX_LOGGED_REQUESTS]
+            ],
+            service_calls=len(self._service_call_scopes),
+        )
+        self._requests_moved.set()
+        for scope in tuple(self._service_call_scopes):
+            scope.cancel()
+
     @property
     def running_request_count(self) -> int:
         """Number of requests without a whole answer."""
-        return len(self._requests.running()) + self._running_service_calls
+        return len(self._requests.running()) + len(self._service_call_scopes)
 
     def _max_body_bytes(self) -> int:
         index = self._view.index
@@ -179,7 +227,7 @@
         self, request: HttpRequest, responder: Responder
     ) -> None:
         refusal = self._find_refusal()
-        if refusal is not None:
+        if refusal is not None and not self._still_serves(refusal):
             await self._refuse(request.path, refusal, responder)
             return
         parsed = parse_request(
@@ -193,6 +241,15 @@
             await self._refuse(request.path, parsed.err_value, responder)
             return
         call = parsed.ok_value
+        if self._stop_admission.stopping:
+            log_event(
+                LogEvent.REQUEST_TAKEN_STOPPING,
+                self._node_id,
+                request=call.request_id,
+                route=call.route.id,
+                stopped_for_s=round(self._stop_admission.stopped_for_s, 3),
+                time_left_s=round(self._stop_admission.time_left_s, 3),
+            )
         if call.pool.kind is PoolKind.MODEL and wants_job(request, call):
             await self._submit_job(call, responder)
         elif call.pool.kind is PoolKind.MODEL:
@@ -201,7 +258,23 @@
             await self._handle_service_call(call, responder)
 
     async def _submit_job(self, call: Call, responder: Responder) -> None:
-        submitted = await self._jobs.submit(call)
+        refusal = self._stop_admission.refusal(
+            JOB_SUBMISSION, call.received_at, call.deadline, None
+        )
+        if refusal is not None:
+            refusal = replace(refusal, retry_after_s=LEAVING_RETRY_S)
+            await self._refuse(call.path, refusal, responder)
+            return
+        submitted: Result[JobReply, Failure] = Err(
+            _leaving_failure(RunState.MAY_HAVE_RUN)
+        )
+        durations = self._stop_admission.durations
+        with (
+            durations.track(JOB_SUBMISSION, None) as tracked,
+            self._ended_at_stop(),
+        ):
+            submitted = await self._jobs.submit(call)
+            tracked.end = RunEnd.ENDED
         if isinstance(submitted, Err):
             await self._refuse(call.path, submitted.err_value, responder)
             return
@@ -231,14 +304,28 @@
         """Returns why this gateway accepts no requests, or ``None``."""
         if self._view.index is None:
             return Failure(ResultCode.CONFIGURATION_MISSING)
-        if self._view.leaving:
-            return Failure(ResultCode.NODE_LEAVING)
         if not self._view.connected:
             return Failure(ResultCode.NODE_ISOLATED)
         if self._credits.controller_lost:
             return self._credits.controller_lost_failure()
+        if self._view.leaving:
+            return Failure(
+                ResultCode.NODE_LEAVING, retry_after_s=LEAVING_RETRY_S
+            )
         return None
 
+    def _still_serves(self, refusal: Failure) -> bool:
+        """Whether new requests are decided on one by one in spite of a stop.
+
+        When the VM is reclaimed, they are refused at once, because the time
+        of the kill is not this process's own.
+        """
+        return (
+            refusal.code is ResultCode.NODE_LEAVING
+            and self._stop_admission.stopping
+            and not self._requests_moved.is_set()
+        )
+
     async def _handle_model_call(
         self, call: Call, responder: Responder
     ) -> None:
@@ -253,8 +340,19 @@
             tasks.start_soon(cancel_when_moved)
             await self._send_answer(request, 0, responder)
             tasks.cancel_scope.cancel()
-        if self._requests_moved.is_set() and not responder.started:
-            await self._redirect(call.request_id, responder)
+        if not self._requests_moved.is_set() or responder.started:
+            return
+        if self._stop_admission.stopping and not self._has_holder(
+            call.request_id
+        ):
+            failure = _leaving_failure(
+                request.run_state
+                if request.server is None
+                else RunState.MAY_HAVE_RUN
+            )
+            await self._send_failure(call.request_id, failure, responder)
+            return
+        await self._redirect(call.request_id, responder)
 
     async def _redirect(self, request_id: str, responder: Responder) -> None:
         """Redirects a caller to the URL of its request.
@@ -337,13 +435,26 @@
     async def _handle_service_call(
         self, call: Call, responder: Responder
     ) -> None:
-        self._running_service_calls += 1
-        try:
+        reply: Result[HttpReply, Failure] = Err(
+            _leaving_failure(
+                RunState.MAY_HAVE_RUN,
+                "" if call.route.idempotent else call.request_id,
+            )
+        )
+        with self._ended_at_stop():
             reply = await self._services.run(call)
-        finally:
-            self._running_service_calls -= 1
         await self._send_reply(call.request_id, reply, responder)
 
+    @contextmanager
+    def _ended_at_stop(self) -> Iterator[None]:
+        """Counts a running call; its block is left before the kill."""
+        with CancelScope() as scope:
+            self._service_call_scopes.add(scope)
+            try:
+                yield
+            finally:
+                self._service_call_scopes.discard(scope)
+
     async def _send_reply(
         self,
         request_id: str,
@@ -445,6 +556,18 @@
         )
 
 
+def _leaving_failure(
+    run_state: RunState, status_request_id: str = ""
+) -> Failure:
+    """Returns the failure of a request that the stop of the process ends."""
+    return Failure(
+        ResultCode.NODE_LEAVING,
+        "the request took too long",
+        run_state,
+        status_request_id=status_request_id,
+    )
+
+
 async def _send_accepted(job_id: str, responder: Responder) -> None:
     """Sends status 202 with the URL of a job's result."""
     await responder.send_json(
--- a/wasabiwing/handover.py
+++ b/wasabiwing/handover.py
@@ -106,6 +106,10 @@
         """Whether a record must still be sent to a peer."""
         return bool(self._renewals_left_by_request)
 
+    def has_holder(self, request_id: str) -> bool:
+        """Whether a peer holds the record of a running request."""
+        return bool(self._holders_by_request.get(request_id))
+
     async def renew(self) -> None:
         """Sends the records of all requests that have holders.
 
--- a/wasabiwing/header_timeout.py
+++ b/wasabiwing/header_timeout.py
@@ -7,6 +7,8 @@
 
 from asyncio import TimerHandle
 from collections.abc import Callable
+from collections.abc import Mapping
+from typing import Any
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
@@ -21,6 +23,26 @@
 )
 
 
+class PipelineProtocol(HttpToolsProtocol):
+    """Tells the application whether further requests were read."""
+
+    def on_message_begin(self) -> None:
+        super().on_message_begin()
+        self.scope["extensions"] = {
+            PIPELINE_EXTENSION: {"has_next": self._has_next_request}
+        }
+
+    def _has_next_request(self) -> bool:
+        """Whether a further request was read on this connection."""
+        return bool(self.pipeline)
+
+
+def has_next_request(scope: Mapping[str, Any]) -> bool:
+    """Whether a request waits that was read on the same connection."""
+    extension = scope.get("extensions", {}).get(PIPELINE_EXTENSION)
+    return extension is not None and bool(extension["has_next"]())
+
+
 def header_timeout_protocol(
     timeout_s: Callable[[], float], on_timeout: Callable[[], None]
 ) -> type[HttpToolsProtocol]:
@@ -31,20 +53,13 @@
     connection that is closed.
     """
 
-    class HeaderTimeoutProtocol(HttpToolsProtocol):
+    class HeaderTimeoutProtocol(PipelineProtocol):
         _header_timer: TimerHandle | None = None
 
         def on_message_begin(self) -> None:
             super().on_message_begin()
-            self.scope["extensions"] = {
-                PIPELINE_EXTENSION: {"has_next": self._has_next_request}
-            }
             self._start_header_timer()
 
-        def _has_next_request(self) -> bool:
-            """Whether a further request was read on this connection."""
-            return bool(self.pipeline)
-
         def on_headers_complete(self) -> None:
             self._stop_header_timer()
             super().on_headers_complete()
--- a/wasabiwing/plain_dispatch.py
+++ b/wasabiwing/plain_dispatch.py
@@ -24,6 +24,7 @@
 from wasabiwing.quarantine import Quarantine
 from wasabiwing.retry_policy import final_failure
 from wasabiwing.retry_policy import RetryPolicy
+from wasabiwing.run_durations import RunEnd
 from wasabiwing.timers import TimerService
 
 
@@ -52,10 +53,15 @@
 
     async def run(self, call: Call) -> Result[HttpReply, Failure]:
         """Runs a request and returns its whole answer or its failure."""
-        if call.route.idempotent:
-            reply = await self._run_idempotent(call)
-        else:
-            reply = await self._run_claimed(call)
+        with self._admission.track_run(call) as tracked:
+            if call.route.idempotent:
+                reply = await self._run_idempotent(call)
+            else:
+                reply = await self._run_claimed(call)
+            if isinstance(reply, Ok):
+                tracked.end = RunEnd.ENDED
+            else:
+                tracked.end = _end_of_failed(reply.err_value)
         code = (
             reply.err_value.code if isinstance(reply, Err) else ResultCode.OK
         )
@@ -235,5 +241,12 @@
     return headers
 
 
+def _end_of_failed(failure: Failure) -> RunEnd:
+    """Returns what a failure tells about the duration of runs."""
+    if failure.run_state is RunState.NOT_RUN:
+        return RunEnd.NOT_RUN
+    return RunEnd.ENDED
+
+
 def _always_may_send() -> bool:
     return True
--- a/wasabiwing_demo/deployment.py
+++ b/wasabiwing_demo/deployment.py
@@ -84,6 +84,8 @@
         # fields; times in seconds.
         self.stream_silence_s = 10.0
         self.caller_grace_s = 5.0
+        self.stop_grace_s = 0.0
+        self.kill_grace_s = 30.0
         # Short, so that a new home soon takes over a server's slots.
         self.credit_lifetime_s = CREDIT_LIFETIME_S
         self.load_lag_s = LOAD_LAG_S
@@ -166,7 +168,8 @@
             credit_lifetime_s=self.credit_lifetime_s,
             stream_silence_s=self.stream_silence_s,
             caller_grace_s=self.caller_grace_s,
-            stop_grace_s=0.0,
+            stop_grace_s=self.stop_grace_s,
+            kill_grace_s=self.kill_grace_s,
         )
         stop_gateway = Event()
         gateway_scope = CancelScope()
