Judge a late request by its whole arrival and by enough runs at a stop

Cause: a request counted from its head; the longest of few runs says little about a rare long one; an answer that had begun was resumed without asking.

Change: a request counts from its last byte, as its callers do; late requests are judged by the longest run only where 20 have ended; a broken stream that can't end here is not resumed here, so that its caller can do so elsewhere before the kill. Tests: test_few_runs_do_not_tell_how_long_a_late_one_takes and test_a_body_that_ends_late_makes_a_late_request failed before. Two tests warm their routes up with more runs, as they are about known runs.

--- a/tests/test_gateway_stops.py
+++ b/tests/test_gateway_stops.py
@@ -39,8 +39,8 @@
 from wasabiwing.codes import RunState
 from wasabiwing.http_client import HttpClient
 from wasabiwing.http_client import HttpStream
-from wasabiwing.run_durations import MIN_DURATIONS
 from wasabiwing.run_durations import RunEnd
+from wasabiwing.stop_admission import MIN_KNOWN_RUNS
 from wasabiwing.stop_admission import StopAdmission
 from wasabiwing.timers import FakeTimer
 from wasabiwing.timers import run_ready_tasks
@@ -403,7 +403,7 @@
 
 async def record_runs(bench: PolicyBench, duration_s: float) -> None:
     """Records runs of one duration on the route of all calls."""
-    for number in range(MIN_DURATIONS):
+    for number in range(MIN_KNOWN_RUNS):
         with bench.admission.track_run(bench.call(f"run {number}")) as run:
             run.end = RunEnd.ENDED
             await bench.timer.advance(duration_s)
--- a/tests/test_node_stops.py
+++ b/tests/test_node_stops.py
@@ -26,6 +26,7 @@
 from tests.node_deployment import POLL_S
 from tests.raw_caller import is_whole
 from tests.raw_caller import read_answer
+from wasabiwing.stop_admission import LENIENT_S
 from wasabiwing_platform_standins.examples import caller_headers
 from wasabiwing_platform_standins.server import ReceivedRequest
 from wasabiwing_platform_standins.server import ServerFault
@@ -41,7 +42,7 @@
 INTERVAL_S = 0.35
 
 # Requests whose runs the node has seen before it is asked to stop, by route.
-WARM_UP_REQUESTS = 8
+WARM_UP_REQUESTS = 24
 
 # Time after the request to stop in which all that can end is served, and the
 # last sixth of the grace time, in which runs of such requests may be cut.
@@ -359,6 +360,24 @@
             await kept.ask(stream, "chat", 0.0)
         assert [item.ending for item in kept.sent] == [Ending.SERVED]
 
+    async def test_a_body_that_ends_late_makes_a_late_request(self) -> None:
+        """Guards against judging a request by the time of its head."""
+        async with stopping_node(0.1, warm_up=False) as kept:
+            for server in kept.servers:
+                server.work_s_by_body[LONG_BODY] = 6.0
+            long, stream = await kept.open(), await kept.open()
+            async with create_task_group() as tasks:
+                tasks.start_soon(kept.ask, long, "read", 0.0, LONG_BODY)
+                await wait_for_request(kept)
+                kept.system.stop.set()
+                data = head("/book/1", "slow-body", 20_000, b"kept")
+                await stream.send(data[:-2])
+                await sleep(LENIENT_S + 0.5)
+                await stream.send(data[-2:])
+                answer = await read_answer(stream)
+            # The length of its run is not known.
+            assert ending_of(answer, None) is Ending.REFUSED
+
     async def test_a_silent_store_delays_no_stop(self) -> None:
         """Guards against duties that are given up before anything else."""
         async with stopping_node(1.5, warm_up=True) as kept:
--- a/tests/test_stop_admission.py
+++ b/tests/test_stop_admission.py
@@ -14,6 +14,7 @@
 from wasabiwing.stop_admission import CLOSING_S
 from wasabiwing.stop_admission import LENIENT_S
 from wasabiwing.stop_admission import may_end_in_time
+from wasabiwing.stop_admission import MIN_KNOWN_RUNS
 from wasabiwing.stop_admission import StopAdmission
 from wasabiwing.timers import FakeTimer
 
@@ -70,7 +71,7 @@
             GRACE_S - stopped_for_s,
             stopped_for_s,
             NO_DEADLINE_S,
-            RunEstimate(typical_s, longest_s),
+            RunEstimate(typical_s, longest_s, MIN_KNOWN_RUNS),
         )
 
     @pytest.mark.parametrize(
@@ -83,9 +84,15 @@
             GRACE_S - stopped_for_s, stopped_for_s, NO_DEADLINE_S, None
         )
 
+    def test_few_runs_do_not_tell_how_long_a_late_one_takes(self) -> None:
+        """Guards against the first seconds of a process that stops again."""
+        few = RunEstimate(0.1, 0.2, MIN_KNOWN_RUNS - 1)
+        assert may_end_in_time(5.0, 2.0, NO_DEADLINE_S, few)
+        assert not may_end_in_time(5.0, 3.0, NO_DEADLINE_S, few)
+
     def test_a_request_whose_deadline_comes_first_is_served(self) -> None:
         """It ends at its deadline, whatever its run takes."""
-        for estimate in (None, RunEstimate(9.0, 30.0)):
+        for estimate in (None, RunEstimate(9.0, 30.0, MIN_KNOWN_RUNS)):
             assert may_end_in_time(2.0, 6.0, 2.0 - CLOSING_S, estimate)
             assert not may_end_in_time(2.0, 6.0, 2.0, estimate)
 
@@ -175,8 +182,12 @@
         timer = FakeTimer()
         durations = RunDurations(timer)
         await record(timer, durations, 1.0, tokens=100)
-        assert durations.estimate("chat", 300) == RunEstimate(3.0, 3.0)
-        assert durations.estimate("chat", 10) == RunEstimate(1.0, 1.0)
+        assert durations.estimate("chat", 300) == RunEstimate(
+            3.0, 3.0, MIN_DURATIONS
+        )
+        assert durations.estimate("chat", 10) == RunEstimate(
+            1.0, 1.0, MIN_DURATIONS
+        )
 
     async def test_a_run_that_does_not_end_counts_with_its_age(self) -> None:
         """Guards against an estimate from the runs that ended alone."""
@@ -185,7 +196,9 @@
         await record(timer, durations, 1.0)
         with durations.track("chat", None):
             await timer.advance(20.0)
-            assert durations.estimate("chat", None) == RunEstimate(1.0, 20.0)
+            assert durations.estimate("chat", None) == RunEstimate(
+                1.0, 20.0, MIN_DURATIONS
+            )
 
     async def test_a_rare_long_run_is_remembered(self) -> None:
         """Guards against an estimate that short runs push out at once."""
--- a/wasabiwing/answer_relay.py
+++ b/wasabiwing/answer_relay.py
@@ -77,6 +77,8 @@
     """State of one request over all its attempts."""
 
     event_splitter: EventSplitter
+    # Monotonic time in seconds at which the whole request had been read.
+    came_at: float = 0.0
     tried_server_ids: set[str] = field(default_factory=set)
     # Numbers of attempts that may have run, and of attempts that servers
     # refused before they ran.
--- a/wasabiwing/call_forwarding.py
+++ b/wasabiwing/call_forwarding.py
@@ -170,7 +170,9 @@
         Returns the final failure, which has the code ``OK`` if the caller got
         an answer.
         """
-        progress = CallProgress(EventSplitter(call.head.last_event_id))
+        progress = CallProgress(
+            EventSplitter(call.head.last_event_id), self._timer.now()
+        )
         if self._stop_admission.stopping:
             log_event(
                 Event.REQUEST_TAKEN_STOPPING,
@@ -205,7 +207,7 @@
         self, call: RoutedCall, progress: CallProgress, output: AnswerOutput
     ) -> Failure:
         while True:
-            placed = await self._wait_for_server(call, progress, output)
+            placed = await self._wait_for_server(call, progress)
             if isinstance(placed, Failure):
                 return (
                     placed
@@ -221,23 +223,22 @@
                 return _final_failure(progress)
 
     def _stop_refusal(
-        self, call: RoutedCall, output: AnswerOutput
+        self, call: RoutedCall, progress: CallProgress
     ) -> Failure | None:
         """Returns why this process, which stops, makes no attempt any more.
 
-        An answer that has begun can't be refused, so it is continued.
+        A stream that has begun and can't end here in time isn't resumed
+        either: its caller may resume it elsewhere at once.
         """
-        if output.started:
-            return None
         return self._stop_admission.refusal(
             _run_kind(call),
-            call.received_at,
+            progress.came_at,
             call.deadline,
             call.head.answer_tokens,
         )
 
     async def _wait_for_server(
-        self, call: RoutedCall, progress: CallProgress, output: AnswerOutput
+        self, call: RoutedCall, progress: CallProgress
     ) -> SelectedServer | Failure:
         """Returns a server for the next attempt, or why there is none.
 
@@ -247,7 +248,7 @@
         if self._quarantine.suspect_digest(call):
             wait_s = SUSPECT_WAIT_S
         wait_until = self._timer.now() + wait_s
-        refusal = self._stop_refusal(call, output)
+        refusal = self._stop_refusal(call, progress)
         if refusal is not None:
             return refusal
         while True:
--- a/wasabiwing/run_durations.py
+++ b/wasabiwing/run_durations.py
@@ -46,6 +46,8 @@
 
     typical_s: float
     longest_s: float
+    # Number of ended runs that the estimate rests on.
+    count: int
 
 
 @dataclass(eq=False, slots=True)
@@ -148,4 +150,8 @@
         ]
         if known.longest is not None:
             at_least_s.append(known.longest.decayed_s(now, tokens))
-        return RunEstimate(median(durations_s), max(durations_s + at_least_s))
+        return RunEstimate(
+            median(durations_s),
+            max(durations_s + at_least_s),
+            len(durations_s),
+        )
--- a/wasabiwing/stop_admission.py
+++ b/wasabiwing/stop_admission.py
@@ -24,8 +24,10 @@
 # seconds.
 CLOSING_S = 0.5
 
-# Factor by which a run may exceed the longest recent one.
+# Factor by which a run may exceed the longest recent one, and the number of
+# ended runs from which the longest one tells something.
 LONGEST_RUN_FACTOR = 1.5
+MIN_KNOWN_RUNS = 20
 
 
 def may_end_in_time(
@@ -49,7 +51,10 @@
         return lenient and usable_s > 0.0
     if lenient:
         return estimate.typical_s <= usable_s
-    return estimate.longest_s * LONGEST_RUN_FACTOR <= usable_s
+    return (
+        estimate.count >= MIN_KNOWN_RUNS
+        and estimate.longest_s * LONGEST_RUN_FACTOR <= usable_s
+    )
 
 
 class StopAdmission:
@@ -91,23 +96,23 @@
     def refusal(
         self,
         kind: str,
-        received_at: float,
+        came_at: float,
         deadline: float,
         answer_tokens: int | None,
     ) -> Failure | None:
         """Returns the refusal of a request that can't end in time.
 
         It is asked before each attempt. ``kind`` is that under which its
-        duration is tracked, ``received_at`` and ``deadline`` are monotonic
-        seconds, and ``answer_tokens`` is the largest number of tokens of its
-        answer; ``None`` for plain requests.
+        duration is tracked. ``came_at``, when its last byte was read, and
+        ``deadline`` are monotonic seconds. ``answer_tokens`` is the largest
+        number of tokens of its answer; ``None`` for plain requests.
         """
         if not self.stopping:
             return None
         estimate = self.durations.estimate(kind, answer_tokens)
         if may_end_in_time(
             self.time_left_s,
-            received_at - self._stopped_at,
+            came_at - self._stopped_at,
             deadline - self._timer.now(),
             estimate,
         ):
