Judge parts by chance while no server answers

A part that is frequent and sound and then crashes servers could take all of them within a second. Nothing cleared the other parts then, so no verdict fell before servers were back and crashed again.

While no other answer begins, a part is now quarantined if it is in at least five of the latest crashes, in no fewer than any other part, and in more than its share of the answers before explains with a probability of 1%.

--- a/tests/part_fleet.py
+++ b/tests/part_fleet.py
@@ -308,6 +308,14 @@
         """Ids of the nodes that pass facts on."""
         return list(self.node_by_id)[:3]
 
+    def stop(self, node_id: str) -> None:
+        """Ends a node."""
+        self.node_by_id[node_id].stopped = True
+
+    def restart(self, node_id: str) -> None:
+        """Starts a node that was stopped."""
+        self.start(node_id)
+
     def start(self, node_id: str) -> PartNode:
         """Starts a node, in place of an earlier one with the id."""
         node = PartNode(self, node_id)
--- a/wasabiwing/crashing_parts.py
+++ b/wasabiwing/crashing_parts.py
@@ -9,12 +9,14 @@
 rules and their reasons.
 """
 
+from collections import Counter
 from collections import deque
 from collections import OrderedDict
 from collections.abc import Callable
 from collections.abc import Iterable
 from dataclasses import dataclass
 from hashlib import blake2b
+from math import comb
 from math import exp
 from math import inf
 from math import log
@@ -28,6 +30,7 @@
 from wasabiwing.facts import FactRule
 from wasabiwing.facts import Facts
 from wasabiwing.messages import Fact
+from wasabiwing.part_frequencies import PartFrequencies
 from wasabiwing.quarantine_facts import is_quarantined
 from wasabiwing.quarantine_facts import publish_quarantine
 from wasabiwing.quarantine_facts import QUARANTINE_FACT_KIND
@@ -66,15 +69,12 @@
 # Other answers that must have begun at this process since these crashes:
 # while no server answers, sound parts are not cleared either.
 MIN_OTHER_ANSWERS = 2
-# Crashes after which a part on which no answer has begun lately at this
-# process is quarantined even while no server answers.
+# Crashes after which a part is quarantined even while no server answers, if
+# so many of the latest crashes have it that chance would put it there with
+# less than this probability.
 MIN_CRASHES_WITHOUT_ANSWERS = 5
-
-# Parts on which answers began that are remembered, for how long, in seconds,
-# and their number from which it tells that a part is not among them.
-MAX_ANSWERED_PARTS = 4096
-ANSWERED_LIFETIME_S = 120.0
-MIN_ANSWERED_PARTS = 20
+MAX_CHANCE = 0.01
+MAX_LATEST_CRASHES = 30
 # Different requests or crashes after which the deepest of several parts that
 # explain the same crashes is quarantined.
 MIN_REQUESTS_OF_TIE = 3
@@ -210,8 +210,10 @@
     answered_before: bool
     # Greatest position in a prompt.
     depth: int
-    # Time at which the part may be judged.
+    # Time at which the part may be judged; infinite as long as none is known.
     due_at: float
+    # Whether no other answers began since the crashes.
+    by_chance_only: bool
 
     @property
     def weight(self) -> tuple[bool, int, int]:
@@ -261,8 +263,7 @@
         # Sample of the times at which answers began here, or elsewhere as
         # clearances show.
         self._answer_times: deque[float] = deque(maxlen=MAX_ANSWER_SAMPLES)
-        # Time of the latest answer that began here, by part.
-        self._answered_at_by_part: OrderedDict[str, float] = OrderedDict()
+        self._frequencies = PartFrequencies(timer)
         # Time at which each verdict in force began, as heard.
         self._accused_at_by_part: dict[str, float] = {}
         for kind, lifetime_s, callback in (
@@ -317,11 +318,7 @@
         now = self._timer.now()
         self._sample_answer(now)
         parts = part_keys(call)
-        for part in parts:
-            self._answered_at_by_part.pop(part, None)
-            self._answered_at_by_part[part] = now
-        while len(self._answered_at_by_part) > MAX_ANSWERED_PARTS:
-            self._answered_at_by_part.popitem(last=False)
+        self._frequencies.note_answer(parts)
         if not self._keys_by_part and not self._heard_at_by_verdict:
             return
         for part in parts:
@@ -488,9 +485,16 @@
         Returns whether parts remain that cannot be judged yet.
         """
         while True:
-            cases = self._cases()
+            found = self._cases()
+            most = max((len(case.unexplained) for case in found), default=0)
+            cases = [
+                case
+                for case in found
+                if case.due_at < inf
+                and (not case.by_chance_only or len(case.unexplained) == most)
+            ]
             if not cases:
-                return False
+                return bool(found)
             heaviest = max(case.weight for case in cases)
             tied = [case for case in cases if case.weight == heaviest]
             if max(case.due_at for case in tied) > now:
@@ -554,38 +558,72 @@
             min(item.heard_at for item in sightings if item.crash == crash)
             for crash in unexplained
         )
+        due_at = self._answers_known_at(heard[needed - 1])
+        by_chance_only = due_at == inf
+        if by_chance_only and self._is_beyond_chance(part, unexplained):
+            due_at = heard[needed - 1] + JUDGEMENT_DELAY_S
         return _Case(
             part,
             frozenset(unexplained),
             frozenset(crashes),
             frozenset(requests),
-            cleared_before or self._answered_lately(part),
+            cleared_before or self._frequencies.share(part) > 0.0,
             max(list(item.epoch_by_part).index(part) for item in sightings),
-            self._due_at(heard[needed - 1], len(crashes), part),
+            due_at,
+            by_chance_only,
+        )
+
+    def _chance(self, part: str, crashes: set[str]) -> float:
+        """Returns the probability that chance puts a part into crashes.
+
+        It follows from the part's share of the answers that began here
+        before.
+        """
+        explained = self.explained_crashes()
+        requests_by_crash: Counter[str] = Counter()
+        for sighting in reversed(self._sighting_by_key.values()):
+            if sighting.crash in explained:
+                continue
+            if (
+                len(requests_by_crash) >= MAX_LATEST_CRASHES
+                and sighting.crash not in requests_by_crash
+            ):
+                break
+            requests_by_crash[sighting.crash] += 1
+        count = len(requests_by_crash)
+        hits = len(crashes.intersection(requests_by_crash))
+        share = self._frequencies.share(part)
+        each = sum(
+            1.0 - (1.0 - share) ** requests
+            for requests in requests_by_crash.values()
+        ) / max(count, 1)
+        return sum(
+            comb(count, number)
+            * each**number
+            * (1.0 - each) ** (count - number)
+            for number in range(hits, count + 1)
         )
 
-    def _answered_lately(self, part: str) -> bool:
-        """Whether an answer may have begun here on a part."""
-        if len(self._answered_at_by_part) < MIN_ANSWERED_PARTS:
-            return True
-        answered_at = self._answered_at_by_part.get(part, -inf)
-        return self._timer.now() - answered_at < ANSWERED_LIFETIME_S
+    def _is_beyond_chance(self, part: str, crashes: set[str]) -> bool:
+        """Whether chance hardly explains that so many crashes have a part."""
+        return (
+            len(crashes) >= MIN_CRASHES_WITHOUT_ANSWERS
+            and self._frequencies.is_known
+            and self._chance(part, crashes) < MAX_CHANCE
+        )
 
-    def _due_at(self, heard_at: float, crash_count: int, part: str) -> float:
-        """Returns when a part may be judged, which may be never as yet."""
+    def _answers_known_at(self, heard_at: float) -> float:
+        """Returns when answers that began after a crash are known.
+
+        It is infinite as long as too few have begun.
+        """
         later_answers = [
             moment for moment in self._answer_times if moment > heard_at
         ]
-        due_at = heard_at + JUDGEMENT_DELAY_S
-        if len(later_answers) >= MIN_OTHER_ANSWERS:
-            last = later_answers[MIN_OTHER_ANSWERS - 1]
-            return max(due_at, last + CLEARANCE_KNOWN_S)
-        if (
-            crash_count >= MIN_CRASHES_WITHOUT_ANSWERS
-            and not self._answered_lately(part)
-        ):
-            return due_at
-        return inf
+        if len(later_answers) < MIN_OTHER_ANSWERS:
+            return inf
+        last = later_answers[MIN_OTHER_ANSWERS - 1]
+        return max(heard_at + JUDGEMENT_DELAY_S, last + CLEARANCE_KNOWN_S)
 
     def _explained_crashes(self, part: str) -> set[str]:
         """Returns the crashes that a verdict about a part explains.
