Quarantine no sound part that chance or another part explains

Cause: a part that is in half of all prompts is in nearly each crash, and two answers on other parts tell little about it; a verdict whose crashes later verdicts explain stayed in force; the judgement ended at the first tie, so a part with fewer crashes was never looked at; an answer could settle while its server's crash was still being probed, which voided the evidence.

Change: a verdict needs that chance hardly puts a part of its frequency into so many crashes and into none of the answers since; a verdict on a part that was answered before ends when other accused parts explain its crashes; parts that can't be told apart or are not due are set aside with the crashes that they explain; whether an answer had settled is looked at before the probe.

Evidence: both new tests failed before.

--- a/tests/part_fleet.py
+++ b/tests/part_fleet.py
@@ -191,6 +191,8 @@
         self.facts.register(self.inbox)
 
         async def probe(address: str) -> bool:
+            if fleet.probe_s > 0.0:
+                clock.advance(fleet.probe_s)
             return fleet.server_by_address[address].up
 
         self.quarantine: Quarantine[PartServer] = Quarantine(
@@ -292,6 +294,8 @@
         self.outcomes: list[SoundOutcome] = []
         self.group_by_node: dict[str, int] = {}
         self.sent_messages = 0
+        # Time that a probe of a crashed server takes, in seconds.
+        self.probe_s = 0.0
         self._node_count = node_count
         self.node_by_id: dict[str, PartNode] = {}
         for number in range(node_count):
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -22,6 +22,7 @@
 from wasabiwing.crashing_parts import MAX_SIGHTINGS
 from wasabiwing.crashing_parts import MIN_CRASHES
 from wasabiwing.crashing_parts import MIN_CRASHES_AFTER_CLEARANCE
+from wasabiwing.crashing_parts import MIN_CRASHES_OF_TIE
 from wasabiwing.crashing_parts import MIN_CRASHES_WITHOUT_ANSWERS
 from wasabiwing.crashing_parts import MIN_OTHER_ANSWERS
 from wasabiwing.crashing_parts import part_keys
@@ -61,15 +62,17 @@
         node: PartNode | None = None,
         beside: tuple[PartCall, ...] = (),
         began_s: float | None = None,
+        repeat_of: PartCall | None = None,
     ) -> PartCall:
         """Reports that a server crashed under a request with parts.
 
-        ``began_s`` is the time since which the answer had gone on.
+        ``began_s`` is the time since which the answer had gone on;
+        ``repeat_of`` a request that is sent once more.
         """
         server = self.fleet.servers[self._crashes]
         self._crashes += 1
         now = self.fleet.clock.now()
-        call = self.fleet.call(*parts)
+        call = repeat_of or self.fleet.call(*parts)
         server.up = False
         for item in (call, *beside):
             run_now(
@@ -221,6 +224,19 @@
         assert on.refused("bad")
         assert not on.refused("rare", "other")
 
+    def test_inseparable_parts_do_not_hide_a_third(self) -> None:
+        """Guards against a judgement that ends at the first tie."""
+        on = Parts()
+        on.begin("bad", "other")
+        for _ in range(2):
+            # Requests of a conversation that is given up, each with a retry.
+            call = on.crash("conversation", "turn", "bad")
+            on.crash(repeat_of=call)
+        for number in range(2 * MIN_CRASHES_OF_TIE):
+            on.crash(f"a-{number}", f"b-{number}", "bad")
+        on.judge()
+        assert on.refused("bad")
+
     def test_nothing_is_accused_while_no_answer_begins(self) -> None:
         """Guards against blaming parts for the loss of all servers."""
         on = Parts()
@@ -447,6 +463,24 @@
         assert not on.node.quarantine.suspect_digest(call)
 
 
+class TestSlowProbe:
+    """A server that crashes just after its answer began."""
+
+    def test_an_answer_does_not_settle_while_a_crash_is_probed(self) -> None:
+        """Guards against a verdict that its own crash ends."""
+        on = Parts()
+        on.accuse()
+        call = on.fleet.call("bad", "other")
+        server = on.fleet.servers[99]
+        server.up = False
+        cut_at = on.fleet.clock.now()
+        on.node.quarantine.note_answer_began(call)
+        on.fleet.probe_s = 2 * SETTLE_S
+        run_now(on.node.quarantine.note_cut(call, server, cut_at, cut_at))
+        on.fleet.clock.advance(CLEARED_S)
+        assert on.refused("bad")
+
+
 class TestBounds:
     """Memory for evidence."""
 
--- a/wasabiwing/crashing_parts.py
+++ b/wasabiwing/crashing_parts.py
@@ -75,6 +75,9 @@
 MIN_CRASHES_WITHOUT_ANSWERS = 5
 MAX_CHANCE = 0.01
 MAX_LATEST_CRASHES = 30
+# Largest probability that a sound part is in so many crashes and in none of
+# the answers after them, with which it is quarantined.
+MAX_COINCIDENCE = 0.05
 # Different requests or crashes after which the deepest of several parts that
 # explain the same crashes is quarantined.
 MIN_REQUESTS_OF_TIE = 3
@@ -333,21 +336,23 @@
                     due_at, call.request_id
                 )
 
+    def withdraw_clearance(self, call: PromptCall) -> None:
+        """Clears nothing for a request whose server may have crashed."""
+        for part, planned in tuple(self._clearance_by_part.items()):
+            if planned.request_id == call.request_id:
+                del self._clearance_by_part[part]
+
     def note_crash(
         self,
         call: PromptCall,
         crash: str,
         digest: str,
-        answer_began_at: float | None,
+        answer_settled: bool,
     ) -> None:
         """Reports a request that ran on a server when it crashed."""
-        now = self._timer.now()
-        if has_answer_settled(answer_began_at, now):
+        if answer_settled:
             return
         parts = part_keys(call)
-        for part, planned in tuple(self._clearance_by_part.items()):
-            if part in parts and planned.request_id == call.request_id:
-                del self._clearance_by_part[part]
         if not parts:
             return
         self._locally_seen_parts.update(parts)
@@ -484,8 +489,20 @@
 
         Returns whether parts remain that cannot be judged yet.
         """
+        self._end_explained_verdicts()
+        # Parts that can't be told apart yet, or whose time has not come, do
+        # not keep those from being judged whose crashes they don't explain.
+        set_aside: set[str] = set()
+        crashes_set_aside: set[str] = set()
+        waits = False
         while True:
-            found = self._cases()
+            found = [
+                case
+                for case in self._cases()
+                if not set_aside
+                or case.part not in set_aside
+                and len(case.unexplained - crashes_set_aside) >= MIN_CRASHES
+            ]
             most = max((len(case.unexplained) for case in found), default=0)
             cases = [
                 case
@@ -494,18 +511,22 @@
                 and (not case.by_chance_only or len(case.unexplained) == most)
             ]
             if not cases:
-                return bool(found)
+                return waits or bool(found)
             heaviest = max(case.weight for case in cases)
             tied = [case for case in cases if case.weight == heaviest]
-            if max(case.due_at for case in tied) > now:
-                return True
             case = max(tied, key=lambda item: (item.depth, item.part))
-            if len(tied) > 1 and not (
+            is_due = max(case.due_at for case in tied) <= now
+            told_apart = len(tied) == 1 or (
                 len(case.requests) >= MIN_REQUESTS_OF_TIE
                 or len(case.crashes) >= MIN_CRASHES_OF_TIE
-            ):
-                return False
-            self._begin_verdict(case)
+            )
+            if is_due and told_apart:
+                self._begin_verdict(case)
+                continue
+            waits = waits or not is_due
+            for case in tied:
+                set_aside.add(case.part)
+                crashes_set_aside |= case.unexplained
 
     def _cases(self) -> list[_Case]:
         """Returns the parts with enough evidence for a quarantine."""
@@ -559,6 +580,8 @@
             for crash in unexplained
         )
         due_at = self._answers_known_at(heard[needed - 1])
+        if self._may_be_coincidence(part, unexplained, heard[needed - 1]):
+            due_at = inf
         by_chance_only = due_at == inf
         if by_chance_only and self._is_beyond_chance(part, unexplained):
             due_at = heard[needed - 1] + JUDGEMENT_DELAY_S
@@ -567,7 +590,7 @@
             frozenset(unexplained),
             frozenset(crashes),
             frozenset(requests),
-            cleared_before or self._frequencies.share(part) > 0.0,
+            self._was_answered(part),
             max(list(item.epoch_by_part).index(part) for item in sightings),
             due_at,
             by_chance_only,
@@ -604,6 +627,21 @@
             for number in range(hits, count + 1)
         )
 
+    def _may_be_coincidence(
+        self, part: str, crashes: set[str], heard_at: float
+    ) -> bool:
+        """Whether a sound part may be in crashes and in no later answer.
+
+        A frequent part is in most crashes, and the next answers may all be
+        on other parts.
+        """
+        if not self._frequencies.is_known:
+            return False
+        share = self._frequencies.share(part)
+        later_answers = sum(moment > heard_at for moment in self._answer_times)
+        chance = self._chance(part, crashes)
+        return bool(chance * (1.0 - share) ** later_answers >= MAX_COINCIDENCE)
+
     def _is_beyond_chance(self, part: str, crashes: set[str]) -> bool:
         """Whether chance hardly explains that so many crashes have a part."""
         return (
@@ -664,6 +702,39 @@
             if explained and explained < case.crashes:
                 self._end_verdict(other, "superseded")
 
+    def _end_explained_verdicts(self) -> None:
+        """Ends verdicts about parts whose crashes other parts explain.
+
+        Parts on which no answer ever began stay quarantined.
+        """
+        crashes_by_part = {
+            part: self._explained_crashes(part)
+            for part in self._heard_at_by_verdict
+            if self._is_accused(part)
+        }
+        for part in sorted(
+            crashes_by_part, key=lambda item: len(crashes_by_part[item])
+        ):
+            if not self._was_answered(part):
+                continue
+            others = set[str]().union(
+                *(
+                    crashes
+                    for other, crashes in crashes_by_part.items()
+                    if other != part
+                )
+            )
+            crashes = crashes_by_part[part]
+            if crashes and len(crashes - others) < MIN_CRASHES:
+                del crashes_by_part[part]
+                self._end_verdict(part, "explained")
+
+    def _was_answered(self, part: str) -> bool:
+        """Whether an answer on a part has begun, as far as is known here."""
+        return (
+            self._cleared_epoch(part) > 0 or self._frequencies.share(part) > 0
+        )
+
     def _renew_verdict(self, part: str) -> None:
         """Renews a verdict after a probe crashed a server."""
         key = PART_PREFIX + part
--- a/wasabiwing/quarantine.py
+++ b/wasabiwing/quarantine.py
@@ -259,6 +259,10 @@
         """
         if self._is_leaving(server):
             return False
+        # The probe may take longer than an answer to settle.
+        answered = has_answer_settled(answer_began_at, self._timer.now())
+        if not answered:
+            self.parts.withdraw_clearance(call)
         if await self._probe(server.address):
             return False
         number = self._crash_number(server.id, started_at)
@@ -276,16 +280,13 @@
         self._locally_seen_digests.add(digest)
         self._facts.publish(CRASH_FACT_KIND, server.id, "", number)
         key = f"{digest}/{server.id}/{number}"
-        answered = has_answer_settled(answer_began_at, self._timer.now())
         self._facts.publish(
             SUSPICION_FACT_KIND,
             key,
             ANSWERED_VALUE if answered else "",
             SUSPECTED_EPOCH,
         )
-        self.parts.note_crash(
-            call, f"{server.id}/{number}", digest, answer_began_at
-        )
+        self.parts.note_crash(call, f"{server.id}/{number}", digest, answered)
         return True
 
     def note_answer_began(self, call: IdentifiedCall) -> None:
