--- a/wasabiwing/settings.py
+++ b/wasabiwing/settings.py
@@ -49,13 +49,13 @@
     # Time from a stop request until the port closes, in which the load
     # balancer notices the failed health check.
     stop_grace_s: float = 5.0
-    # Time from a stop request until the process is killed.
-    kill_grace_s: float = 30.0
     # Seed of this process's random choices; 0 for a seed from the operating
     # system.
     seed: int = 0
     # Log file; empty for standard output.
     log_path: str = ""
+    # Time from a stop request until the process is killed.
+    kill_grace_s: float = 30.0
 
     def __post_init__(self) -> None:
         if self.kill_grace_s <= self.stop_grace_s:
