Log which answers end without proof that they are whole

The logs could not tell the hypotheses apart: REQUEST_FINISHED looked the same for an answer with a last chunk, one with a length and one that merely ended with its connection.

ANSWER_END_UNPROVED names an answer that ended with its connection, with its status, duration, number of events and bytes after the last event; wasabiwing_answer_ends counts all ends by framing. Both data paths write them. The framing is read by answer_end, and event_splitter counts events, of which comments and blank lines are none. Nothing that callers get has changed.

--- a/tests/test_event_splitter.py
+++ b/tests/test_event_splitter.py
@@ -3,6 +3,7 @@
 from hypothesis import given
 from hypothesis.strategies import integers
 from hypothesis.strategies import lists
+import pytest
 
 from wasabiwing.event_splitter import EventSplitter
 
@@ -54,3 +55,30 @@
         data = b"id: 4\r\ndata: x\r\n\r\nid: 5"
         assert splitter.feed(data) == b"id: 4\r\ndata: x\r\n\r\n"
         assert splitter.last_event_id == "4"
+
+
+class TestEventCount:
+    """What counts as an event."""
+
+    @pytest.mark.parametrize(
+        ("data", "count"),
+        [
+            (b"", 0),
+            (b"\n\n", 0),
+            (b": comment\n\n", 0),
+            (b"id: 1\n\n", 0),
+            (b"data: a\n", 0),
+            (b"data: a\n\n", 1),
+            (b"id: 1\r\ndata: a\r\n\r\n: comment\r\n\r\n", 1),
+            (b"data\n\ndata: a\ndata: b\n\n\n", 2),
+        ],
+    )
+    def test_only_complete_events_with_data_are_counted(
+        self, data: bytes, count: int
+    ) -> None:
+        whole = EventSplitter()
+        whole.feed(data)
+        split = EventSplitter()
+        for number in range(len(data)):
+            split.feed(data[number : number + 1])
+        assert (whole.event_count, split.event_count) == (count, count)
--- a/wasabiwing/answer_relay.py
+++ b/wasabiwing/answer_relay.py
@@ -13,12 +13,17 @@
 from anyio import CancelScope
 from result import Err
 
+from wasabiwing.answer_end import answer_framing
+from wasabiwing.answer_end import BODYLESS_STATUSES
+from wasabiwing.answer_end import Framing
 from wasabiwing.attempt_watch import AttemptWatch
 from wasabiwing.attempt_watch import WatchedAttempt
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
 from wasabiwing.event_splitter import EventSplitter
+from wasabiwing.events import Event
+from wasabiwing.events import log_event
 from wasabiwing.metrics import GatewayMetrics
 from wasabiwing.prefill_rates import PrefillRates
 from wasabiwing.routed_calls import AnswerHead
@@ -37,9 +42,6 @@
 MIN_SERVER_ERROR_STATUS = 500
 SUCCESS_STATUSES = range(200, 300)
 
-# No content and not modified: answers that never have a body.
-BODYLESS_STATUSES = (204, 304)
-
 CONTENT_LENGTH = b"content-length"
 
 
@@ -94,6 +96,7 @@
 
     def __init__(
         self,
+        node_id: str,
         timer: TimerService,
         codec: CallCodec,
         loads: ServerLoads,
@@ -105,6 +108,7 @@
         note_answer_began: Callable[[RoutedCall], None],
         listener: StatementListener,
     ) -> None:
+        self._node_id = node_id
         self._timer = timer
         self._codec = codec
         self._loads = loads
@@ -155,7 +159,7 @@
             else:
                 self._watch.note_started(watched)
                 failure = await self._relay_whole(
-                    call, answer, head, progress, output
+                    call, placed, answer, head, progress, output, watched
                 )
             read_to_end = failure is None or failure.run_state is RunState.RAN
             return failure
@@ -166,10 +170,12 @@
     async def _relay_whole(
         self,
         call: RoutedCall,
+        placed: SelectedServer,
         answer: ServerAnswer,
         head: AnswerHead,
         progress: CallProgress,
         output: AnswerOutput,
+        watched: WatchedAttempt,
     ) -> Failure | None:
         """Reads a plain answer to its end and sends it to the caller.
 
@@ -179,6 +185,9 @@
         body = await answer.read()
         if isinstance(body, Err):
             return body.err_value
+        self._note_end(
+            call, placed, answer, watched, body_bytes=len(body.ok_value)
+        )
         self._count_run(call, progress)
         whole_answer = WholeAnswer(
             answer.status, head.forwarded_headers, body.ok_value
@@ -216,6 +225,7 @@
         # Another server may continue the stream with events of other lengths.
         headers = _without_length(head.forwarded_headers)
         is_first_event = True
+        events_before = cutter.event_count
         async for chunk in answer.chunks():
             if isinstance(chunk, Err):
                 cutter.discard_incomplete_event()
@@ -240,6 +250,14 @@
             if not output.started:
                 await output.start(answer.status, headers)
             await output.write(events)
+        self._note_end(
+            call,
+            placed,
+            answer,
+            watched,
+            events=cutter.event_count - events_before,
+            incomplete_bytes=cutter.incomplete_bytes,
+        )
         if cutter.is_inside_event:
             cutter.discard_incomplete_event()
             return Failure(
@@ -252,6 +270,31 @@
         await output.finish()
         return None
 
+    def _note_end(
+        self,
+        call: RoutedCall,
+        placed: SelectedServer,
+        answer: ServerAnswer,
+        watched: WatchedAttempt,
+        **content: int,
+    ) -> None:
+        """Counts an end that is no failure; logs one that proves nothing."""
+        framing = answer_framing(
+            call.method.decode("latin-1"), answer.status, answer.headers
+        )
+        self._metrics.answer_ends.labels(framing).inc()
+        if framing is Framing.CONNECTION:
+            log_event(
+                Event.ANSWER_END_UNPROVED,
+                self._node_id,
+                request=call.head.attempt_id,
+                route=call.route.name,
+                server=placed.server.id,
+                status=answer.status,
+                duration_s=round(self._timer.now() - watched.sent_at, 3),
+                **content,
+            )
+
     def _note_first_event(
         self,
         call: RoutedCall,
--- a/wasabiwing/event_splitter.py
+++ b/wasabiwing/event_splitter.py
@@ -16,6 +16,8 @@
     def __init__(self, last_event_id: str = "") -> None:
         self._pending = b""
         self.last_event_id = last_event_id
+        # Number of complete events so far. Comments and blank lines are none.
+        self.event_count = 0
 
     @property
     def is_event_too_long(self) -> bool:
@@ -28,6 +30,11 @@
         # Blank lines between events belong to none of them.
         return bool(self._pending.strip(b"\r\n"))
 
+    @property
+    def incomplete_bytes(self) -> int:
+        """Number of bytes after the last complete event."""
+        return len(self._pending)
+
     def feed(self, data: bytes) -> bytes:
         """Adds bytes; returns those of the events that they complete."""
         self._pending += data
@@ -38,9 +45,16 @@
             for event_end in EVENT_ENDS
         )
         complete, self._pending = self._pending[:end], self._pending[end:]
+        has_data = False
         for line in complete.splitlines():
-            if line.startswith(b"id:"):
-                self.last_event_id = line[3:].strip().decode("latin-1")
+            name, _, value = line.partition(b":")
+            if name == b"id":
+                self.last_event_id = value.strip().decode("latin-1")
+            elif name == b"data":
+                has_data = True
+            elif not line:
+                self.event_count += has_data
+                has_data = False
         return complete
 
     def discard_incomplete_event(self) -> None:
--- a/wasabiwing/events.py
+++ b/wasabiwing/events.py
@@ -49,6 +49,7 @@
     PART_QUARANTINE_ENDED = 216
     PART_CLEARED = 217
     PART_PROBED = 218
+    ANSWER_END_UNPROVED = 219
     # 3xx: configuration.
     CONFIGURATION_IN_FORCE = 300
     CONFIGURATION_REJECTED = 301
@@ -152,6 +153,9 @@
     ),
     Event.PART_CLEARED: "An answer began on a part that was in crashes.",
     Event.PART_PROBED: "One request with a quarantined part is let through.",
+    Event.ANSWER_END_UNPROVED: (
+        "An answer ended with its connection, which does not prove it whole."
+    ),
     Event.CALLER_LEFT: "A caller closed the connection before the end.",
     Event.CONFIGURATION_IN_FORCE: "A node put a generation in force.",
     Event.CONFIGURATION_REJECTED: "A received configuration is unusable.",
--- a/wasabiwing/metrics.py
+++ b/wasabiwing/metrics.py
@@ -56,6 +56,12 @@
             ("header",),
             registry=self.registry,
         )
+        self.answer_ends = Counter(
+            "wasabiwing_answer_ends",
+            "Answers of backend servers by what proves their end.",
+            ("framing",),
+            registry=self.registry,
+        )
         self.part_refusals = Counter(
             "wasabiwing_part_refusals",
             "Refusals of requests with a quarantined part of a prompt.",
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -275,6 +275,7 @@
             placement,
             self.connections,
             AnswerRelay(
+                node_id,
                 timer,
                 platform.codec,
                 self._loads,
--- a/wasabiwing/plain_dispatch.py
+++ b/wasabiwing/plain_dispatch.py
@@ -8,6 +8,8 @@
 from result import Result
 
 from wasabiwing.admission import Admission
+from wasabiwing.answer_end import answer_framing
+from wasabiwing.answer_end import Framing
 from wasabiwing.calls import AttemptOutcome
 from wasabiwing.calls import Call
 from wasabiwing.calls import ServerAssignment
@@ -207,6 +209,8 @@
                 may_send,
             )
             failure = reply.err_value if isinstance(reply, Err) else None
+            if isinstance(reply, Ok):
+                self._note_end(call, assignment, reply.ok_value, started)
             if failure is None:
                 self._quarantine.note_success(call)
             elif failure.code is ResultCode.SERVER_CUT:
@@ -228,6 +232,28 @@
             )
         return reply
 
+    def _note_end(
+        self,
+        call: Call,
+        assignment: ServerAssignment,
+        reply: HttpReply,
+        started: float,
+    ) -> None:
+        """Counts an end that is no failure; logs one that proves nothing."""
+        framing = answer_framing(call.method, reply.status, reply.headers)
+        self._metrics.answer_ends.labels(framing).inc()
+        if framing is Framing.CONNECTION:
+            log_event(
+                Event.ANSWER_END_UNPROVED,
+                self._node_id,
+                request=call.request_id,
+                route=call.route.id,
+                server=assignment.server.id,
+                status=reply.status,
+                duration_s=round(self._timer.now() - started, 3),
+                body_bytes=len(reply.body),
+            )
+
 
 def _build_headers(call: Call, assignment: ServerAssignment) -> dict[str, str]:
     headers = {
