--- a/tests/raw_server.py
+++ b/tests/raw_server.py
@@ -18,6 +18,7 @@
 from anyio import EndOfStream
 from anyio import fail_after
 from anyio import sleep
+from anyio import sleep_forever
 from anyio.abc import Listener
 from anyio.abc import SocketAttribute
 from anyio.abc import SocketStream
@@ -38,6 +39,9 @@
 # Kernels may discard unread bytes when a reset arrives.
 READ_BEFORE_RESET_S = 0.05
 
+# Time in seconds between the end of an answer and that of its server.
+GONE_AFTER_S = 0.005
+
 # Returns the headers that prove the origin of an answer, by the headers of
 # its request.
 OriginHeaders = Callable[[dict[bytes, bytes]], bytes]
@@ -51,6 +55,12 @@
     RESET = auto()
     # Accepts no more connections and ends the connection.
     CRASH = auto()
+    # Ends the connection; the process is gone ``GONE_AFTER_S`` later.
+    GONE_SOON = auto()
+    # Ends the connection and resets all others on which a request waits.
+    RESETS_OTHERS = auto()
+    # Sends nothing more and keeps the connection open.
+    SILENCE = auto()
     # Keeps the connection open for another request.
     KEEP_OPEN = auto()
 
@@ -81,6 +91,8 @@
     # Paths that are answered with an empty document and not recorded, such as
     # those of status requests.
     ignored_paths: tuple[bytes, ...] = ()
+    # Paths of requests that wait until their connection ends.
+    unanswered_paths: tuple[bytes, ...] = ()
     # Numbers of connections on which a request arrived, and the headers of
     # all requests by lower-case name.
     connections_used: int = 0
@@ -88,12 +100,16 @@
     bodies: list[bytes] = field(default_factory=list)
     # Number of connections that the peer closed after a ``FIN``.
     closed_by_peer: int = 0
+    # Connections whose requests are not answered, and all connections.
+    waiting: list[SocketStream] = field(default_factory=list)
+    open: list[SocketStream] = field(default_factory=list)
     listener: Listener[SocketStream] | None = None
 
     async def serve(self, stream: SocketStream) -> None:
         """Serves one connection."""
         buffer = b""
         is_new = True
+        self.open.append(stream)
         async with stream:
             while True:
                 try:
@@ -108,6 +124,9 @@
                         Ending.KEEP_OPEN,
                     )
                     path = head.split(b" ")[1].partition(b"?")[0]
+                    if path in self.unanswered_paths:
+                        self.waiting.append(stream)
+                        await sleep_forever()
                     if path not in self.ignored_paths:
                         self.connections_used += is_new
                         is_new = False
@@ -131,17 +150,30 @@
                     return
                 if answer.ending is Ending.RESET:
                     await sleep(READ_BEFORE_RESET_S)
-                    stream.extra(SocketAttribute.raw_socket).setsockopt(
-                        SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE
-                    )
+                    _reset_on_close(stream)
                 if answer.ending is Ending.CRASH:
-                    assert self.listener is not None
-                    await self.listener.aclose()
+                    await self._stop_listening()
+                if answer.ending is Ending.GONE_SOON:
+                    await stream.send_eof()
+                    await sleep(GONE_AFTER_S)
+                    await self._stop_listening()
+                    for other in list(self.open):
+                        await other.aclose()
+                if answer.ending is Ending.RESETS_OTHERS:
+                    for other in self.waiting:
+                        _reset_on_close(other)
+                        await other.aclose()
                 if answer.ending is Ending.FIN:
                     await self._wait_closed(stream)
+                if answer.ending is Ending.SILENCE:
+                    await sleep_forever()
                 if answer.ending is not Ending.KEEP_OPEN:
                     return
 
+    async def _stop_listening(self) -> None:
+        assert self.listener is not None
+        await self.listener.aclose()
+
     async def _wait_closed(self, stream: SocketStream) -> None:
         await stream.send_eof()
         try:
@@ -153,6 +185,12 @@
             return
 
 
+def _reset_on_close(stream: SocketStream) -> None:
+    stream.extra(SocketAttribute.raw_socket).setsockopt(
+        SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE
+    )
+
+
 def parse_headers(head: bytes) -> dict[bytes, bytes]:
     """Returns header values by lower-case name."""
     value_by_name = {}
