Break off unframed answers that ended before any content

The node took the end of a connection for the end of the answer.

An answer with neither length nor chunks that brought no event, or no byte of a plain body, is now a SERVER_CUT: it is run again where that is allowed, and answered with 502 (may have run) or broken off where it is not. answer_end decides for node and gateway. A server that states an empty body by a length or a last chunk is believed, as before.

--- a/wasabiwing/answer_end.py
+++ b/wasabiwing/answer_end.py
@@ -6,6 +6,9 @@
 
 from enum import StrEnum
 
+from wasabiwing.codes import Failure
+from wasabiwing.codes import ResultCode
+from wasabiwing.codes import RunState
 from wasabiwing.routed_calls import RawHeaders
 
 # Statuses of answers that never have a body: no content, not modified.
@@ -31,3 +34,22 @@
     if b"transfer-encoding" in names:
         return Framing.CHUNKS
     return Framing.LENGTH if b"content-length" in names else Framing.CONNECTION
+
+
+def end_failure(
+    framing: Framing, has_content: bool, is_inside_event: bool = False
+) -> Failure | None:
+    """Returns why an ended answer is known not to be whole, or ``None``.
+
+    ``has_content`` says whether a success brought an event, or a byte of a
+    plain body. Without any, the end of a connection is no answer.
+    """
+    if is_inside_event:
+        return _cut("ended inside an event")
+    if framing is Framing.CONNECTION and not has_content:
+        return _cut("ended with its connection before any content")
+    return None
+
+
+def _cut(detail: str) -> Failure:
+    return Failure(ResultCode.SERVER_CUT, detail, RunState.MAY_HAVE_RUN)
--- a/wasabiwing/answer_relay.py
+++ b/wasabiwing/answer_relay.py
@@ -15,6 +15,7 @@
 
 from wasabiwing.answer_end import answer_framing
 from wasabiwing.answer_end import BODYLESS_STATUSES
+from wasabiwing.answer_end import end_failure
 from wasabiwing.answer_end import Framing
 from wasabiwing.attempt_watch import AttemptWatch
 from wasabiwing.attempt_watch import WatchedAttempt
@@ -185,9 +186,13 @@
         body = await answer.read()
         if isinstance(body, Err):
             return body.err_value
-        self._note_end(
+        framing = self._note_end(
             call, placed, answer, watched, body_bytes=len(body.ok_value)
         )
+        if answer.status in SUCCESS_STATUSES:
+            failure = end_failure(framing, bool(body.ok_value))
+            if failure is not None:
+                return failure
         self._count_run(call, progress)
         whole_answer = WholeAnswer(
             answer.status, head.forwarded_headers, body.ok_value
@@ -250,21 +255,19 @@
             if not output.started:
                 await output.start(answer.status, headers)
             await output.write(events)
-        self._note_end(
+        event_count = cutter.event_count - events_before
+        framing = self._note_end(
             call,
             placed,
             answer,
             watched,
-            events=cutter.event_count - events_before,
+            events=event_count,
             incomplete_bytes=cutter.incomplete_bytes,
         )
-        if cutter.is_inside_event:
+        failure = end_failure(framing, event_count > 0, cutter.is_inside_event)
+        if failure is not None:
             cutter.discard_incomplete_event()
-            return Failure(
-                ResultCode.SERVER_CUT,
-                "ended inside an event",
-                RunState.MAY_HAVE_RUN,
-            )
+            return failure
         if not output.started:
             await output.start(answer.status, headers)
         await output.finish()
@@ -277,8 +280,11 @@
         answer: ServerAnswer,
         watched: WatchedAttempt,
         **content: int,
-    ) -> None:
-        """Counts an end that is no failure; logs one that proves nothing."""
+    ) -> Framing:
+        """Counts an answer's end; logs one that proves nothing.
+
+        Returns the answer's framing.
+        """
         framing = answer_framing(
             call.method.decode("latin-1"), answer.status, answer.headers
         )
@@ -294,6 +300,7 @@
                 duration_s=round(self._timer.now() - watched.sent_at, 3),
                 **content,
             )
+        return framing
 
     def _note_first_event(
         self,
--- a/wasabiwing/plain_dispatch.py
+++ b/wasabiwing/plain_dispatch.py
@@ -9,6 +9,7 @@
 
 from wasabiwing.admission import Admission
 from wasabiwing.answer_end import answer_framing
+from wasabiwing.answer_end import end_failure
 from wasabiwing.answer_end import Framing
 from wasabiwing.calls import AttemptOutcome
 from wasabiwing.calls import Call
@@ -29,6 +30,8 @@
 from wasabiwing.run_durations import RunEnd
 from wasabiwing.timers import TimerService
 
+SUCCESS_STATUSES = range(200, 300)
+
 
 class PlainDispatcher:
     """Runs the plain service requests of one gateway."""
@@ -208,9 +211,11 @@
                 max(call.deadline - started, 0.001),
                 may_send,
             )
-            failure = reply.err_value if isinstance(reply, Err) else None
             if isinstance(reply, Ok):
-                self._note_end(call, assignment, reply.ok_value, started)
+                reply = self._check_end(
+                    call, assignment, reply.ok_value, started
+                )
+            failure = reply.err_value if isinstance(reply, Err) else None
             if failure is None:
                 self._quarantine.note_success(call)
             elif failure.code is ResultCode.SERVER_CUT:
@@ -232,14 +237,17 @@
             )
         return reply
 
-    def _note_end(
+    def _check_end(
         self,
         call: Call,
         assignment: ServerAssignment,
         reply: HttpReply,
         started: float,
-    ) -> None:
-        """Counts an end that is no failure; logs one that proves nothing."""
+    ) -> Result[HttpReply, Failure]:
+        """Returns an answer that may be whole, or why it is not.
+
+        Counts the end; logs one that proves nothing.
+        """
         framing = answer_framing(call.method, reply.status, reply.headers)
         self._metrics.answer_ends.labels(framing).inc()
         if framing is Framing.CONNECTION:
@@ -253,6 +261,10 @@
                 duration_s=round(self._timer.now() - started, 3),
                 body_bytes=len(reply.body),
             )
+        failure = None
+        if reply.status in SUCCESS_STATUSES:
+            failure = end_failure(framing, bool(reply.body))
+        return Ok(reply) if failure is None else Err(failure)
 
 
 def _build_headers(call: Call, assignment: ServerAssignment) -> dict[str, str]:
