Break off unframed answers whose server crashed as they ended

The kernel ends the connections of a dead process with FIN, as a sound server ends such an answer.

The end of such an answer now waits, for 20 ms as a rule and half of the time left at most, for evidence from outside the answer: nothing listens at the server's address any more (a refused connection; a reset one or silence proves nothing, since a server at its connection limit resets), or the server cut another answer of this process within 0.1 s. Events are not held back. A server that has announced that it leaves may stop to listen before its last answers. EndJudge decides for node and gateway.

--- /dev/null
+++ b/tests/test_answer_end.py
@@ -0,0 +1,240 @@
+"""Tests of the decision whether an ended answer is whole."""
+
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+from anyio import create_task_group
+from anyio import create_tcp_listener
+from anyio import sleep
+from anyio import sleep_forever
+from anyio.abc import SocketAttribute
+from anyio.abc import SocketStream
+import pytest
+
+from tests.raw_server import HOST
+from wasabiwing.answer_end import answer_framing
+from wasabiwing.answer_end import CUT_WINDOW_S
+from wasabiwing.answer_end import EndJudge
+from wasabiwing.answer_end import Framing
+from wasabiwing.asgi import bind_listener
+from wasabiwing.asgi import listener_address
+from wasabiwing.codes import Failure
+from wasabiwing.codes import ResultCode
+from wasabiwing.codes import RunState
+from wasabiwing.routed_calls import RawHeaders
+from wasabiwing.server_probe import CLOSING_S
+from wasabiwing.server_probe import server_listens
+from wasabiwing.timers import FakeTimer
+
+pytestmark = pytest.mark.anyio
+
+
+@dataclass(frozen=True, slots=True)
+class Server:
+    """A backend server whose answer has ended."""
+
+    id: str = "server-1"
+    address: str = "10.0.0.1:80"
+
+
+SERVER = Server()
+
+
+class Bench:
+    """A judge whose probe and knowledge of leaving servers are set."""
+
+    def __init__(self, listens: bool = True, is_leaving: bool = False) -> None:
+        self.timer = FakeTimer()
+        self.probes: list[str] = []
+        self.listens = listens
+        # Called while a probe runs.
+        self.during_probe: Callable[[], None] = lambda: None
+        self.judge: EndJudge[Server] = EndJudge(
+            self.timer, lambda server: is_leaving, self._probe
+        )
+
+    async def _probe(self, address: str) -> bool:
+        self.probes.append(address)
+        self.during_probe()
+        return self.listens
+
+    async def failure(
+        self,
+        framing: Framing = Framing.CONNECTION,
+        has_content: bool = True,
+        is_inside_event: bool = False,
+    ) -> Failure | None:
+        """Returns the failure of an answer that has just ended."""
+        return await self.judge.failure(
+            SERVER, framing, has_content, 10.0, is_inside_event
+        )
+
+
+class TestFraming:
+    """How an answer states where its body ends."""
+
+    @pytest.mark.parametrize(
+        ("method", "status", "headers", "framing"),
+        [
+            ("GET", 200, ((b"Content-Length", b"3"),), Framing.LENGTH),
+            ("GET", 200, ((b"Transfer-Encoding", b"chunked"),), "chunks"),
+            (
+                "GET",
+                200,
+                (
+                    (b"content-length", b"3"),
+                    (b"transfer-encoding", b"chunked"),
+                ),
+                Framing.CHUNKS,
+            ),
+            ("GET", 200, ((b"Connection", b"close"),), Framing.CONNECTION),
+            ("HEAD", 200, (), Framing.NONE),
+            ("GET", 204, (), Framing.NONE),
+            ("GET", 304, (), Framing.NONE),
+        ],
+    )
+    def test_framing_follows_the_headers(
+        self,
+        method: str,
+        status: int,
+        headers: RawHeaders,
+        framing: Framing,
+    ) -> None:
+        assert answer_framing(method, status, headers) == framing
+
+
+class TestEnds:
+    """Ends that are whole and ends that are not."""
+
+    @pytest.mark.parametrize("framing", list(Framing))
+    async def test_end_inside_an_event_is_never_whole(
+        self, framing: Framing
+    ) -> None:
+        failure = await Bench().failure(framing, is_inside_event=True)
+        assert failure is not None
+        assert failure.code is ResultCode.SERVER_CUT
+        assert failure.run_state is RunState.MAY_HAVE_RUN
+
+    @pytest.mark.parametrize("has_content", [False, True])
+    @pytest.mark.parametrize(
+        "framing", [Framing.LENGTH, Framing.CHUNKS, Framing.NONE]
+    )
+    async def test_stated_end_is_whole_without_a_probe(
+        self, framing: Framing, has_content: bool
+    ) -> None:
+        bench = Bench(listens=False)
+        assert await bench.failure(framing, has_content) is None
+        assert not bench.probes
+
+    async def test_end_of_a_connection_without_content_is_not_whole(
+        self,
+    ) -> None:
+        bench = Bench()
+        assert await bench.failure(has_content=False) is not None
+        assert not bench.probes
+
+    async def test_end_of_a_connection_to_a_sound_server_is_whole(
+        self,
+    ) -> None:
+        bench = Bench()
+        assert await bench.failure() is None
+        assert bench.probes == [SERVER.address]
+
+    async def test_end_of_a_connection_to_a_crashed_server_is_not_whole(
+        self,
+    ) -> None:
+        assert await Bench(listens=False).failure() is not None
+
+    async def test_leaving_server_may_stop_to_listen_before_its_last_answer(
+        self,
+    ) -> None:
+        """Guards against last answers of a planned stop that are cut."""
+        bench = Bench(listens=False, is_leaving=True)
+        assert await bench.failure() is None
+
+    async def test_cut_of_another_answer_during_the_probe_counts(self) -> None:
+        bench = Bench()
+        bench.during_probe = lambda: bench.judge.note_cut(SERVER)
+        assert await bench.failure() is not None
+
+    @pytest.mark.parametrize("is_recent", [True, False])
+    async def test_cut_shortly_before_counts(self, is_recent: bool) -> None:
+        bench = Bench()
+        bench.judge.note_cut(SERVER)
+        factor = 0.9 if is_recent else 1.1
+        await bench.timer.advance(CUT_WINDOW_S * factor)
+        failure = await bench.failure()
+        assert (failure is not None) is is_recent
+
+    async def test_cut_of_another_server_counts_for_nothing(self) -> None:
+        bench = Bench()
+        bench.judge.note_cut(Server("server-2"))
+        assert await bench.failure() is None
+
+    async def test_broken_end_is_evidence_against_the_next_one(self) -> None:
+        bench = Bench()
+        assert await bench.failure(has_content=False) is not None
+        assert await bench.failure() is not None
+
+
+@asynccontextmanager
+async def listening(
+    serve: Callable[[SocketStream], Awaitable[None]],
+) -> AsyncIterator[str]:
+    """Runs a listener; yields its address."""
+    listener = await create_tcp_listener(local_host=HOST, local_port=0)
+
+    async def handle(stream: SocketStream) -> None:
+        async with stream:
+            await serve(stream)
+
+    async with create_task_group() as tasks:
+        tasks.start_soon(listener.serve, handle)
+        yield f"{HOST}:{listener.extra(SocketAttribute.local_port)}"
+        tasks.cancel_scope.cancel()
+    await listener.aclose()
+
+
+class TestListenerProbe:
+    """The probe that looks for a listener."""
+
+    async def test_connection_that_is_kept_shows_a_listener(self) -> None:
+        async def keep(stream: SocketStream) -> None:
+            await sleep_forever()
+
+        async with listening(keep) as address:
+            assert await server_listens(address)
+
+    async def test_server_at_its_connection_limit_has_not_crashed(
+        self,
+    ) -> None:
+        async def close(stream: SocketStream) -> None:
+            return
+
+        async with listening(close) as address:
+            assert await server_listens(address)
+
+    async def test_process_that_ends_after_it_accepted_has_crashed(
+        self,
+    ) -> None:
+        """The kernel accepts a connection that the process never sees."""
+        listener = bind_listener(HOST, 0)
+        listener.listen()
+
+        async def end() -> None:
+            await sleep(CLOSING_S / 4)
+            listener.close()
+
+        address = listener_address(listener)
+        async with create_task_group() as tasks:
+            tasks.start_soon(end)
+            assert not await server_listens(address)
+
+    async def test_refused_connection_shows_no_listener(self) -> None:
+        listener = await create_tcp_listener(local_host=HOST, local_port=0)
+        port = listener.extra(SocketAttribute.local_port)
+        await listener.aclose()
+        assert not await server_listens(f"{HOST}:{port}")
--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+from anyio import create_task_group
 from anyio import fail_after
 from anyio import sleep
 from msgspec.json import encode
@@ -166,6 +167,31 @@
             reply = await system.call("/chat/1")
             assert (reply.status, reply.body) == (200, stream_answer())
 
+    @pytest.mark.parametrize("ending", [Ending.CRASH, Ending.GONE_SOON])
+    async def test_crash_between_events_is_framed_as_complete(
+        self, ending: Ending
+    ) -> None:
+        """Guards against a crash that is taken for the end of a stream."""
+        answer = stream(FIRST_EVENTS, ending=ending)
+        async with node_before("models", answer) as (system, server):
+            with pytest.raises(Exception, match="SERVER_CUT"):
+                await system.call("/notes/1")
+            assert len(server.requests) == 1
+
+    async def test_crash_that_cuts_others_is_framed_as_complete(self) -> None:
+        """Guards against the end of a stream whose neighbours were cut."""
+        answer = stream(FIRST_EVENTS, ending=Ending.RESETS_OTHERS)
+        async with node_before("models", answer) as (system, server):
+            server.unanswered_paths = (b"/notes/other",)
+            async with create_task_group() as tasks:
+                tasks.start_soon(system.call, "/notes/other")
+                with fail_after(TEST_TIMEOUT_S):
+                    while not server.waiting:
+                        await sleep(POLL_S)
+                with pytest.raises(Exception, match="SERVER_CUT"):
+                    await system.call("/notes/1")
+            assert len(server.requests) == 1
+
     @pytest.mark.parametrize("framing", ["chunks", "length"])
     async def test_stream_without_any_event_is_whole_if_its_server_says_so(
         self, framing: str
@@ -242,6 +268,18 @@
             assert error_of(reply)["run"] == "may_have_run"
             assert len(server.requests) == 1
 
+    @pytest.mark.parametrize("ending", [Ending.CRASH, Ending.GONE_SOON])
+    async def test_crash_within_the_body_is_framed_as_complete(
+        self, ending: Ending
+    ) -> None:
+        """Guards against a part of a body that is taken for the whole."""
+        answer = RawAnswer(b"x" * 100, ending=ending)
+        async with node_before("desk", answer) as (system, server):
+            reply = await system.call("/book/1")
+            assert reply.status == 502
+            assert error_of(reply)["run"] == "may_have_run"
+            assert len(server.requests) == 1
+
     async def test_crash_before_the_body_is_replaced_if_it_may_be(
         self,
     ) -> None:
@@ -493,6 +531,18 @@
             assert error_of(reply)["run"] == "may_have_run"
             assert len(server.requests) == 1
 
+    @pytest.mark.parametrize("ending", [Ending.CRASH, Ending.GONE_SOON])
+    async def test_crash_within_the_body_is_framed_as_complete(
+        self, ending: Ending
+    ) -> None:
+        """Guards against a part of a body that is taken for the whole."""
+        answer = RawAnswer(b"x" * 100, ending=ending)
+        async with gateway_before("desk-1", answer) as (system, server):
+            reply = await charge(system.vms[0])
+            assert reply.status == 502
+            assert error_of(reply)["run"] == "may_have_run"
+            assert len(server.requests) == 1
+
     async def test_crash_before_the_body_is_replaced_if_it_may_be(
         self,
     ) -> None:
--- a/wasabiwing/answer_end.py
+++ b/wasabiwing/answer_end.py
@@ -2,18 +2,44 @@
 
 A length or a last chunk proves the end of an answer. An answer with neither
 ends with its connection, as does one whose server has crashed.
+
+Load pattern: servers that crash while they send such answers. What tells the
+two apart is outside the answer: a server that accepts no connection any more,
+or that cut other requests at the same moment.
 """
 
+from collections import OrderedDict
+from collections.abc import Awaitable
+from collections.abc import Callable
 from enum import StrEnum
+from math import inf
+from typing import Generic
+from typing import Protocol
+from typing import TypeVar
+
+from anyio import move_on_after
 
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
 from wasabiwing.routed_calls import RawHeaders
+from wasabiwing.timers import TimerService
 
 # Statuses of answers that never have a body: no content, not modified.
 BODYLESS_STATUSES = (204, 304)
 
+SUCCESS_STATUSES = range(200, 300)
+
+# Time in seconds before the end of an answer within which a cut of another
+# request shows that the server crashed.
+CUT_WINDOW_S = 0.1
+
+# Number of servers whose latest cut is remembered.
+MAX_CUT_SERVERS = 4096
+
+# Share of the time left to a request for which its answer may be checked.
+CHECK_SHARE = 0.5
+
 
 class Framing(StrEnum):
     """How an answer states where its body ends."""
@@ -36,20 +62,82 @@
     return Framing.LENGTH if b"content-length" in names else Framing.CONNECTION
 
 
-def end_failure(
-    framing: Framing, has_content: bool, is_inside_event: bool = False
-) -> Failure | None:
-    """Returns why an ended answer is known not to be whole, or ``None``.
+class EndedServer(Protocol):
+    """Backend server that has ended an answer."""
+
+    @property
+    def id(self) -> str:
+        """Id of the backend server."""
+
+    @property
+    def address(self) -> str:
+        """Address of the backend server, as ``host:port``."""
 
-    ``has_content`` says whether a success brought an event, or a byte of a
-    plain body. Without any, the end of a connection is no answer.
+
+ServerT = TypeVar("ServerT", bound=EndedServer)
+
+
+class EndJudge(Generic[ServerT]):
+    """Judges the ends of answers that one process gets.
+
+    ``is_leaving`` tells whether a server has announced that it ends; it may
+    then close its listener before its last answers. ``listens`` tells whether
+    a process listens at an address.
     """
-    if is_inside_event:
-        return _cut("ended inside an event")
-    if framing is Framing.CONNECTION and not has_content:
-        return _cut("ended with its connection before any content")
-    return None
 
+    def __init__(
+        self,
+        timer: TimerService,
+        is_leaving: Callable[[ServerT], bool],
+        listens: Callable[[str], Awaitable[bool]],
+    ) -> None:
+        self._timer = timer
+        self._is_leaving = is_leaving
+        self._listens = listens
+        # Monotonic time of the latest cut, by server id.
+        self._cut_at_by_server: OrderedDict[str, float] = OrderedDict()
+
+    def note_cut(self, server: ServerT) -> None:
+        """Records that a server ended a connection within an answer."""
+        self._cut_at_by_server[server.id] = self._timer.now()
+        self._cut_at_by_server.move_to_end(server.id)
+        if len(self._cut_at_by_server) > MAX_CUT_SERVERS:
+            self._cut_at_by_server.popitem(last=False)
+
+    async def failure(
+        self,
+        server: ServerT,
+        framing: Framing,
+        has_content: bool,
+        remaining_s: float,
+        is_inside_event: bool = False,
+    ) -> Failure | None:
+        """Returns why an ended success is not whole, or ``None``.
+
+        ``has_content`` says whether the answer brought an event, or a byte of
+        a plain body. Without any, the end of a connection is no answer. The
+        end of an answer without length and chunks waits while its server is
+        probed; ``remaining_s`` is the time left until its caller gives up.
+        """
+        if is_inside_event:
+            return self._cut(server, "ended inside an event")
+        if framing is not Framing.CONNECTION:
+            return None
+        if not has_content:
+            return self._cut(
+                server, "ended with its connection before any content"
+            )
+        ended_at = self._timer.now()
+        listens = True
+        with move_on_after(max(remaining_s, 0.0) * CHECK_SHARE):
+            listens = await self._listens(server.address)
+        if not listens and not self._is_leaving(server):
+            return self._cut(server, "ended as its server stopped to listen")
+        cut_at = self._cut_at_by_server.get(server.id, -inf)
+        if cut_at >= ended_at - CUT_WINDOW_S:
+            return self._cut(server, "ended as its server cut other answers")
+        return None
 
-def _cut(detail: str) -> Failure:
-    return Failure(ResultCode.SERVER_CUT, detail, RunState.MAY_HAVE_RUN)
+    def _cut(self, server: ServerT, detail: str) -> Failure:
+        self.note_cut(server)
+        return Failure(ResultCode.SERVER_CUT, detail, RunState.MAY_HAVE_RUN)
--- a/wasabiwing/answer_relay.py
+++ b/wasabiwing/answer_relay.py
@@ -15,8 +15,9 @@
 
 from wasabiwing.answer_end import answer_framing
 from wasabiwing.answer_end import BODYLESS_STATUSES
-from wasabiwing.answer_end import end_failure
+from wasabiwing.answer_end import EndJudge
 from wasabiwing.answer_end import Framing
+from wasabiwing.answer_end import SUCCESS_STATUSES
 from wasabiwing.attempt_watch import AttemptWatch
 from wasabiwing.attempt_watch import WatchedAttempt
 from wasabiwing.codes import Failure
@@ -33,6 +34,7 @@
 from wasabiwing.routed_calls import RoutedCall
 from wasabiwing.server_connections import DEFAULT_IDLE_TIMEOUT_S
 from wasabiwing.server_connections import ServerAnswer
+from wasabiwing.server_directory import RegisteredServer
 from wasabiwing.server_loads import ServerLoads
 from wasabiwing.server_selection import SelectedServer
 from wasabiwing.service_configuration import RouteKind
@@ -41,8 +43,6 @@
 from wasabiwing.usage_windows import UsageWindows
 
 MIN_SERVER_ERROR_STATUS = 500
-SUCCESS_STATUSES = range(200, 300)
-
 CONTENT_LENGTH = b"content-length"
 
 
@@ -108,6 +108,7 @@
         note_cold: Callable[[str, float], None],
         note_answer_began: Callable[[RoutedCall], None],
         listener: StatementListener,
+        end_judge: EndJudge[RegisteredServer],
     ) -> None:
         self._node_id = node_id
         self._timer = timer
@@ -120,6 +121,7 @@
         self._note_cold = note_cold
         self._note_answer_began = note_answer_began
         self._listener = listener
+        self._end_judge = end_judge
 
     async def relay_answer(
         self,
@@ -190,7 +192,12 @@
             call, placed, answer, watched, body_bytes=len(body.ok_value)
         )
         if answer.status in SUCCESS_STATUSES:
-            failure = end_failure(framing, bool(body.ok_value))
+            failure = await self._end_judge.failure(
+                placed.server,
+                framing,
+                bool(body.ok_value),
+                call.deadline - self._timer.now(),
+            )
             if failure is not None:
                 return failure
         self._count_run(call, progress)
@@ -264,7 +271,13 @@
             events=event_count,
             incomplete_bytes=cutter.incomplete_bytes,
         )
-        failure = end_failure(framing, event_count > 0, cutter.is_inside_event)
+        failure = await self._end_judge.failure(
+            placed.server,
+            framing,
+            event_count > 0,
+            call.deadline - self._timer.now(),
+            cutter.is_inside_event,
+        )
         if failure is not None:
             cutter.discard_incomplete_event()
             return failure
--- a/wasabiwing/call_forwarding.py
+++ b/wasabiwing/call_forwarding.py
@@ -12,6 +12,7 @@
 from anyio import move_on_after
 from result import Err
 
+from wasabiwing.answer_end import EndJudge
 from wasabiwing.answer_relay import AnswerOutput
 from wasabiwing.answer_relay import AnswerRelay
 from wasabiwing.answer_relay import CallProgress
@@ -109,6 +110,7 @@
         isolation: SuspectIsolation,
         statements: ServerStatements,
         stop_admission: StopAdmission,
+        end_judge: EndJudge[RegisteredServer],
         random: Random,
     ) -> None:
         self._node_id = node_id
@@ -129,6 +131,7 @@
         self._isolation = isolation
         self._statements = statements
         self._stop_admission = stop_admission
+        self._end_judge = end_judge
         self._random = random
         self._running = RunningCalls()
 
@@ -335,6 +338,7 @@
                 )
             failed = failure is not None
             if failure is not None and failure.code is ResultCode.SERVER_CUT:
+                self._end_judge.note_cut(server)
                 # The cut must be recorded even if the caller disconnects.
                 with CancelScope(shield=True):
                     await self._quarantine.note_cut(
--- a/wasabiwing/gateway.py
+++ b/wasabiwing/gateway.py
@@ -13,6 +13,7 @@
 from fire import Fire
 
 from wasabiwing.admission import Admission
+from wasabiwing.answer_end import EndJudge
 from wasabiwing.asgi import bind_listener
 from wasabiwing.asgi import listener_address
 from wasabiwing.asgi import serve_http
@@ -66,6 +67,7 @@
 from wasabiwing.send_permits import SendPermits
 from wasabiwing.server_limits import ServerLimits
 from wasabiwing.server_probe import server_answers
+from wasabiwing.server_probe import server_listens
 from wasabiwing.server_records import LoadReport
 from wasabiwing.settings import GatewaySettings
 from wasabiwing.settings import settings_or_exit
@@ -248,6 +250,7 @@
             self.claims,
             retries,
             self.quarantine,
+            EndJudge(timer, self.view.is_leaving, server_listens),
         )
         self.jobs = JobClient(
             node_id,
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -14,6 +14,7 @@
 from anyio import create_task_group
 from anyio import Event
 
+from wasabiwing.answer_end import EndJudge
 from wasabiwing.answer_relay import AnswerRelay
 from wasabiwing.attempt_watch import AttemptWatch
 from wasabiwing.attempt_watch import WATCH_PERIOD_S
@@ -65,6 +66,7 @@
 from wasabiwing.server_directory import ServerDirectory
 from wasabiwing.server_limits import ServerLimits
 from wasabiwing.server_loads import ServerLoads
+from wasabiwing.server_probe import server_listens
 from wasabiwing.server_selection import ServerSelector
 from wasabiwing.server_statements import ServerStatements
 from wasabiwing.service_configuration import RequestLimits
@@ -268,6 +270,7 @@
         watch = AttemptWatch(timer, self._loads)
         timer.subscribe(WATCH_PERIOD_S, watch.check)
         self.stop_admission = StopAdmission(timer)
+        end_judge = EndJudge(timer, quarantine.is_leaving, server_listens)
         self.forwarder = CallForwarder(
             node_id,
             timer,
@@ -294,6 +297,7 @@
                         node_id, metrics.gateway.count_unknown_header
                     ),
                 ),
+                end_judge,
             ),
             self._loads,
             watch,
@@ -311,6 +315,7 @@
             isolation,
             self._statements,
             self.stop_admission,
+            end_judge,
             random,
         )
         self.caller_http = CallerHttp(
--- a/wasabiwing/plain_dispatch.py
+++ b/wasabiwing/plain_dispatch.py
@@ -9,8 +9,9 @@
 
 from wasabiwing.admission import Admission
 from wasabiwing.answer_end import answer_framing
-from wasabiwing.answer_end import end_failure
+from wasabiwing.answer_end import EndJudge
 from wasabiwing.answer_end import Framing
+from wasabiwing.answer_end import SUCCESS_STATUSES
 from wasabiwing.calls import AttemptOutcome
 from wasabiwing.calls import Call
 from wasabiwing.calls import ServerAssignment
@@ -30,8 +31,6 @@
 from wasabiwing.run_durations import RunEnd
 from wasabiwing.timers import TimerService
 
-SUCCESS_STATUSES = range(200, 300)
-
 
 class PlainDispatcher:
     """Runs the plain service requests of one gateway."""
@@ -46,6 +45,7 @@
         claims: ClaimClient,
         retries: RetryPolicy,
         quarantine: Quarantine[BackendServer],
+        end_judge: EndJudge[BackendServer],
     ) -> None:
         self._node_id = node_id
         self._timer = timer
@@ -55,6 +55,7 @@
         self._claims = claims
         self._retries = retries
         self._quarantine = quarantine
+        self._end_judge = end_judge
 
     async def run(self, call: Call) -> Result[HttpReply, Failure]:
         """Runs a request and returns its whole answer or its failure."""
@@ -212,13 +213,14 @@
                 may_send,
             )
             if isinstance(reply, Ok):
-                reply = self._check_end(
+                reply = await self._check_end(
                     call, assignment, reply.ok_value, started
                 )
             failure = reply.err_value if isinstance(reply, Err) else None
             if failure is None:
                 self._quarantine.note_success(call)
             elif failure.code is ResultCode.SERVER_CUT:
+                self._end_judge.note_cut(assignment.server)
                 crashed = await self._quarantine.note_cut(
                     call, assignment.server, started
                 )
@@ -237,7 +239,7 @@
             )
         return reply
 
-    def _check_end(
+    async def _check_end(
         self,
         call: Call,
         assignment: ServerAssignment,
@@ -263,7 +265,12 @@
             )
         failure = None
         if reply.status in SUCCESS_STATUSES:
-            failure = end_failure(framing, bool(reply.body))
+            failure = await self._end_judge.failure(
+                assignment.server,
+                framing,
+                bool(reply.body),
+                call.deadline - self._timer.now(),
+            )
         return Ok(reply) if failure is None else Err(failure)
 
 
--- a/wasabiwing/quarantine.py
+++ b/wasabiwing/quarantine.py
@@ -143,7 +143,7 @@
         self._node_id = node_id
         self._timer = timer
         self._facts = facts
-        self._is_leaving = is_leaving
+        self.is_leaving = is_leaving
         self._probe = probe
         self._store_verdict = store_verdict
         # Digests of requests that this process saw end with a crash.
@@ -257,7 +257,7 @@
         Returns whether the server has crashed: a server that still answers
         has only cut a connection, and a leaving server was stopped.
         """
-        if self._is_leaving(server):
+        if self.is_leaving(server):
             return False
         # The probe may take longer than an answer to settle.
         answered = has_answer_settled(answer_began_at, self._timer.now())
--- a/wasabiwing/server_probe.py
+++ b/wasabiwing/server_probe.py
@@ -29,6 +29,10 @@
 # this time.
 CLOSING_S = 0.02
 
+# Number of connections with which a probe looks for a listener. The first may
+# have been accepted by a process that was ending.
+CONNECTS_TO_LISTENER = 2
+
 
 async def server_answers(client: HttpClient, address: str) -> bool:
     """Whether a server answers a status request on a new connection.
@@ -66,6 +70,29 @@
     return False
 
 
+async def server_listens(address: str) -> bool:
+    """Whether a process still listens at an address.
+
+    Only a refused connection shows that none does. A server at its limit
+    resets what it has accepted, and the network may lose a connection. Takes
+    up to twice ``ACCEPT_TIMEOUT_S``; the probe sends no byte.
+    """
+    host, _, port = address.rpartition(":")
+    for _ in range(CONNECTS_TO_LISTENER):
+        try:
+            with move_on_after(ACCEPT_TIMEOUT_S):
+                async with await connect_tcp(host, int(port)) as stream:
+                    with move_on_after(CLOSING_S):
+                        await stream.receive(1)
+                    return True
+        except (EndOfStream, BrokenResourceError):
+            # The process ends, or is at its limit: the next one tells.
+            continue
+        except OSError as error:
+            return not isinstance(error.__cause__, ConnectionRefusedError)
+    return True
+
+
 @dataclass(slots=True)
 class _RunningProbe:
     """Running probe of one address, on which several requests may wait."""
