State no end of an answer that its server did not state

Callers could not tell a crashed server's part from the whole.

A relay now states an end only if the server did. asgi_answer sends an answer that ends with its connection as one: without length and chunks, with Connection: close. If the rest of a stream begun in chunks comes without a stated end, another server is asked to prove it; else the caller sees a broken answer and resumes. A claim's answer without a stated end is passed on once and not stored, so that no repeat gets a part with a length.

--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -99,7 +99,9 @@
     ) -> None:
         """Guards against a partial event that is passed on as the last."""
         async with node_before(
-            "models", stream(PARTIAL_STREAM, framing), stream(LAST_EVENTS)
+            "models",
+            stream(PARTIAL_STREAM, framing),
+            stream(LAST_EVENTS, framing),
         ) as (system, server):
             reply = await system.call("/chat/1")
             assert (reply.status, reply.body) == (200, stream_answer())
--- a/wasabiwing/answer_relay.py
+++ b/wasabiwing/answer_relay.py
@@ -49,10 +49,21 @@
 class AnswerOutput(Protocol):
     """Sends the answer to one caller."""
 
-    started: bool
+    @property
+    def started(self) -> bool:
+        """Whether the answer has begun."""
 
-    async def start(self, status: int, headers: RawHeaders) -> None:
-        """Sends status and headers."""
+    @property
+    def states_end(self) -> bool:
+        """Whether the caller can tell the end from a lost connection."""
+
+    async def start(
+        self, status: int, headers: RawHeaders, states_end: bool = True
+    ) -> None:
+        """Sends status and headers.
+
+        ``states_end`` says whether the caller is told where the body ends.
+        """
 
     async def write(self, data: bytes) -> None:
         """Sends a part of the body."""
@@ -73,6 +84,8 @@
     status: int
     headers: RawHeaders
     body: bytes
+    # Whether the server stated where the body ends.
+    states_end: bool
 
 
 @dataclass(slots=True)
@@ -188,8 +201,14 @@
         body = await answer.read()
         if isinstance(body, Err):
             return body.err_value
-        framing = self._note_end(
-            call, placed, answer, watched, body_bytes=len(body.ok_value)
+        framing = _framing(call, answer)
+        self._note_end(
+            call,
+            placed,
+            answer,
+            framing,
+            watched,
+            body_bytes=len(body.ok_value),
         )
         if answer.status in SUCCESS_STATUSES:
             failure = await self._end_judge.failure(
@@ -202,7 +221,10 @@
                 return failure
         self._count_run(call, progress)
         whole_answer = WholeAnswer(
-            answer.status, head.forwarded_headers, body.ok_value
+            answer.status,
+            head.forwarded_headers,
+            body.ok_value,
+            framing is not Framing.CONNECTION,
         )
         if output.started:
             return Failure(
@@ -236,6 +258,7 @@
         cutter = progress.event_splitter
         # Another server may continue the stream with events of other lengths.
         headers = _without_length(head.forwarded_headers)
+        framing = _framing(call, answer)
         is_first_event = True
         events_before = cutter.event_count
         async for chunk in answer.chunks():
@@ -260,13 +283,16 @@
                 is_first_event = False
                 self._note_first_event(call, placed, progress, watched)
             if not output.started:
-                await output.start(answer.status, headers)
+                await output.start(
+                    answer.status, headers, framing is not Framing.CONNECTION
+                )
             await output.write(events)
         event_count = cutter.event_count - events_before
-        framing = self._note_end(
+        self._note_end(
             call,
             placed,
             answer,
+            framing,
             watched,
             events=event_count,
             incomplete_bytes=cutter.incomplete_bytes,
@@ -281,6 +307,14 @@
         if failure is not None:
             cutter.discard_incomplete_event()
             return failure
+        if framing is Framing.CONNECTION and output.states_end:
+            # The end would be stated by a chunk that no server has sent. The
+            # rest of the stream from another server may prove it.
+            return Failure(
+                ResultCode.STREAM_INCOMPLETE,
+                "the end of a resumed stream is not proved",
+                RunState.MAY_HAVE_RUN,
+            )
         if not output.started:
             await output.start(answer.status, headers)
         await output.finish()
@@ -291,16 +325,11 @@
         call: RoutedCall,
         placed: SelectedServer,
         answer: ServerAnswer,
+        framing: Framing,
         watched: WatchedAttempt,
         **content: int,
-    ) -> Framing:
-        """Counts an answer's end; logs one that proves nothing.
-
-        Returns the answer's framing.
-        """
-        framing = answer_framing(
-            call.method.decode("latin-1"), answer.status, answer.headers
-        )
+    ) -> None:
+        """Counts an answer's end; logs one that proves nothing."""
         self._metrics.answer_ends.labels(framing).inc()
         if framing is Framing.CONNECTION:
             log_event(
@@ -313,7 +342,6 @@
                 duration_s=round(self._timer.now() - watched.sent_at, 3),
                 **content,
             )
-        return framing
 
     def _note_first_event(
         self,
@@ -340,13 +368,19 @@
             self._windows.count_request(call.organisation_name)
 
 
+def _framing(call: RoutedCall, answer: ServerAnswer) -> Framing:
+    return answer_framing(
+        call.method.decode("latin-1"), answer.status, answer.headers
+    )
+
+
 async def send_whole(output: AnswerOutput, whole_answer: WholeAnswer) -> None:
     """Sends an answer that was read to its end to the caller."""
     headers = whole_answer.headers
     if whole_answer.status in BODYLESS_STATUSES:
         # The HTTP server would wait for a body of the named length.
         headers = _without_length(headers)
-    await output.start(whole_answer.status, headers)
+    await output.start(whole_answer.status, headers, whole_answer.states_end)
     await output.write(whole_answer.body)
     await output.finish()
 
--- a/wasabiwing/asgi.py
+++ b/wasabiwing/asgi.py
@@ -28,10 +28,12 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from wasabiwing.answer_log import failure_document
+from wasabiwing.asgi_answer import AsgiAnswer
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.events import Event as LogEvent
 from wasabiwing.events import log_event
+from wasabiwing.header_timeout import PipelineProtocol
 
 # uvicorn's own lines would break the log format; exceptions of handlers are
 # logged in this module as events.
@@ -84,15 +86,20 @@
 
     def __init__(
         self,
+        scope: Scope,
         receive: Receive,
         send: Send,
         closes: Callable[[], bool] = lambda: False,
     ) -> None:
         self._receive = receive
-        self._send = send
+        self._answer = AsgiAnswer(scope, send)
         # Whether the caller is told to close its connection afterwards.
         self._closes = closes
-        self.started = False
+
+    @property
+    def started(self) -> bool:
+        """Whether the answer has begun."""
+        return self._answer.started
 
     async def send_json(
         self,
@@ -116,38 +123,41 @@
             "content-length": str(len(body)),
         }
         await self.start(status, content_type, headers_with_length)
-        await self._send({"type": "http.response.body", "body": body})
+        await self._answer.finish(body)
+
+    async def send_unproved(
+        self,
+        status: int,
+        body: bytes,
+        content_type: str,
+        headers: Mapping[str, str] | None = None,
+    ) -> None:
+        """Sends an answer that ends with its connection, as it was got."""
+        await self.start(status, content_type, headers, states_end=False)
+        await self._answer.finish(body)
 
     async def start(
         self,
         status: int,
         content_type: str,
         headers: Mapping[str, str] | None = None,
+        states_end: bool = True,
     ) -> None:
         """Sends the status and headers of an answer."""
-        self.started = True
         pairs = [(b"content-type", content_type.encode())]
         for name, value in (headers or {}).items():
             pairs.append((name.lower().encode(), value.encode()))
         if self._closes():
             pairs.append((b"connection", b"close"))
-        await self._send(
-            {
-                "type": "http.response.start",
-                "status": status,
-                "headers": pairs,
-            }
-        )
+        await self._answer.start(status, tuple(pairs), states_end)
 
     async def write(self, data: bytes) -> None:
         """Sends a part of the body."""
-        await self._send(
-            {"type": "http.response.body", "body": data, "more_body": True}
-        )
+        await self._answer.write(data)
 
     async def finish(self) -> None:
         """Ends the body."""
-        await self._send({"type": "http.response.body", "body": b""})
+        await self._answer.finish()
 
     async def wait_disconnected(self) -> None:
         """Waits until the caller has closed the connection."""
@@ -192,7 +202,7 @@
     async def application(scope: Scope, receive: Receive, send: Send) -> None:
         if scope["type"] != "http":
             return
-        responder = Responder(receive, send, lambda: closes(scope))
+        responder = Responder(scope, receive, send, lambda: closes(scope))
         try:
             await respond(scope, receive, responder)
         except get_cancelled_exc_class():
@@ -269,7 +279,7 @@
     listener: socket,
     stop: Event,
     idle_timeout_s: Callable[[], float] | None = None,
-    protocol: type[HttpToolsProtocol] = HttpToolsProtocol,
+    protocol: type[HttpToolsProtocol] = PipelineProtocol,
     closing_s: Callable[[], float] = lambda: GRACEFUL_SHUTDOWN_S,
 ) -> None:
     """Serves HTTP on a bound socket until ``stop`` is set.
--- a/wasabiwing/caller_http.py
+++ b/wasabiwing/caller_http.py
@@ -23,6 +23,7 @@
 from wasabiwing.asgi import Receive
 from wasabiwing.asgi import Scope
 from wasabiwing.asgi import Send
+from wasabiwing.asgi_answer import AsgiAnswer
 from wasabiwing.call_forwarding import CallForwarder
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
@@ -69,35 +70,39 @@
 class CallerOutput:
     """The answer to one caller, as ASGI messages."""
 
-    def __init__(self, send: Send, closes: Callable[[], bool]) -> None:
-        self._send = send
+    def __init__(
+        self, scope: Scope, send: Send, closes: Callable[[], bool]
+    ) -> None:
+        self._answer = AsgiAnswer(scope, send)
         # Whether the caller is told to close its connection afterwards.
         self._closes = closes
-        self.started = False
 
-    async def start(self, status: int, headers: RawHeaders) -> None:
+    @property
+    def started(self) -> bool:
+        """Whether the answer has begun."""
+        return self._answer.started
+
+    @property
+    def states_end(self) -> bool:
+        """Whether the caller can tell the end from a lost connection."""
+        return self._answer.states_end
+
+    async def start(
+        self, status: int, headers: RawHeaders, states_end: bool = True
+    ) -> None:
         """Sends status and headers."""
-        self.started = True
         sent = [(name.lower(), value) for name, value in headers]
         if self._closes():
             sent.append((b"connection", b"close"))
-        await self._send(
-            {
-                "type": "http.response.start",
-                "status": status,
-                "headers": sent,
-            }
-        )
+        await self._answer.start(status, tuple(sent), states_end)
 
     async def write(self, data: bytes) -> None:
         """Sends a part of the body."""
-        await self._send(
-            {"type": "http.response.body", "body": data, "more_body": True}
-        )
+        await self._answer.write(data)
 
     async def finish(self) -> None:
         """Ends the body."""
-        await self._send({"type": "http.response.body", "body": b""})
+        await self._answer.finish()
 
     async def refuse(
         self, status: int, failure: Failure, retry_after_s: float | None
@@ -160,14 +165,14 @@
 
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         received_at = self._timer.now()
-        output = CallerOutput(send, lambda: self._closes_after(scope))
+        output = CallerOutput(scope, send, lambda: self._closes_after(scope))
         configuration = self._view.configuration
         limits = RequestLimits()
         if configuration is not None:
             limits = configuration.limits
         if _header_bytes(scope["headers"]) > limits.max_header_bytes:
             # The body is not read, so the connection cannot be used again.
-            output = CallerOutput(send, lambda: True)
+            output = CallerOutput(scope, send, lambda: True)
             await self._refuse(output, Failure(ResultCode.HEADERS_TOO_LARGE))
             return
         body = await read_body(receive, limits.max_body_bytes)
--- a/wasabiwing/claim_client.py
+++ b/wasabiwing/claim_client.py
@@ -148,7 +148,11 @@
     def report_answer(self, call: Call, answer: HttpReply) -> None:
         """Reports the answer of a call that a backend server has run."""
         content_type = find_header(answer.headers, CONTENT_TYPE_HEADER) or b""
-        truncated = len(answer.body) > MAX_STORED_ANSWER_BYTES
+        # A stored answer is sent with its length. One whose end its server did
+        # not state is not stored, so that no repeat gets a part as the whole.
+        truncated = (
+            len(answer.body) > MAX_STORED_ANSWER_BYTES or not answer.states_end
+        )
         self._start_report(
             OutcomeReport(
                 call.request_id,
--- a/wasabiwing/gateway_http.py
+++ b/wasabiwing/gateway_http.py
@@ -466,7 +466,10 @@
             return
         answer = reply.ok_value
         content_type = find_header(answer.headers, b"content-type")
-        await responder.send_whole(
+        send = responder.send_whole
+        if not answer.states_end:
+            send = responder.send_unproved
+        await send(
             answer.status,
             answer.body,
             content_type.decode("latin-1") if content_type else JSON_TYPE,
--- a/wasabiwing/header_timeout.py
+++ b/wasabiwing/header_timeout.py
@@ -1,6 +1,7 @@
 """A uvicorn protocol that limits the time for request headers.
 
-It also tells the application whether a connection holds a further request.
+It also tells the application whether a connection holds a further request, and
+gives it uvicorn's state of the request (see ``asgi_answer``).
 ``asgi.serve_http`` takes it as ``protocol``. uvicorn has no such limit: a
 caller that sends its headers byte by byte would hold its connection for ever.
 """
@@ -12,6 +13,8 @@
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from wasabiwing.asgi_answer import CYCLE_EXTENSION
+
 # ASGI extension with a function ``has_next``, which tells whether a request
 # that was read on the same connection waits for its turn.
 PIPELINE_EXTENSION = "wasabiwing.pipeline"
@@ -32,6 +35,11 @@
             PIPELINE_EXTENSION: {"has_next": self._has_next_request}
         }
 
+    def on_headers_complete(self) -> None:
+        super().on_headers_complete()
+        # A later request on the connection replaces ``self.cycle``.
+        self.scope["extensions"][CYCLE_EXTENSION] = {"cycle": self.cycle}
+
     def _has_next_request(self) -> bool:
         """Whether a further request was read on this connection."""
         return bool(self.pipeline)
--- a/wasabiwing/http_client.py
+++ b/wasabiwing/http_client.py
@@ -25,6 +25,8 @@
 from result import Ok
 from result import Result
 
+from wasabiwing.answer_end import answer_framing
+from wasabiwing.answer_end import Framing
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
@@ -236,7 +238,15 @@
             read = await stream.read()
             if isinstance(read, Err):
                 return read
-            return Ok(HttpReply(stream.status, stream.headers, read.ok_value))
+            framing = answer_framing(method, stream.status, stream.headers)
+            return Ok(
+                HttpReply(
+                    stream.status,
+                    stream.headers,
+                    read.ok_value,
+                    framing is not Framing.CONNECTION,
+                )
+            )
 
 
 def find_header(
--- a/wasabiwing/ports.py
+++ b/wasabiwing/ports.py
@@ -191,6 +191,8 @@
     status: int
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
+    # Whether the sender stated where the body ends.
+    states_end: bool = True
 
 
 @dataclass(frozen=True, slots=True)
