Send callers over HTTP/1.0 no chunks

A caller over HTTP/1.0 got the lengths of chunks in the middle of its answer, since uvicorn adds chunks to each answer without a length; and an answer that broke off ended for it like a whole one.

Such a caller now gets an answer that ends with its connection, which asgi_answer ends with FIN if it is whole and with a reset if not, on node and gateway. An answer with a length keeps it.

--- a/wasabiwing/asgi_answer.py
+++ b/wasabiwing/asgi_answer.py
@@ -23,6 +23,9 @@
 # ASGI extension with uvicorn's state of the request.
 CYCLE_EXTENSION = "wasabiwing.cycle"
 
+# HTTP version whose clients know no chunks.
+VERSION_WITHOUT_CHUNKS = "1.0"
+
 # Values of ``SO_LINGER``: whether a close sends a reset, after zero seconds.
 RESET_ON_CLOSE = pack("ii", 1, 0)
 FIN_ON_CLOSE = pack("ii", 0, 0)
@@ -57,7 +60,8 @@
         """
         self.started = True
         framing = answer_framing(self._scope["method"], status, headers)
-        if framing is Framing.CONNECTION and not states_end:
+        knows_chunks = self._scope["http_version"] != VERSION_WITHOUT_CHUNKS
+        if framing is Framing.CONNECTION and not (states_end and knows_chunks):
             cycle = self._scope["extensions"][CYCLE_EXTENSION]["cycle"]
             cycle.chunked_encoding = False
             cycle.keep_alive = False
