Count runs that were broken off with their age only

A run that a crash cut after 70 ms counted as one that ended after 70 ms, on node and gateway. A stopping process estimates from these durations what can still end, so crashes made long requests look short: it would take them and have them killed.

end_of_run in run_durations decides for both data paths, in place of three functions: runs that the server, the caller or this process broke off only say that a run takes at least as long.

The new tests need the new function; on the old code the node set ENDED for each request that may have run (call_forwarding.py), seen by reading and not by a run.

--- a/tests/test_stop_admission.py
+++ b/tests/test_stop_admission.py
@@ -2,8 +2,10 @@
 
 import pytest
 
+from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
+from wasabiwing.run_durations import end_of_run
 from wasabiwing.run_durations import LONGEST_HALF_LIFE_S
 from wasabiwing.run_durations import MAX_DURATIONS
 from wasabiwing.run_durations import MAX_KINDS
@@ -230,6 +232,45 @@
         assert estimate.typical_s == pytest.approx(0.1)
         assert estimate.longest_s == pytest.approx(5.0)
 
+    @pytest.mark.parametrize(
+        "code", [ResultCode.SERVER_CUT, ResultCode.STREAM_INCOMPLETE]
+    )
+    async def test_runs_that_crashes_cut_short_count_as_short_ones(
+        self, code: ResultCode
+    ) -> None:
+        """Guards against an estimate from runs that crashes broke off."""
+        timer = FakeTimer()
+        durations = RunDurations(timer)
+        failure = Failure(code, "", RunState.MAY_HAVE_RUN)
+        for _ in range(MIN_DURATIONS):
+            with durations.track("chat", None) as run:
+                await timer.advance(0.07)
+                run.end = end_of_run(failure)
+        assert durations.estimate("chat", None) is None
+
+    @pytest.mark.parametrize(
+        ("failure", "end"),
+        [
+            (None, RunEnd.ENDED),
+            (Failure(ResultCode.OK), RunEnd.ENDED),
+            (Failure(ResultCode.OVERLOADED), RunEnd.NOT_RUN),
+            (
+                Failure(
+                    ResultCode.DEADLINE_EXCEEDED, "", RunState.MAY_HAVE_RUN
+                ),
+                RunEnd.ENDED,
+            ),
+            (
+                Failure(ResultCode.CALLER_LEFT, "", RunState.MAY_HAVE_RUN),
+                RunEnd.ABANDONED,
+            ),
+        ],
+    )
+    def test_end_of_a_run_follows_from_its_failure(
+        self, failure: Failure | None, end: RunEnd
+    ) -> None:
+        assert end_of_run(failure) is end
+
     async def test_memory_is_bounded(self) -> None:
         timer = FakeTimer()
         durations = RunDurations(timer)
--- a/wasabiwing/call_forwarding.py
+++ b/wasabiwing/call_forwarding.py
@@ -37,7 +37,7 @@
 from wasabiwing.retry_budgets import ServiceRetryBudgets
 from wasabiwing.routed_calls import CallCodec
 from wasabiwing.routed_calls import RoutedCall
-from wasabiwing.run_durations import RunEnd
+from wasabiwing.run_durations import end_of_run
 from wasabiwing.running_calls import RunningCall
 from wasabiwing.running_calls import RunningCalls
 from wasabiwing.server_connections import ServerConnections
@@ -196,11 +196,7 @@
                 failure = await self._run_attempts(call, progress, output)
             if running.scope.cancelled_caught:
                 failure = _cancelled_failure(running, progress)
-            ran = failure.run_state is not RunState.NOT_RUN
-            if failure.code is ResultCode.OK or ran:
-                tracked.end = RunEnd.ENDED
-            else:
-                tracked.end = RunEnd.NOT_RUN
+            tracked.end = end_of_run(failure)
         if failure.code is not ResultCode.OK:
             await self._send_failure(call, progress, failure, output)
         self._log_end(call, progress, failure)
--- a/wasabiwing/model_dispatch.py
+++ b/wasabiwing/model_dispatch.py
@@ -36,7 +36,7 @@
 from wasabiwing.retry_policy import final_failure
 from wasabiwing.retry_policy import RetryDecision
 from wasabiwing.retry_policy import RetryPolicy
-from wasabiwing.run_durations import RunEnd
+from wasabiwing.run_durations import end_of_run
 from wasabiwing.running_request import EnginePosition
 from wasabiwing.running_request import Interrupt
 from wasabiwing.running_request import RunningRequest
@@ -89,7 +89,7 @@
                     tasks.start_soon(self._watch_deadline, request)
                     failure = await self._run_attempts(request)
                     tasks.cancel_scope.cancel()
-                tracked.end = _end_of_run(failure)
+                tracked.end = end_of_run(failure)
         finally:
             self._metrics.running.dec()
         code = failure.code if failure else ResultCode.OK
@@ -426,17 +426,6 @@
         return failure, first_token_s
 
 
-def _end_of_run(failure: Failure | None) -> RunEnd:
-    """Returns what the end of a request tells about the duration of runs."""
-    if failure is None:
-        return RunEnd.ENDED
-    if failure.run_state is RunState.NOT_RUN:
-        return RunEnd.NOT_RUN
-    if failure.code in (ResultCode.CALLER_LEFT, ResultCode.NODE_LEAVING):
-        return RunEnd.ABANDONED
-    return RunEnd.ENDED
-
-
 def _is_cut(failure: Failure | None) -> bool:
     return failure is not None and failure.code in RESUMABLE_CODES
 
--- a/wasabiwing/plain_dispatch.py
+++ b/wasabiwing/plain_dispatch.py
@@ -28,7 +28,7 @@
 from wasabiwing.quarantine import Quarantine
 from wasabiwing.retry_policy import final_failure
 from wasabiwing.retry_policy import RetryPolicy
-from wasabiwing.run_durations import RunEnd
+from wasabiwing.run_durations import end_of_run
 from wasabiwing.timers import TimerService
 
 
@@ -64,10 +64,9 @@
                 reply = await self._run_idempotent(call)
             else:
                 reply = await self._run_claimed(call)
-            if isinstance(reply, Ok):
-                tracked.end = RunEnd.ENDED
-            else:
-                tracked.end = _end_of_failed(reply.err_value)
+            tracked.end = end_of_run(
+                reply.err_value if isinstance(reply, Err) else None
+            )
         code = (
             reply.err_value.code if isinstance(reply, Err) else ResultCode.OK
         )
@@ -286,12 +285,5 @@
     return headers
 
 
-def _end_of_failed(failure: Failure) -> RunEnd:
-    """Returns what a failure tells about the duration of runs."""
-    if failure.run_state is RunState.NOT_RUN:
-        return RunEnd.NOT_RUN
-    return RunEnd.ENDED
-
-
 def _always_may_send() -> bool:
     return True
--- a/wasabiwing/run_durations.py
+++ b/wasabiwing/run_durations.py
@@ -16,6 +16,9 @@
 from math import exp2
 from statistics import median
 
+from wasabiwing.codes import Failure
+from wasabiwing.codes import ResultCode
+from wasabiwing.codes import RunState
 from wasabiwing.timers import TimerService
 
 # Number of kinds of requests, and of durations for each, that are kept.
@@ -35,11 +38,35 @@
 
     # Nothing, because no server ran the request.
     NOT_RUN = auto()
-    # The run took at least this long; its caller left.
+    # The run took at least this long; it was broken off.
     ABANDONED = auto()
     ENDED = auto()
 
 
+# Failures of runs that would have gone on: the server, the caller or this
+# process broke them off.
+BROKEN_OFF_CODES = (
+    ResultCode.SERVER_CUT,
+    ResultCode.STREAM_INCOMPLETE,
+    ResultCode.CALLER_LEFT,
+    ResultCode.NODE_LEAVING,
+)
+
+
+def end_of_run(failure: Failure | None) -> RunEnd:
+    """Returns what the end of a request tells about durations.
+
+    ``failure`` is that of the request; ``None`` if its answer was whole.
+    """
+    if failure is None or failure.code is ResultCode.OK:
+        return RunEnd.ENDED
+    if failure.run_state is RunState.NOT_RUN:
+        return RunEnd.NOT_RUN
+    if failure.code in BROKEN_OFF_CODES:
+        return RunEnd.ABANDONED
+    return RunEnd.ENDED
+
+
 @dataclass(frozen=True, slots=True)
 class RunEstimate:
     """How long a request probably takes, in seconds from its arrival."""
