Begin an answer with its first event, not with a comment

A server that sent a comment and then crashed had begun its answer for the node: the crash counted as one beside which the request ran, it cleared the parts of the request's prompt, and it entered the time to the first token.

Only a complete event with data begins an answer. Comments are passed on as before and still count as a sign of life.

test_comment_counts_as_the_beginning_of_an_answer failed before (began was [True]); now it passes.

--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -135,6 +135,24 @@
                 await system.call("/notes/1")
             assert events == [Event.SERVER_CRASHED]
 
+    async def test_comment_counts_as_the_beginning_of_an_answer(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a comment that clears the cause of a crash."""
+        began: list[object] = []
+        monkeypatch.setattr(
+            "wasabiwing.quarantine.log_event",
+            lambda event, node, **fields: began.append(
+                fields["answer_began"]
+            ),
+        )
+        body = b": wait\n\n" + FIRST_EVENTS[:10]
+        answer = stream(body, ending=Ending.CRASH)
+        async with node_before("models", answer) as (system, server):
+            with pytest.raises(Exception, match="SERVER_CUT"):
+                await system.call("/notes/1")
+            assert began == [False]
+
     @pytest.mark.parametrize("path", ["/chat/1", "/notes/1"])
     async def test_stream_that_ends_with_its_connection_is_whole(
         self, path: str
--- a/wasabiwing/answer_relay.py
+++ b/wasabiwing/answer_relay.py
@@ -279,7 +279,8 @@
             # still send single bytes.
             watched.heard_at = self._timer.now()
             self._loads.note_heard(placed.server.id)
-            if is_first_event:
+            # Comments do not begin an answer.
+            if is_first_event and cutter.event_count > events_before:
                 is_first_event = False
                 self._note_first_event(call, placed, progress, watched)
             if not output.started:
