Let the soak play answers without length and chunks

They now also send whole answers that end with their connection, ones that end after their head and ones that a reset cuts. Callers compare what they got with what the server meant, as before, and the report counts the whole ones that were served.

--- a/benchmarks/answer_ends.py
+++ b/benchmarks/answer_ends.py
@@ -68,8 +68,11 @@
         if not self.complete:
             return "cut" if self.status else "closed"
         unproved = "~" if self.framing == "connection" else ""
-        is_whole = marker in self.body if marker else self.body == whole
-        return unproved + ("whole" if is_whole else "SHORT")
+        body = self.body.removeprefix(COMMENT)
+        is_short = body != whole and whole.startswith(body)
+        if marker:
+            is_short = marker not in body
+        return unproved + ("SHORT" if is_short else "whole")
 
 
 def framed(body: bytes, meant: bytes, framing: str) -> tuple[bytes, bytes]:
@@ -193,12 +196,13 @@
 NODE_STREAM = b"".join(node_event(number) for number in range(1, 5))
 ENGINE_STREAM = b"".join(map(engine_event, range(5))) + b"data: [DONE]\n\n"
 PLAIN = b"x" * 400
+COMMENT = b": wait\n\n"
 STREAM_TYPE = b"content-type: text/event-stream\r\n"
 
 STREAM_PLACES: dict[str, Callable[[bytes], bytes]] = {
     "whole": lambda whole: whole,
     "empty": lambda whole: b"",
-    "comments": lambda whole: b": wait\n\n\n",
+    "comments": lambda whole: COMMENT,
     "first event": lambda whole: whole[:9],
     "before blank": lambda whole: whole[: whole.index(b"\n\n") + 1],
     "two events": lambda whole: whole[
@@ -222,7 +226,7 @@
         headers, data = framed(body, NODE_STREAM, framing)
         headers += STREAM_TYPE
         rest = NODE_STREAM
-        if place == "two events":
+        if place in ("whole", "two events"):
             rest = NODE_STREAM[len(body) :]
         retry_headers, retry_data = framed(rest, rest, "chunks")
         async with node(
--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -142,9 +142,7 @@
         began: list[object] = []
         monkeypatch.setattr(
             "wasabiwing.quarantine.log_event",
-            lambda event, node, **fields: began.append(
-                fields["answer_began"]
-            ),
+            lambda event, node, **fields: began.append(fields["answer_began"]),
         )
         body = b": wait\n\n" + FIRST_EVENTS[:10]
         answer = stream(body, ending=Ending.CRASH)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -67,6 +67,8 @@
 from wasabiwing_soak.promises import RequestArrival
 from wasabiwing_soak.promises import SeenVersion
 from wasabiwing_soak.promises import ServerStatement
+from wasabiwing_soak.promises import unframed_outcome
+from wasabiwing_soak.promises import UnframedOutcome
 from wasabiwing_soak.promises import Violation
 from wasabiwing_soak.report import report_lines
 from wasabiwing_soak.report import write_report
@@ -329,6 +331,28 @@
         assert (outcome.cut, outcome.closed_unsent) == (1, 1)
 
 
+class TestUnframedAnswers:
+    """Whole answers without length and chunks, and who got them."""
+
+    @staticmethod
+    def arrival(body: str) -> RequestArrival:
+        """Returns a request's arrival at a server that answers like that."""
+        return RequestArrival("server-0", 0, body, 10.0, unframed=True)
+
+    def test_served_ones_are_counted(self) -> None:
+        calls = [
+            replace(SERVED, body="read 1"),
+            replace(CUT, body="read 2"),
+            replace(CUT, body="read 3", ended_s=13.0),
+            SERVED,
+        ]
+        arrivals = [self.arrival(f"read {number}") for number in (1, 2, 3)]
+        assert unframed_outcome(calls, arrivals, []) == UnframedOutcome(1, 2)
+        assert unframed_outcome(calls, arrivals, [STOP]) == UnframedOutcome(
+            0, 0
+        )
+
+
 class TestCrashingParts:
     """Checks of prompt parts that crash servers."""
 
--- a/wasabiwing_soak/fault_player.py
+++ b/wasabiwing_soak/fault_player.py
@@ -77,6 +77,9 @@
     ServerFault.PARTIAL_EVENT,
     ServerFault.FOREIGN,
     ServerFault.UNSTAMPED,
+    ServerFault.UNFRAMED,
+    ServerFault.UNFRAMED_EMPTY,
+    ServerFault.UNFRAMED_RESET,
 )
 
 
--- a/wasabiwing_soak/promises.py
+++ b/wasabiwing_soak/promises.py
@@ -135,6 +135,16 @@
     server_failed: bool = False
     # Whether the request crashed the server.
     crashed: bool = False
+    # Whether the server gave a whole answer without length and chunks.
+    unframed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class UnframedOutcome:
+    """Whole answers without length and chunks, and how many were served."""
+
+    served: int
+    count: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -354,6 +364,28 @@
     )
 
 
+def unframed_outcome(
+    calls: Iterable[CallRecord],
+    arrivals: Sequence[RequestArrival],
+    disturbances: Sequence[NodeDisturbance],
+) -> UnframedOutcome:
+    """Counts whole answers without length and chunks that callers got.
+
+    Calls that ended at their time limit, or whose node was disturbed, are
+    left out.
+    """
+    last_arrival = last_arrival_by_body(arrivals)
+    statuses = [
+        call.status
+        for call in calls
+        if call.body in last_arrival
+        and last_arrival[call.body].unframed
+        and not call.timed_out
+        and not _disturbances_during(call, disturbances)
+    ]
+    return UnframedOutcome(statuses.count(SUCCESS), len(statuses))
+
+
 def last_arrival_by_body(
     arrivals: Iterable[RequestArrival],
 ) -> dict[str, RequestArrival]:
--- a/wasabiwing_soak/report.py
+++ b/wasabiwing_soak/report.py
@@ -36,6 +36,12 @@
             f" window {use.worst}, allowed {use.allowed}, used share"
             f" {use.used_share:.2f}"
         )
+    unframed = result.unframed_outcome
+    if unframed.count:
+        lines.append(
+            f"  whole answers without length and chunks: {unframed.served} of"
+            f" {unframed.count} served"
+        )
     for outcome in result.stop_outcomes:
         lines.append(
             f"  {outcome.route} after SIGTERM: {outcome.servable_served} of"
@@ -68,6 +74,7 @@
         "limits": result.limit_uses,
         "stops": result.stop_outcomes,
         "parts": result.part_outcomes,
+        "unframed": result.unframed_outcome,
         "disturbances": result.disturbances,
         "faults": result.schedule,
     }
--- a/wasabiwing_soak/soak.py
+++ b/wasabiwing_soak/soak.py
@@ -47,6 +47,8 @@
 from wasabiwing_soak.promises import RequestArrival
 from wasabiwing_soak.promises import SeenVersion
 from wasabiwing_soak.promises import ServerStatement
+from wasabiwing_soak.promises import unframed_outcome
+from wasabiwing_soak.promises import UnframedOutcome
 from wasabiwing_soak.promises import Violation
 from wasabiwing_soak.server_limits import check_limits
 from wasabiwing_soak.server_limits import limit_uses
@@ -67,7 +69,7 @@
 ANSWER_TOLERANCE_S = 1.0
 
 # What a server does with a request that it does not fail.
-SOUND_RUNS = (ServerFault.NONE, ServerFault.FULL)
+SOUND_RUNS = (ServerFault.NONE, ServerFault.FULL, ServerFault.UNFRAMED)
 
 GENERATION_METRIC = "wasabiwing_configuration_generation"
 
@@ -103,6 +105,7 @@
     limit_uses: tuple[LimitUse, ...]
     stop_outcomes: tuple[StopOutcome, ...]
     part_outcomes: tuple[PartOutcome, ...]
+    unframed_outcome: UnframedOutcome
 
 
 class Soak:
@@ -265,6 +268,7 @@
                     request.ended_at + offset_s,
                     request.crashed or request.fault not in SOUND_RUNS,
                     request.crashed,
+                    request.fault is ServerFault.UNFRAMED,
                 )
                 for request in server.received_requests
             ]
@@ -334,6 +338,7 @@
             if self._options.stops
             else (),
             parts,
+            unframed_outcome(calls, arrivals, disturbances),
         )
 
 
