Log the era of the store and listings that are refused as older

STORE_LISTING_REFUSED names both revisions, and two gauges show the newest state that a node knows. What nodes do has not changed.

--- a/wasabiwing/events.py
+++ b/wasabiwing/events.py
@@ -29,6 +29,9 @@
     PROCESS_SUSPENDED = 108
     READINESS_CHANGED = 109
     STOP_UNFINISHED = 110
+    STORE_RESTORED = 111
+    STORE_ERA_UNUSABLE = 112
+    STORE_LISTING_REFUSED = 113
     # 2xx: requests.
     ROUTE_DECISION = 200
     REQUEST_ADMITTED = 201
@@ -121,6 +124,13 @@
     Event.STOP_UNFINISHED: (
         "Requests still run shortly before a stopping process is killed."
     ),
+    Event.STORE_RESTORED: "The store came back from an older copy.",
+    Event.STORE_ERA_UNUSABLE: (
+        "An answer of the store names no era, or an earlier one."
+    ),
+    Event.STORE_LISTING_REFUSED: (
+        "A listing of the store is older than what the node knows."
+    ),
     Event.ROUTE_DECISION: (
         "A backend server was chosen; candidates, scores and filters."
     ),
--- a/wasabiwing/fleet_follower.py
+++ b/wasabiwing/fleet_follower.py
@@ -268,7 +268,14 @@
         synced_at: float,
     ) -> None:
         """Applies a complete listing unless the cache is newer."""
+        known = self.store_cache.revision
         if not self.store_cache.replace_all(values, revision):
+            log_event(
+                Event.STORE_LISTING_REFUSED,
+                self._node_id,
+                revision=revision,
+                known=known,
+            )
             return
         for stored in values:
             self._progress.note_own_revision(stored.revision)
--- a/wasabiwing/metrics.py
+++ b/wasabiwing/metrics.py
@@ -6,6 +6,8 @@
 from prometheus_client import Histogram
 
 from wasabiwing.codes import ResultCode
+from wasabiwing.store_eras import era_of
+from wasabiwing.store_eras import revision_of
 
 FIRST_TOKEN_BUCKETS_S = (0.05, 0.1, 0.2, 0.42, 0.8, 1.6, 3.2, 6.4)
 
@@ -139,6 +141,16 @@
             registry=self.registry,
         )
 
+        self.store_era = Gauge(
+            "wasabiwing_store_era",
+            "Era of the newest state of the store that the node knows.",
+            registry=self.registry,
+        )
+        self.store_revision = Gauge(
+            "wasabiwing_store_revision",
+            "Revision of the newest state of the store that the node knows.",
+            registry=self.registry,
+        )
         self.statements = Counter(
             "wasabiwing_server_statements",
             "Backend servers that said that they leave or want no requests.",
@@ -146,6 +158,11 @@
             registry=self.registry,
         )
 
+    def set_store_position(self, position: int) -> None:
+        """Shows the newest state of the store that the node knows."""
+        self.store_era.set(era_of(position))
+        self.store_revision.set(revision_of(position))
+
     def count_statement(self, kind: str) -> None:
         """Counts a statement of a backend server about itself."""
         self.statements.labels(kind.lower()).inc()
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -511,6 +511,9 @@
         await self._reports.send(self._reported_state)
 
     async def _check_connections(self) -> None:
+        known = self.follower.store_cache.revision
+        if known is not None:
+            self.metrics.set_store_position(known)
         now = self._timer.now()
         elapsed_s = now - self._last_tick_at
         self._last_tick_at = now
