Order what the store says by its era first

Every revision in the program is now a position: era and revision in one integer, made in one module (store_eras), so that all comparisons hold over restores. RestorableStore ends conditions and watches with their era: the same revision may have another content. Messages between nodes name the era in a field that earlier builds ignore; an older era never replaces a newer one, and a node that cannot reach the store gets the new era from the heads of its zone.

Without the order (positions made of the revision alone) 7 of 16 tests of TestConfigurations fail at 1 to 30 nodes; now 28 of tests/test_store_restores.py pass, at 1, 3, 7, 30 and 195 nodes. test_recorded_bytes compares the messages apart from the field that was added at their end, which it names; it also checks that a message without the field is read.

--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -1,6 +1,7 @@
 """In-memory store and cloud for tests of duties with the fake timer."""
 
 from collections.abc import Mapping
+from copy import deepcopy
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -18,6 +19,9 @@
 from wasabiwing.ports import StoreSnapshot
 from wasabiwing.ports import SwapResult
 from wasabiwing.ports import WatchEvent
+from wasabiwing.store_eras import revision_of
+from wasabiwing.store_eras import store_position
+from wasabiwing.store_eras import StoreEras
 from wasabiwing.timers import FakeTimer
 
 # Period in which a waiting watch of the fake looks for changes.
@@ -39,8 +43,34 @@
         self.item_by_key: dict[str, _Item] = {}
         self._expires_at_by_lease: dict[int, float] = {}
         self._ttl_by_lease: dict[int, float] = {}
+        self.era = 0
+        # Position of the latest change.
         self.revision = 0
         self.events: list[WatchEvent] = []
+        # Number of calls that reached the store.
+        self.calls = 0
+
+    def copy(self) -> "LeaseStoreFake":
+        """Returns a copy from which the store can be restored."""
+        return deepcopy(self, {id(self._timer): self._timer})
+
+    def restore(self, copy: "LeaseStoreFake") -> None:
+        """Comes back from a copy; revisions are given out again."""
+        era = self.era + 1
+
+        def moved(position: int) -> int:
+            return store_position(era, revision_of(position))
+
+        restored = copy.copy()
+        self.item_by_key = restored.item_by_key
+        for item in self.item_by_key.values():
+            item.revision = moved(item.revision)
+        self._expires_at_by_lease = restored._expires_at_by_lease
+        self._ttl_by_lease = restored._ttl_by_lease
+        self.events = []
+        self.era = era
+        # The real store's revisions start above 0.
+        self.revision = moved(max(restored.revision, 1))
 
     def put(self, key: str, value: bytes | None) -> int:
         """Writes or removes (``None``) a key without a condition or lease."""
@@ -75,7 +105,9 @@
     ) -> Result[SwapResult, Failure]:
         """Writes or removes (``None``) a key that has an expected revision."""
         current = self.stored(key)
-        if (0 if current is None else current.revision) != expected:
+        revision = 0 if current is None else revision_of(current.revision)
+        # The real store knows no eras.
+        if revision != revision_of(expected):
             found = 0 if current is None else current.revision
             return Ok(SwapResult(False, found, current))
         if lease and lease not in self._expires_at_by_lease:
@@ -91,9 +123,10 @@
     def grant(self, ttl_s: float) -> Lease:
         """Returns a new lease."""
         self.revision += 1
-        self._expires_at_by_lease[self.revision] = self._timer.now() + ttl_s
-        self._ttl_by_lease[self.revision] = ttl_s
-        return Lease(self.revision, ttl_s)
+        lease = revision_of(self.revision)
+        self._expires_at_by_lease[lease] = self._timer.now() + ttl_s
+        self._ttl_by_lease[lease] = ttl_s
+        return Lease(lease, ttl_s)
 
     def extend(self, lease: int) -> Lease | None:
         """Renews a lease; returns ``None`` if it has expired."""
@@ -114,9 +147,17 @@
     unavailable: bool = False
     # Number of next writes that take effect and get no reply.
     replies_to_drop: int = 0
+    eras: StoreEras = field(default_factory=lambda: StoreEras("node"))
+
+    def _reach(self) -> bool:
+        """Whether a call reaches the store, whose answer names its era."""
+        if not self.unavailable:
+            self.store.calls += 1
+            self.eras.note_answer(str(self.store.era))
+        return not self.unavailable
 
     async def get(self, key: str) -> Result[StoredValue | None, Failure]:
-        if self.unavailable:
+        if not self._reach():
             return Err(Failure(ResultCode.STORE_UNAVAILABLE))
         return Ok(self.store.stored(key))
 
@@ -135,12 +176,12 @@
         return self._write(key, expected_revision, None, 0)
 
     async def grant_lease(self, ttl_s: float) -> Result[Lease, Failure]:
-        if self.unavailable:
+        if not self._reach():
             return Err(Failure(ResultCode.STORE_UNAVAILABLE))
         return Ok(self.store.grant(ttl_s))
 
     async def keep_alive(self, lease_id: int) -> Result[Lease, Failure]:
-        if self.unavailable:
+        if not self._reach():
             return Err(Failure(ResultCode.STORE_UNAVAILABLE))
         extended = self.store.extend(lease_id)
         if extended is None:
@@ -150,7 +191,7 @@
     def _write(
         self, key: str, expected: int, value: bytes | None, lease: int
     ) -> Result[SwapResult, Failure]:
-        if self.unavailable:
+        if not self._reach():
             return Err(Failure(ResultCode.STORE_UNAVAILABLE))
         swapped = self.store.swap(key, expected, value, lease)
         if self.replies_to_drop > 0:
@@ -172,7 +213,7 @@
 
     async def snapshot(self, prefix: str) -> Result[StoreSnapshot, Failure]:
         self.reads += 1
-        if self.unavailable:
+        if not self._reach():
             return Err(Failure(ResultCode.STORE_UNAVAILABLE))
         self.store.expire()
         values = tuple(
@@ -186,10 +227,17 @@
     ) -> Result[StoreChanges, Failure]:
         self.watches += 1
         until = self._timer.now() + wait_s
-        while not self.unavailable:
+        if self._reach() and revision_of(after) > revision_of(
+            self.store.revision
+        ):
+            return Err(Failure(ResultCode.STORE_HISTORY_GONE))
+        while self._reach():
+            self.store.calls -= 1
             self.store.expire()
             events = tuple(
-                event for event in self.store.events if event.revision > after
+                event
+                for event in self.store.events
+                if revision_of(event.revision) > revision_of(after)
             )
             if events or self._timer.now() >= until:
                 return Ok(StoreChanges(events, self.store.revision))
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -38,6 +38,7 @@
 from wasabiwing.presence import Presence
 from wasabiwing.presence import PRESENCE_PERIOD_S
 from wasabiwing.prompt_cache import PromptCacheIndex
+from wasabiwing.restorable_store import RestorableStore
 from wasabiwing.server_demand import ServerDemand
 from wasabiwing.server_directory import RegisteredServer
 from wasabiwing.server_directory import ServerDirectory
@@ -107,10 +108,11 @@
         self.directory = ServerDirectory(timer)
         self.view = FleetView(self.id, self.directory)
         progress = StoreProgress(timer)
+        store = RestorableStore(self.link)
         self.follower = FleetFollower(
             self.id,
             timer,
-            self.link,
+            store,
             decode,
             self.view,
             self.nodes,
@@ -152,7 +154,7 @@
             self.id,
             node_lease_name(self.id, inbox, self.zone, capacity),
             timer,
-            self.link,
+            store,
             self.follower.store_cache.revision_of,
         )
         self.messages = MessageRouter(self.id, self.transport)
--- a/tests/test_recorded_bytes.py
+++ b/tests/test_recorded_bytes.py
@@ -14,6 +14,7 @@
 
 from msgspec import json as json_codec
 from msgspec import msgpack
+from msgspec import structs
 import pytest
 
 from tests.sample_values import sample
@@ -88,6 +89,16 @@
 }
 
 
+# Fields with defaults that later builds have added at the end of messages, by
+# tag. Earlier builds ignore further items of an array.
+ADDED_FIELDS_BY_TAG: dict[str, dict[str, object]] = {
+    "100": {"store_era": 0},
+    "101": {"store_era": 0},
+    "102": {"store_era": 0},
+    "103": {"store_era": 0},
+}
+
+
 def recorded(section: str, name: str) -> bytes:
     """Returns the bytes that the earlier build wrote."""
     return b64decode(RECORDED[section][name])
@@ -105,8 +116,17 @@
         body = sample(KIND_BY_TAG[tag])
         envelope = Envelope("text-a", "text-b", 7, body)
         wire = recorded("messages", tag)
-        assert encode_envelope(envelope) == wire
-        assert decode_envelope(wire).unwrap() == envelope
+        added = ADDED_FIELDS_BY_TAG.get(tag)
+        if added is None:
+            assert encode_envelope(envelope) == wire
+            assert decode_envelope(wire).unwrap() == envelope
+            return
+        items = msgpack.decode(encode_envelope(envelope))
+        del items[-1][-len(added) :]
+        assert msgpack.encode(items) == wire
+        # A message of the earlier build has the defaults of later fields.
+        expected = structs.replace(body, **added)
+        assert decode_envelope(wire).unwrap().body == expected
 
 
 class TestRecords:
--- /dev/null
+++ b/tests/test_store_restores.py
@@ -0,0 +1,248 @@
+"""Tests of nodes whose store comes back from an older copy."""
+
+import pytest
+
+from tests.platform_fakes import LeaseStoreFake
+from tests.platform_fakes import LongPollStoreLink
+from tests.relay_fleet import relay_fleet
+from tests.relay_fleet import RelayFleet
+from wasabiwing.codes import ResultCode
+from wasabiwing.events import Event
+from wasabiwing.restorable_store import RestorableStore
+from wasabiwing.store_eras import era_of
+from wasabiwing.store_eras import revision_of
+from wasabiwing.store_eras import store_position
+from wasabiwing.store_eras import StoreEras
+from wasabiwing.timers import FakeTimer
+
+pytestmark = pytest.mark.anyio
+
+# Time in which a change has to be in force on all nodes, in seconds.
+APPLY_S = 4.0
+
+# Calls to the store that a node may make within ``APPLY_S`` of its return:
+# a listing, watches, a lease and an entry, and renewals.
+CALLS_PER_NODE = 16
+
+# Number of nodes that read the store themselves: up to 13, and the heads.
+NODE_COUNTS = (1, 3, 7, 30, 195)
+
+
+async def lose(fleet: RelayFleet, lost_s: float, down_s: float = 2.0) -> None:
+    """Restores the store from a copy that is ``lost_s`` seconds old.
+
+    Servers write again what they wrote.
+    """
+    copy = fleet.store.copy()
+    await fleet.run(lost_s)
+    links = [node.link for node in fleet.nodes]
+    for link in links:
+        link.unavailable = True
+    await fleet.run(down_s)
+    fleet.store.restore(copy)
+    for link in links:
+        link.unavailable = False
+
+
+def versions(fleet: RelayFleet) -> set[int | None]:
+    """Returns the configuration versions in force on the nodes."""
+    return {node.version for node in fleet.nodes}
+
+
+class TestPositions:
+    """The order of what is read from a restored store."""
+
+    def test_order_is_by_era_first(self) -> None:
+        assert store_position(2, 5) > store_position(1, 900_000)
+        assert store_position(1, 6) > store_position(1, 5)
+        position = store_position(3, 7)
+        assert (era_of(position), revision_of(position)) == (3, 7)
+
+    def test_no_revision_is_no_position_in_any_era(self) -> None:
+        assert store_position(9, 0) == 0
+
+    def test_positions_are_whole_numbers_of_json(self) -> None:
+        largest = store_position(8191, (1 << 40) - 1)
+        assert float(largest) == largest
+
+    def test_first_era_is_no_restore(self) -> None:
+        eras = StoreEras("node")
+        calls: list[int] = []
+        eras.subscribe(lambda: calls.append(eras.current))
+        assert eras.note_answer("4") == 4
+        assert not calls
+        assert eras.note_answer("5") == 5
+        assert eras.note_answer("7") == 7
+        assert calls == [5, 7]
+
+    @pytest.mark.parametrize("text", ["", "x", "-1", "1.5", "4"])
+    def test_unusable_era_changes_nothing_and_is_logged_once(
+        self, text: str, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        events: list[Event] = []
+        monkeypatch.setattr(
+            "wasabiwing.store_eras.log_event",
+            lambda event, node, **fields: events.append(event),
+        )
+        eras = StoreEras("node")
+        eras.note_answer("5")
+        for _ in range(3):
+            assert eras.note_answer(text) == (4 if text == "4" else 5)
+        assert eras.current == 5
+        assert events == [Event.STORE_ERA_UNUSABLE]
+
+
+class TestConfigurations:
+    """Configurations that come after the store's return."""
+
+    @pytest.mark.parametrize("count", NODE_COUNTS)
+    async def test_new_configuration_is_never_in_force_after_a_restore(
+        self, count: int
+    ) -> None:
+        """Guards against nodes that refuse what a restored store says."""
+        async with relay_fleet(count) as fleet:
+            await fleet.run(3.0)
+            fleet.store.put("configuration", b"2")
+            await lose(fleet, 9.0)
+            calls = fleet.store.calls
+            fleet.store.put("configuration", b"3")
+            await fleet.run(APPLY_S)
+            assert versions(fleet) == {3}
+            assert fleet.store.calls - calls < CALLS_PER_NODE * count
+            for node in fleet.nodes:
+                assert node.versions == sorted(node.versions)
+
+    @pytest.mark.parametrize("count", [1, 7, 30])
+    async def test_configuration_comes_back_older(self, count: int) -> None:
+        """A lost version stays in force until a newer one is written."""
+        async with relay_fleet(count) as fleet:
+            copy = fleet.store.copy()
+            fleet.store.put("configuration", b"2")
+            await fleet.run(APPLY_S)
+            fleet.store.restore(copy)
+            await fleet.run(APPLY_S)
+            assert versions(fleet) == {2}
+            fleet.store.put("configuration", b"2")
+            fleet.store.put("configuration", b"5")
+            await fleet.run(APPLY_S)
+            assert versions(fleet) == {5}
+
+    @pytest.mark.parametrize("seed", range(4))
+    async def test_revisions_that_were_given_out_again_hide_a_change(
+        self, seed: int
+    ) -> None:
+        """Guards against a watch from a revision of another content."""
+        async with relay_fleet(7, seed=seed) as fleet:
+            copy = fleet.store.copy()
+            fleet.store.put("configuration", b"2")
+            await fleet.run(0.7 + seed * 0.1)
+            fleet.store.restore(copy)
+            fleet.store.put("configuration", b"3")
+            # The revisions that the nodes know exist again.
+            for number in range(40):
+                fleet.store.put(f"op/{number}", b"")
+            await fleet.run(APPLY_S)
+            assert versions(fleet) == {3}
+
+    @pytest.mark.parametrize("count", [3, 30])
+    async def test_restores_in_a_row_leave_a_node_behind(
+        self, count: int
+    ) -> None:
+        async with relay_fleet(count) as fleet:
+            version = 1
+            for down_s in (0.0, 2.0, 0.3, 1.0):
+                version += 1
+                copy = fleet.store.copy()
+                fleet.store.put("configuration", str(version).encode())
+                await fleet.run(0.8)
+                await lose(fleet, 1.0, down_s)
+                fleet.store.restore(copy)
+                version += 1
+                fleet.store.put("configuration", str(version).encode())
+                await fleet.run(APPLY_S)
+                assert versions(fleet) == {version}
+
+    async def test_node_that_the_store_rejects_stays_in_the_old_era(
+        self,
+    ) -> None:
+        """Guards against a new era that a head cannot pass on."""
+        async with relay_fleet(30) as fleet:
+            node = next(
+                node for node in fleet.nodes if node.heads.own_rank() is None
+            )
+            await lose(fleet, 5.0)
+            node.link.unavailable = True
+            fleet.store.put("configuration", b"2")
+            await fleet.run(APPLY_S)
+            assert node.link.eras.current < fleet.store.era
+            assert node.version == 2
+
+    async def test_head_that_pushes_the_old_era_wins(self) -> None:
+        """Guards against an older state that a suspended head sends on."""
+        async with relay_fleet(30) as fleet:
+            head = fleet.heads("zone-a")[0]
+            await lose(fleet, 5.0)
+            head.link.unavailable = True
+            fleet.store.put("configuration", b"2")
+            await fleet.run(APPLY_S)
+            others = [node for node in fleet.nodes if node is not head]
+            assert {node.version for node in others} == {2}
+            # It learns the new era from the other heads.
+            assert head.version == 2
+
+
+class TestConditions:
+    """Conditional writes whose condition is of an earlier era."""
+
+    async def test_condition_is_met_by_another_content(self) -> None:
+        """Guards against a revision that exists again."""
+        timer = FakeTimer()
+        fake = LeaseStoreFake(timer)
+        link = LongPollStoreLink(fake, timer)
+        store = RestorableStore(link)
+        fake.put("other", b"")
+        copy = fake.copy()
+        expected = fake.put("key", b"old")
+        await store.get("key")
+        fake.restore(copy)
+        again = fake.put("key", b"new")
+        assert revision_of(again) == revision_of(expected)
+        await store.get("other")
+        swapped = (await store.swap("key", expected, b"mine")).unwrap()
+        assert not swapped.swapped
+        assert swapped.revision == again
+        deleted = (await store.delete("key", expected)).unwrap()
+        assert not deleted.swapped
+        found = fake.stored("key")
+        assert found is not None and found.value == b"new"
+
+    async def test_write_over_an_unseen_restore_is_taken_as_done(
+        self,
+    ) -> None:
+        """The condition was about a value that the store has lost."""
+        timer = FakeTimer()
+        fake = LeaseStoreFake(timer)
+        link = LongPollStoreLink(fake, timer)
+        store = RestorableStore(link)
+        fake.put("other", b"")
+        copy = fake.copy()
+        expected = fake.put("key", b"old")
+        await store.get("key")
+        fake.restore(copy)
+        fake.put("key", b"new")
+        swapped = await store.swap("key", expected, b"mine")
+        failure = swapped.unwrap_err()
+        assert failure.code is ResultCode.STORE_REPLY_LOST
+
+    async def test_watch_of_an_earlier_era_goes_on(self) -> None:
+        timer = FakeTimer()
+        fake = LeaseStoreFake(timer)
+        link = LongPollStoreLink(fake, timer)
+        store = RestorableStore(link)
+        after = fake.put("key", b"old")
+        await store.get("key")
+        copy = fake.copy()
+        fake.restore(copy)
+        fake.put("key", b"new")
+        watched = await store.changes("", after, 1.0)
+        assert watched.unwrap_err().code is ResultCode.STORE_HISTORY_GONE
--- a/wasabiwing/fleet_follower.py
+++ b/wasabiwing/fleet_follower.py
@@ -33,6 +33,7 @@
 from wasabiwing.server_directory import ServerDirectory
 from wasabiwing.service_configuration import ServiceConfiguration
 from wasabiwing.store_cache import StoreCache
+from wasabiwing.store_eras import era_of
 from wasabiwing.store_progress import StoreProgress
 from wasabiwing.timers import TimerService
 
@@ -254,7 +255,14 @@
     def apply_changes(
         self, events: Iterable[WatchEvent], revision: int, synced_at: float
     ) -> None:
-        """Applies changes up to a revision, in order."""
+        """Applies changes up to a revision, in order.
+
+        Changes of another era than that of the cache are ignored, because
+        they need a complete listing first.
+        """
+        known = self.store_cache.revision
+        if known is not None and era_of(known) != era_of(revision):
+            return
         for event in self.store_cache.note_changes(events, revision):
             self._progress.note_own_revision(event.revision)
             if self._apply(event.key, event.value):
@@ -332,9 +340,13 @@
         self.apply_snapshot(
             snapshot.values, snapshot.revision, self._timer.now()
         )
-        if self.store_cache.revision != snapshot.revision:
-            # The listing is older than the cache; reading again later loses
-            # nothing.
+        era = era_of(snapshot.revision)
+        if (
+            self.store_cache.revision != snapshot.revision
+            or era != self._store.eras.current
+        ):
+            # The listing is older than the cache, or of an earlier era;
+            # reading again later loses nothing.
             await self._timer.sleep(RETRY_PAUSE_S)
 
     def _apply_listing(self, values: tuple[StoredValue, ...]) -> None:
--- a/wasabiwing/fleet_relay.py
+++ b/wasabiwing/fleet_relay.py
@@ -2,10 +2,10 @@
 
 Load pattern: hundreds of nodes and a store that counts every call. The first
 head of each zone watches the store; heads push changes to each other and to
-the nodes of their zone. A push carries the store's revision, so that older
-state never replaces newer state, and the state's age, so that a node knows
-when to read the store itself. A node that the store rejects gets the changes
-from other nodes.
+the nodes of their zone. A push carries the store's era and revision, so that
+older state never replaces newer state, and the state's age, so that a node
+knows when to read the store itself. A node that the store rejects gets the
+changes from other nodes.
 """
 
 from math import inf
@@ -31,6 +31,9 @@
 from wasabiwing.ports import WatchEvent
 from wasabiwing.server_directory import ServerDirectory
 from wasabiwing.store_cache import MAX_INLINE_VALUE_BYTES
+from wasabiwing.store_eras import era_of
+from wasabiwing.store_eras import revision_of
+from wasabiwing.store_eras import store_position
 from wasabiwing.timers import TimerService
 from wasabiwing.zone_heads import HEAD_SILENCE_S
 from wasabiwing.zone_heads import ZoneHeads
@@ -162,21 +165,26 @@
             self._directory.note_store_recovery(
                 now - push.since_store_recovery_ms / MILLISECONDS
             )
+        era = push.store_era
+        revision = store_position(era, push.revision)
         known_revision = self._follower.store_cache.revision
-        if known_revision is not None and push.revision < known_revision:
+        if known_revision is not None and revision < known_revision:
             return
-        omitted = any(
-            change.omitted and change.revision > (known_revision or 0)
+        events = [
+            WatchEvent(
+                change.key, store_position(era, change.revision), change.value
+            )
             for change in push.changes
+        ]
+        omitted = any(
+            change.omitted and event.revision > (known_revision or 0)
+            for change, event in zip(push.changes, events, strict=True)
         )
-        if known_revision is None or push.since > known_revision or omitted:
+        since = store_position(era, push.since)
+        if known_revision is None or since > known_revision or omitted:
             self._request_changes(envelope.reply_to)
             return
-        events = [
-            WatchEvent(change.key, change.revision, change.value)
-            for change in push.changes
-        ]
-        self._follower.apply_changes(events, push.revision, synced_at)
+        self._follower.apply_changes(events, revision, synced_at)
 
     async def answer_catch_up(
         self, envelope: Envelope, request: FleetRequest
@@ -185,19 +193,27 @@
         cache = self._follower.store_cache
         if cache.revision is None:
             return
+        era = era_of(cache.revision)
+        if request.store_era > era:
+            return
+        # Of an earlier era nothing holds any more.
+        since = request.revision if request.store_era == era else 0
         reply = FleetContent(
-            request.revision,
-            cache.revision,
+            since,
+            revision_of(cache.revision),
             self._age_ms(),
             tuple(
                 RelayedValue(
-                    compressed.key, compressed.revision, compressed.content
+                    compressed.key,
+                    revision_of(compressed.revision),
+                    compressed.content,
                 )
                 for compressed in cache.compressed_values_since(
-                    request.revision
+                    store_position(era, since)
                 )
             ),
             cache.keys(),
+            era,
         )
         self._transport.send(envelope.reply_to, reply)
 
@@ -217,21 +233,31 @@
                     detail=f"{received.key} from {envelope.sender}",
                 )
                 return
-            values.append(StoredValue(received.key, value, received.revision))
+            position = store_position(reply.store_era, received.revision)
+            values.append(StoredValue(received.key, value, position))
         synced_at = self._timer.now() - reply.age_ms / MILLISECONDS
+        revision = store_position(reply.store_era, reply.revision)
         cache = self._follower.store_cache
         if cache.revision is None:
             is_recent = reply.age_ms <= MAX_INITIAL_AGE_S * MILLISECONDS
             if reply.since == 0 and is_recent:
                 self._follower.apply_snapshot(
-                    tuple(values), reply.revision, synced_at
+                    tuple(values), revision, synced_at
+                )
+            return
+        if revision < cache.revision:
+            return
+        if reply.store_era > era_of(cache.revision):
+            if reply.since == 0:
+                self._follower.apply_snapshot(
+                    tuple(values), revision, synced_at
                 )
             return
-        if cache.revision < reply.since or reply.revision < cache.revision:
+        if cache.revision < store_position(reply.store_era, reply.since):
             return
         present = frozenset(reply.keys)
         events = [
-            WatchEvent(key, reply.revision, None)
+            WatchEvent(key, revision, None)
             for key in cache.keys()
             if key not in present
         ]
@@ -239,7 +265,7 @@
             WatchEvent(stored.key, stored.revision, stored.value)
             for stored in sorted(values, key=lambda stored: stored.revision)
         ]
-        self._follower.apply_changes(events, reply.revision, synced_at)
+        self._follower.apply_changes(events, revision, synced_at)
 
     def _push_to_nodes(
         self,
@@ -279,13 +305,14 @@
             since_recovery_ms = int(since_recovery_s * MILLISECONDS)
         return HeadPush(
             self._heads.zone,
-            revision,
-            since,
+            revision_of(revision),
+            revision_of(since),
             self._age_ms(),
             since_recovery_ms,
             changes,
             zone_aggregate,
             fleet_aggregate,
+            era_of(revision),
         )
 
     def _send_push(self, node_id: str, message: HeadPush) -> None:
@@ -297,7 +324,9 @@
         """Records a push; returns the revision to repeat changes after."""
         now = self._timer.now()
         self._recent_pushes.append((now, revision))
-        while self._recent_pushes[0][0] < now - CHANGE_REPEAT_S:
+        while self._recent_pushes[0][0] < now - CHANGE_REPEAT_S or era_of(
+            self._recent_pushes[0][1]
+        ) != era_of(revision):
             del self._recent_pushes[0]
         return self._recent_pushes[0][1]
 
@@ -313,17 +342,20 @@
         if now - self._requested_at < MIN_REQUEST_INTERVAL_S:
             return
         self._requested_at = now
-        known_revision = self._follower.store_cache.revision or 0
-        self._transport.send(inbox, FleetRequest(known_revision))
+        known = self._follower.store_cache.revision or 0
+        self._transport.send(
+            inbox, FleetRequest(revision_of(known), era_of(known))
+        )
 
     def _age_ms(self) -> int:
         return int(max(self._follower.age_s(), 0.0) * MILLISECONDS)
 
 
 def _encode_change(event: WatchEvent) -> RelayedChange:
+    revision = revision_of(event.revision)
     if event.value is not None and len(event.value) > MAX_INLINE_VALUE_BYTES:
-        return RelayedChange(event.key, event.revision, omitted=True)
-    return RelayedChange(event.key, event.revision, event.value)
+        return RelayedChange(event.key, revision, omitted=True)
+    return RelayedChange(event.key, revision, event.value)
 
 
 def _decompress(content: bytes) -> bytes | None:
--- a/wasabiwing/messages.py
+++ b/wasabiwing/messages.py
@@ -551,6 +551,8 @@
     departed_windows: tuple[IncarnationWindows, ...] = ()
     # Time since the node started, in seconds; 0 if it is not reported.
     age_s: float = 0.0
+    # Era of the store to which ``revision`` belongs; so in all messages.
+    store_era: int = 0
 
 
 class AggregatedReport(Struct, frozen=True, array_like=True):
@@ -598,12 +600,14 @@
     zone_aggregate: AggregatedReport | None = None
     # Sent to the nodes of the zone.
     fleet_aggregate: AggregatedReport | None = None
+    store_era: int = 0
 
 
 class FleetRequest(Struct, frozen=True, array_like=True, tag=102):
     """Asks a zone head for all changes after a revision; 0 for all keys."""
 
     revision: int
+    store_era: int = 0
 
 
 class RelayedValue(Struct, frozen=True, array_like=True):
@@ -627,6 +631,7 @@
     values: tuple[RelayedValue, ...]
     # All keys that exist in the store.
     keys: tuple[str, ...]
+    store_era: int = 0
 
 
 class PermitRequest(Struct, frozen=True, array_like=True, tag=110):
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -58,6 +58,7 @@
 from wasabiwing.presence import PRESENCE_PERIOD_S
 from wasabiwing.prompt_cache import PromptCacheIndex
 from wasabiwing.quarantine import CRASHES_TO_QUARANTINE
+from wasabiwing.restorable_store import RestorableStore
 from wasabiwing.retry_budgets import ServiceRetryBudgets
 from wasabiwing.routed_calls import CallCodec
 from wasabiwing.send_permits import SendPermits
@@ -141,6 +142,7 @@
     ) -> None:
         node_id = settings.node_id
         bounds = settings.bounds
+        self._store = RestorableStore(platform.store)
         random = Random(SystemRandom().getrandbits(SEED_BITS))
         self._node_id = node_id
         self._timer = timer
@@ -154,7 +156,7 @@
         self.follower = FleetFollower(
             node_id,
             timer,
-            platform.store,
+            self._store,
             platform.decode_change,
             self.view,
             self.nodes,
@@ -230,7 +232,7 @@
         quarantine = build_quarantine(
             node_id,
             timer,
-            platform.store,
+            self._store,
             self.facts,
             self.follower,
             directory,
@@ -250,7 +252,7 @@
                 record.capacity,
             ),
             timer,
-            platform.store,
+            self._store,
             self.follower.store_cache.revision_of,
         )
         self.connections = ServerConnections(timer, metrics.count_connect)
@@ -443,7 +445,7 @@
             usage_reporter = UsageReporter(
                 node_id,
                 self._timer,
-                platform.store,
+                self._store,
                 platform.cloud,
                 self._reported_state.windows,
                 self._reports,
@@ -461,7 +463,7 @@
                 self._limits,
             )
         lease_holder = LeaseHolder(
-            node_id, self._timer, platform.store, settings.bounds.lease_s
+            node_id, self._timer, self._store, settings.bounds.lease_s
         )
         return DutyRunner(
             node_id,
--- a/wasabiwing/node_reports.py
+++ b/wasabiwing/node_reports.py
@@ -36,6 +36,9 @@
 from wasabiwing.server_demand import ServerDemand
 from wasabiwing.server_loads import NodeLoad
 from wasabiwing.server_loads import ServerLoads
+from wasabiwing.store_eras import era_of
+from wasabiwing.store_eras import revision_of
+from wasabiwing.store_eras import store_position
 from wasabiwing.store_progress import StoreProgress
 from wasabiwing.timers import TimerService
 from wasabiwing.usage_caps import CapUsage
@@ -232,7 +235,9 @@
             read_loads(report.servers),
         )
         shared.demand.note_peer_demand(envelope.sender, dict(report.demand))
-        shared.store.note_peer_revision(report.revision)
+        shared.store.note_peer_revision(
+            store_position(report.store_era, report.revision)
+        )
         for placement in report.placements:
             shared.prompts.note_prompt(
                 placement.server_id,
@@ -463,9 +468,10 @@
                 if placed_at >= since
             ),
             tuple(shared.demand.own_by_service().items()),
-            shared.store.revision,
+            revision_of(shared.store.revision),
             self._silent_node_windows(shared.windows) if with_windows else (),
             self._age_s(),
+            era_of(shared.store.revision),
         )
 
     def _age_s(self) -> float:
--- a/wasabiwing/ports.py
+++ b/wasabiwing/ports.py
@@ -16,6 +16,7 @@
 from wasabiwing.codes import Failure
 from wasabiwing.messages import Envelope
 from wasabiwing.messages import Message
+from wasabiwing.store_eras import StoreEras
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,7 +130,15 @@
 
 
 class LongPollStore(LeaseStore, Protocol):
-    """A key-value service whose changes are read by long polls."""
+    """A key-value service whose changes are read by long polls.
+
+    All its revisions are positions of ``store_eras``, so that they rise over
+    restores.
+    """
+
+    @property
+    def eras(self) -> StoreEras:
+        """The eras of the store that its answers have named."""
 
     async def snapshot(self, prefix: str) -> Result[StoreSnapshot, Failure]:
         """Reads all keys with a prefix."""
