Let nothing that ended begin again when the store comes back older

With the order alone a restored store is believed in all that it says.

What a node knows to have ended goes before an older copy: a process of a server that was leaving or has left does not come back until it writes anew (by its start, also at later listings of the same entry); entries that are missing have the grace time of an outage; an evacuation stays in force for 10 s, in which the operator writes it again. Configurations were never applied backwards, and keys come and go with them. STORE_KNOWLEDGE_KEPT logs what goes before the copy.

A server that registered after the copy keeps its requests. An evacuation that was lifted in the lost seconds is in force until the operator writes again.

--- a/tests/test_store_restores.py
+++ b/tests/test_store_restores.py
@@ -6,9 +6,13 @@
 from tests.platform_fakes import LongPollStoreLink
 from tests.relay_fleet import relay_fleet
 from tests.relay_fleet import RelayFleet
+from tests.relay_fleet import RelayNode
 from wasabiwing.codes import ResultCode
 from wasabiwing.events import Event
+from wasabiwing.fleet_follower import RESTORE_HOLD_S
 from wasabiwing.restorable_store import RestorableStore
+from wasabiwing.server_directory import RegisteredServer
+from wasabiwing.server_directory import ServerDirectory
 from wasabiwing.store_eras import era_of
 from wasabiwing.store_eras import revision_of
 from wasabiwing.store_eras import store_position
@@ -49,6 +53,11 @@
     return {node.version for node in fleet.nodes}
 
 
+def usable(node: RelayNode) -> set[str]:
+    """Returns the ids of servers that get new requests from a node."""
+    return {server.id for server in node.view.servers("models")}
+
+
 class TestPositions:
     """The order of what is read from a restored store."""
 
@@ -191,6 +200,131 @@
             assert head.version == 2
 
 
+class TestServers:
+    """Servers that were leaving, or had left, before the loss."""
+
+    @pytest.mark.parametrize("count", [3, 30])
+    @pytest.mark.parametrize("has_ended", [False, True])
+    async def test_server_that_left_is_in_use_again(
+        self, count: int, has_ended: bool
+    ) -> None:
+        """Guards against an older entry of a server that says it leaves."""
+        async with relay_fleet(count) as fleet:
+            copy = fleet.store.copy()
+            fleet.state_by_server["server-0"] = "draining"
+            await fleet.run(3.0)
+            if has_ended:
+                del fleet.state_by_server["server-0"]
+                fleet.store.put("servers/server-0", None)
+                await fleet.run(3.0)
+            fleet.state_by_server.pop("server-0", None)
+            fleet.store.restore(copy)
+            for _ in range(80):
+                await fleet.run(0.05)
+                for node in fleet.nodes:
+                    assert "server-0" not in usable(node)
+
+    async def test_server_that_registered_after_the_copy_gets_no_requests(
+        self,
+    ) -> None:
+        """Guards against a sound server that is dropped until it writes."""
+        async with relay_fleet(7) as fleet:
+            copy = fleet.store.copy()
+            fleet.state_by_server["server-9"] = "ready"
+            await fleet.run(3.0)
+            fleet.store.restore(copy)
+            for _ in range(60):
+                await fleet.run(0.05)
+                for node in fleet.nodes:
+                    assert "server-9" in usable(node)
+
+    @pytest.mark.parametrize(
+        ("known", "listed", "kept"),
+        [
+            ((100, True), (100, False), (100, True)),
+            ((100, False), (100, True), (100, True)),
+            ((200, False), (100, False), (200, False)),
+            ((100, True), (200, False), (200, False)),
+        ],
+    )
+    def test_entry_of_an_older_copy_yields_to_what_is_known(
+        self,
+        known: tuple[int, bool],
+        listed: tuple[int, bool],
+        kept: tuple[int, bool],
+    ) -> None:
+        directory = ServerDirectory(FakeTimer())
+        directory.put(entry(*known))
+        assert directory.entry_after_restore(entry(*listed)) == entry(*kept)
+
+    @pytest.mark.parametrize(
+        ("started_ms", "returns"), [(99, False), (100, False), (101, True)]
+    )
+    def test_process_that_has_left_does_not_come_back(
+        self, started_ms: int, returns: bool
+    ) -> None:
+        directory = ServerDirectory(FakeTimer())
+        directory.put(entry(100, True))
+        directory.remove("server-0")
+        listed = entry(started_ms, False)
+        found = directory.entry_after_restore(listed)
+        assert found == (listed if returns else None)
+
+
+def entry(started_ms: int, draining: bool) -> RegisteredServer:
+    """Returns the registry entry of one process of a server."""
+    return RegisteredServer(
+        "server-0",
+        "models",
+        "10.0.0.1:80",
+        "zone-a",
+        "v1",
+        16,
+        draining,
+        started_ms=started_ms,
+    )
+
+
+class TestEvacuations:
+    """Evacuations that the restored store does not hold."""
+
+    @pytest.mark.parametrize("count", [3, 30])
+    async def test_evacuation_ends_with_the_loss(self, count: int) -> None:
+        """Guards against requests to a zone that the operator evacuates."""
+        async with relay_fleet(count) as fleet:
+            copy = fleet.store.copy()
+            fleet.store.put("out/zone-a", b"")
+            await fleet.run(3.0)
+            fleet.store.restore(copy)
+            await fleet.run(RESTORE_HOLD_S / 2)
+            for node in fleet.nodes:
+                assert node.view.evacuated_zones == {"zone-a"}
+            fleet.store.put("out/zone-a", b"")
+            await fleet.run(RESTORE_HOLD_S * 2)
+            for node in fleet.nodes:
+                assert node.view.evacuated_zones == {"zone-a"}
+            fleet.store.put("out/zone-a", None)
+            await fleet.run(APPLY_S)
+            for node in fleet.nodes:
+                assert not node.view.evacuated_zones
+
+    @pytest.mark.parametrize("count", [3, 30])
+    async def test_evacuation_that_nobody_writes_again_never_ends(
+        self, count: int
+    ) -> None:
+        async with relay_fleet(count) as fleet:
+            copy = fleet.store.copy()
+            fleet.store.put("out/zone-a", b"")
+            await fleet.run(3.0)
+            fleet.store.restore(copy)
+            await fleet.run(RESTORE_HOLD_S - 1.0)
+            for node in fleet.nodes:
+                assert node.view.evacuated_zones == {"zone-a"}
+            await fleet.run(1.0 + APPLY_S)
+            for node in fleet.nodes:
+                assert not node.view.evacuated_zones
+
+
 class TestConditions:
     """Conditional writes whose condition is of an earlier era."""
 
--- a/wasabiwing/events.py
+++ b/wasabiwing/events.py
@@ -32,6 +32,8 @@
     STORE_RESTORED = 111
     STORE_ERA_UNUSABLE = 112
     STORE_LISTING_REFUSED = 113
+    STORE_KNOWLEDGE_KEPT = 114
+    STORE_REWRITTEN = 115
     # 2xx: requests.
     ROUTE_DECISION = 200
     REQUEST_ADMITTED = 201
@@ -131,6 +133,10 @@
     Event.STORE_LISTING_REFUSED: (
         "A listing of the store is older than what the node knows."
     ),
+    Event.STORE_KNOWLEDGE_KEPT: (
+        "What a node knew goes before what a restored store says."
+    ),
+    Event.STORE_REWRITTEN: "A node wrote again what a restore had undone.",
     Event.ROUTE_DECISION: (
         "A backend server was chosen; candidates, scores and filters."
     ),
--- a/wasabiwing/fleet_follower.py
+++ b/wasabiwing/fleet_follower.py
@@ -2,11 +2,15 @@
 
 A node either watches all keys itself or receives changes from other nodes.
 The last known state stays in use while the store is unavailable. A
-configuration older than the one in force is never applied.
+configuration older than the one in force is never applied. When the store
+comes back from an older copy, what is known to have ended does not begin
+again: a server that left stays away until it writes anew, and an evacuation
+holds for ``RESTORE_HOLD_S`` until the operator has written it again.
 """
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from dataclasses import replace
 from math import inf
 from random import Random
 
@@ -34,6 +38,7 @@
 from wasabiwing.service_configuration import ServiceConfiguration
 from wasabiwing.store_cache import StoreCache
 from wasabiwing.store_eras import era_of
+from wasabiwing.store_eras import revision_of
 from wasabiwing.store_progress import StoreProgress
 from wasabiwing.timers import TimerService
 
@@ -68,6 +73,10 @@
 # seconds.
 ROLE_CHECK_PERIOD_S = 0.2
 
+# Time in seconds for which an evacuation stays in force that a restored store
+# does not hold.
+RESTORE_HOLD_S = 10.0
+
 # Called with a key and its value; the value of a removed key is ``None``.
 KeyListener = Callable[[str, bytes | None], None]
 
@@ -217,6 +226,12 @@
         self._failure_count = 0
         self._listener_by_prefix: dict[str, KeyListener] = {}
         self.store_cache = StoreCache()
+        # Zones whose evacuation the store holds, and the monotonic time at
+        # which all others end that were held over a restore.
+        self._zones_in_store: set[str] = set()
+        self._hold_until = inf
+        # Positions of what the store held when it came back.
+        self._copied_position_by_key: dict[str, int] = {}
         # Monotonic time at which the store cache was last known current.
         self.synced_at = -inf
         # Whether this node has to watch the store now, and whether other
@@ -237,6 +252,9 @@
 
     async def _step(self) -> None:
         """Makes one call to the store, or sleeps while none is needed."""
+        if self._timer.now() >= self._hold_until:
+            self._hold_until = inf
+            self._end_evacuations()
         if self.store_cache.revision is None:
             await self._load()
         elif self.must_watch():
@@ -287,7 +305,11 @@
             return
         for stored in values:
             self._progress.note_own_revision(stored.revision)
-        self._apply_listing(values)
+        is_restored = known is not None and era_of(known) != era_of(revision)
+        if is_restored:
+            # Servers that registered after the copy write again soon.
+            self._view.directory.note_store_recovery(self._timer.now())
+        self._apply_listing(values, is_restored)
         self.synced_at = max(self.synced_at, synced_at)
 
     async def _follow(self, revision: int) -> None:
@@ -349,28 +371,68 @@
             # reading again later loses nothing.
             await self._timer.sleep(RETRY_PAUSE_S)
 
-    def _apply_listing(self, values: tuple[StoredValue, ...]) -> None:
-        value_by_key = {stored.key: stored.value for stored in values}
+    def _apply_listing(
+        self, values: tuple[StoredValue, ...], is_restored: bool
+    ) -> None:
+        if is_restored:
+            self._copied_position_by_key = {
+                stored.key: stored.revision for stored in values
+            }
         self._nodes.replace_all(
-            key.removeprefix(LEASE_PREFIX)
-            for key in value_by_key
-            if key.startswith(LEASE_PREFIX)
+            stored.key.removeprefix(LEASE_PREFIX)
+            for stored in values
+            if stored.key.startswith(LEASE_PREFIX)
         )
         evacuated = set()
+        left_ids: list[str] = []
         entry_by_id: dict[str, RegisteredServer] = {}
-        for key, value in value_by_key.items():
-            self._notify_listeners(key, value)
-            change = self._decode_change(key, value)
+        for stored in values:
+            self._notify_listeners(stored.key, stored.value)
+            change = self._decode_change(stored.key, stored.value)
             if isinstance(change, EvacuationChange):
                 evacuated.add(change.availability_zone)
-            elif isinstance(change, ServerChange):
-                if change.entry is not None:
-                    entry_by_id[change.server_id] = change.entry
+            elif isinstance(change, ServerChange) and change.entry is not None:
+                entry: RegisteredServer | None = change.entry
+                copied = self._copied_position_by_key.get(stored.key)
+                if copied == stored.revision:
+                    entry = self._view.directory.entry_after_restore(
+                        change.entry
+                    )
+                if entry is None:
+                    left_ids.append(change.server_id)
+                    continue
+                change = replace(change, entry=entry)
+                entry_by_id[change.server_id] = entry
             if change is not None:
                 self._view.apply(change)
-        for zone in self._view.evacuated_zones - evacuated:
-            self._view.apply(EvacuationChange(zone, False))
+        self._zones_in_store = evacuated
+        held_zones = self._view.evacuated_zones - evacuated
+        if is_restored and held_zones:
+            self._hold_until = self._timer.now() + RESTORE_HOLD_S
+        elif self._hold_until == inf:
+            self._end_evacuations()
         self._view.directory.replace_all(entry_by_id)
+        if is_restored:
+            self._log_kept(held_zones, left_ids)
+
+    def _end_evacuations(self) -> None:
+        """Ends the evacuations that the store does not hold."""
+        for zone in self._view.evacuated_zones - self._zones_in_store:
+            self._view.apply(EvacuationChange(zone, False))
+
+    def _log_kept(
+        self, held_zones: frozenset[str], left_ids: list[str]
+    ) -> None:
+        """Logs what of this node's knowledge goes before a restored store."""
+        configuration = self._view.configuration
+        log_event(
+            Event.STORE_KNOWLEDGE_KEPT,
+            self._node_id,
+            revision=revision_of(self.store_cache.revision or 0),
+            version=configuration.version if configuration else None,
+            zones=sorted(held_zones),
+            servers_left=sorted(left_ids),
+        )
 
     def _apply(self, key: str, value: bytes | None) -> bool:
         """Applies a change; returns whether other nodes need to get it."""
@@ -382,10 +444,18 @@
         change = self._decode_change(key, value)
         if change is None:
             return False
+        if isinstance(change, EvacuationChange):
+            self._note_evacuation(change)
         is_relayed = self._view.is_more_than_heartbeat(change)
         self._view.apply(change)
         return is_relayed
 
+    def _note_evacuation(self, change: EvacuationChange) -> None:
+        if change.active:
+            self._zones_in_store.add(change.availability_zone)
+        else:
+            self._zones_in_store.discard(change.availability_zone)
+
     def _notify_listeners(self, key: str, value: bytes | None) -> bool:
         """Calls a key's listeners; returns whether there are any."""
         found = False
--- a/wasabiwing/server_directory.py
+++ b/wasabiwing/server_directory.py
@@ -5,6 +5,7 @@
 store: entries lapse while servers cannot renew them, and then come back.
 """
 
+from collections import OrderedDict
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import replace
@@ -16,6 +17,9 @@
 # back, in seconds; from the platform's description of its registry.
 LAPSE_GRACE_S = 2.0
 
+# Number of servers that have left which are remembered.
+MAX_LEFT_SERVERS = 2000
+
 # An entry that states a longer cold time is a change, not only a heartbeat, if
 # the server stays cold for this much longer than known, in seconds.
 COLD_CHANGE_S = 0.5
@@ -65,6 +69,8 @@
         # first did.
         self._store_answers = True
         self._store_recovered_at = -inf
+        # Start of the process of each server that has left, in Unix ms.
+        self._left_started_ms_by_id: OrderedDict[str, int] = OrderedDict()
         self.loaded = False
 
     def note_store_failure(self) -> None:
@@ -108,6 +114,7 @@
         if entry.cold_s > 0:
             cold_until = self._timer.now() + entry.cold_s
         self._server_by_id[entry.id] = KnownServer(entry, cold_until)
+        self._left_started_ms_by_id.pop(entry.id, None)
         return known is None or known.entry.started_ms != entry.started_ms
 
     def remove(self, server_id: str) -> None:
@@ -120,7 +127,7 @@
             return
         grace_until = self._store_recovered_at + LAPSE_GRACE_S
         if known.entry.draining or self._timer.now() >= grace_until:
-            del self._server_by_id[server_id]
+            self._forget(server_id)
         elif known.expires_at is None:
             self._server_by_id[server_id] = replace(
                 known, expires_at=grace_until
@@ -135,6 +142,27 @@
             self.put(entry)
         self.loaded = True
 
+    def entry_after_restore(
+        self, entry: RegisteredServer
+    ) -> RegisteredServer | None:
+        """Returns what holds of an entry in an older copy of the registry.
+
+        A process that was known to leave, or to have left, does not come
+        back; ``None`` stands for the latter. What a server writes after the
+        restore is no matter of this method.
+        """
+        known = self._server_by_id.get(entry.id)
+        if known is None:
+            left_ms = self._left_started_ms_by_id.get(entry.id)
+            has_left = left_ms is not None and entry.started_ms <= left_ms
+            return None if has_left else entry
+        if entry.started_ms < known.entry.started_ms:
+            return known.entry
+        if entry.started_ms == known.entry.started_ms:
+            draining = entry.draining or known.entry.draining
+            return replace(entry, draining=draining)
+        return entry
+
     def mark_cold(self, server_id: str, cold_s: float) -> None:
         """Records that a server stated that it is cold."""
         known = self._server_by_id.get(server_id)
@@ -179,6 +207,12 @@
             known.expires_at is not None
             and known.expires_at <= self._timer.now()
         ):
-            del self._server_by_id[server_id]
+            self._forget(server_id)
             return None
         return known
+
+    def _forget(self, server_id: str) -> None:
+        left = self._server_by_id.pop(server_id)
+        self._left_started_ms_by_id[server_id] = left.entry.started_ms
+        if len(self._left_started_ms_by_id) > MAX_LEFT_SERVERS:
+            self._left_started_ms_by_id.popitem(last=False)
