Hold no lease on that a restored store may have forgotten

A node kept its entry and its duties over a restore as long as its lease was renewed. Leases are part of what is lost, and their ids are given out again: a renewal may extend the lease of another process, while the own key is gone and a second holder may act.

Entry and leases belong to an era. In a new one a holder makes no call until it has found its key in the store, with a new fencing number, or has given the lease up; a node writes its entry again under a new lease, with two calls. A fencing number is a position and rises over each restore, also if the revision falls.

--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -156,6 +156,7 @@
             timer,
             store,
             self.follower.store_cache.revision_of,
+            lambda: self.link.eras.current,
         )
         self.messages = MessageRouter(self.id, self.transport)
         self.messages.register(HeadPush, self.relay.receive_push)
--- a/tests/test_store_restores.py
+++ b/tests/test_store_restores.py
@@ -10,6 +10,8 @@
 from wasabiwing.codes import ResultCode
 from wasabiwing.events import Event
 from wasabiwing.fleet_follower import RESTORE_HOLD_S
+from wasabiwing.leases import LeaseHolder
+from wasabiwing.presence import Presence
 from wasabiwing.restorable_store import RestorableStore
 from wasabiwing.server_directory import RegisteredServer
 from wasabiwing.server_directory import ServerDirectory
@@ -325,6 +327,105 @@
                 assert not node.view.evacuated_zones
 
 
+class RestoredLease:
+    """Two nodes that hold leases in a store, and its restore."""
+
+    def __init__(self) -> None:
+        self.timer = FakeTimer()
+        self.store = LeaseStoreFake(self.timer)
+        self.store.put("first", b"")
+        self.links = [LongPollStoreLink(self.store, self.timer) for _ in "ab"]
+        self.stores = [RestorableStore(link) for link in self.links]
+        self.holders = [
+            LeaseHolder(
+                name,
+                self.timer,
+                store,
+                3.0,
+                lambda link=link: link.eras.current,  # type: ignore[misc]
+            )
+            for name, store, link in zip(
+                "ab", self.stores, self.links, strict=True
+            )
+        ]
+
+    async def see_era(self) -> None:
+        """Lets both nodes get an answer of the store."""
+        for store in self.stores:
+            await store.get("first")
+
+
+class TestLeases:
+    """Leases and their fencing numbers."""
+
+    async def test_lease_that_the_store_forgot_is_held_on(self) -> None:
+        """Guards against a holder whose key another process may take."""
+        found = RestoredLease()
+        await found.see_era()
+        copy = found.store.copy()
+        await found.holders[0].acquire("duties")
+        found.store.restore(copy)
+        # The other node is given the same lease id.
+        await found.see_era()
+        await found.holders[1].acquire("duties")
+        assert found.holders[0].held_lease("duties") is None
+        await found.holders[0].extend()
+        assert found.holders[0].held_lease("duties") is None
+        assert found.holders[1].held_lease("duties") is not None
+
+    async def test_fencing_number_falls_with_the_revisions(self) -> None:
+        found = RestoredLease()
+        await found.see_era()
+        copy = found.store.copy()
+        for _ in range(50):
+            found.store.put("more", b"")
+        before = (await found.holders[0].acquire("duties")).unwrap()
+        found.store.restore(copy)
+        await found.see_era()
+        after = (await found.holders[1].acquire("duties")).unwrap()
+        assert revision_of(after.fencing_number) < revision_of(
+            before.fencing_number
+        )
+        assert after.fencing_number > before.fencing_number
+
+    async def test_lease_that_the_copy_holds_is_given_up(self) -> None:
+        """A holder whose key the copy has goes on, with a new number."""
+        found = RestoredLease()
+        before = (await found.holders[0].acquire("duties")).unwrap()
+        copy = found.store.copy()
+        found.store.put("more", b"")
+        found.store.restore(copy)
+        await found.see_era()
+        assert found.holders[0].held_lease("duties") is None
+        await found.holders[0].extend()
+        after = found.holders[0].held_lease("duties")
+        assert after is not None
+        assert after.fencing_number > before.fencing_number
+
+    async def test_entry_of_a_node_is_lost(self) -> None:
+        found = RestoredLease()
+        link = found.links[0]
+        presence = Presence(
+            "a",
+            "node/a@10.0.0.1:1/zone/5",
+            found.timer,
+            found.stores[0],
+            current_era=lambda: link.eras.current,
+        )
+        await found.see_era()
+        copy = found.store.copy()
+        await presence.renew(False)
+        key = "/wasabiwing/lease/node/a@10.0.0.1:1/zone/5"
+        assert found.store.stored(key) is not None
+        found.store.restore(copy)
+        assert found.store.stored(key) is None
+        await found.see_era()
+        assert not presence.is_registered
+        await presence.renew(False)
+        assert presence.is_registered
+        assert found.store.stored(key) is not None
+
+
 class TestConditions:
     """Conditional writes whose condition is of an earlier era."""
 
--- a/wasabiwing/leases.py
+++ b/wasabiwing/leases.py
@@ -1,13 +1,17 @@
 """Leases in the store, which let one holder at a time act.
 
 A lease's fencing number is the store revision of the write that created its
-key. It grows with every change of holder and is sent with all orders. The
+key. It grows with every change of holder and is sent with all orders. Over a
+restore of the store it grows with the era, and a lease counts as held again
+once its key is found in the restored store. The
 holder measures a lease's validity on the monotonic clock, from the moment
 before the call that acquired or extended the lease, so it always regards the
 lease as ended before the store does.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
+from dataclasses import replace
 
 from result import Err
 from result import Ok
@@ -55,18 +59,22 @@
         timer: TimerService,
         store: LeaseStore,
         ttl_s: float = LEASE_TTL_S,
+        current_era: Callable[[], int] = lambda: 0,
     ) -> None:
         self._node_id = node_id
         self._timer = timer
         self._store = store
         self._ttl_s = ttl_s
+        self._current_era = current_era
         self._lease: Lease | None = None
+        # Era of the store in which the lease was granted or found again.
+        self._lease_era = 0
         self._valid_until = 0.0
         self._held_by_name: dict[str, HeldLease] = {}
 
     def held_lease(self, name: str) -> HeldLease | None:
         """Returns a lease if it is valid at this moment."""
-        if self.remaining_s() <= 0:
+        if self.remaining_s() <= 0 or self._lease_era != self._current_era():
             return None
         return self._held_by_name.get(name)
 
@@ -83,10 +91,12 @@
         if isinstance(granted, Err):
             return granted
         key = LEASE_PREFIX + name
-        value = f"{self._node_id}/{granted.ok_value.id}".encode()
+        value = self._value()
         swapped = await self._store.swap(key, 0, value, granted.ok_value.id)
         number = await self._written_revision(key, value, swapped)
         if isinstance(number, Err):
+            if number.err_value.code is ResultCode.LEASE_LOST:
+                self._drop_all()
             return number
         acquired = HeldLease(key, number.ok_value, self._timer.now())
         self._held_by_name[name] = acquired
@@ -107,7 +117,7 @@
 
     async def extend(self) -> None:
         """Extends all leases; called every ``EXTEND_PERIOD_S``."""
-        if self._lease is None:
+        if self._lease is None or not await self._find_again():
             return
         asked_at = self._timer.now()
         extended = await self._store.keep_alive(self._lease.id)
@@ -117,10 +127,12 @@
             self._drop_all()
 
     async def _ensure_lease(self) -> Result[Lease, Failure]:
-        if self._lease is not None and self.remaining_s() > 0:
+        is_current = self._lease_era == self._current_era()
+        if self._lease is not None and self.remaining_s() > 0 and is_current:
             return Ok(self._lease)
         self._drop_all()
         asked_at = self._timer.now()
+        self._lease_era = self._current_era()
         granted = await self._store.grant_lease(self._ttl_s)
         if isinstance(granted, Err):
             return granted
@@ -128,6 +140,37 @@
         self._valid_until = asked_at + granted.ok_value.ttl_s
         return granted
 
+    async def _find_again(self) -> bool:
+        """Looks for the keys in a store that was restored; false if unknown.
+
+        A lease without its key may have been granted to another process since.
+        """
+        assert self._lease is not None
+        era = self._current_era()
+        if self._lease_era == era:
+            return True
+        found_by_name: dict[str, HeldLease] = {}
+        for name, held in self._held_by_name.items():
+            found = await self._store.get(held.key)
+            if isinstance(found, Err):
+                return False
+            current = found.ok_value
+            if current is not None and current.value == self._value():
+                found_by_name[name] = replace(
+                    held, fencing_number=current.revision
+                )
+        if not found_by_name:
+            self._drop_all()
+            return False
+        self._held_by_name = found_by_name
+        self._lease_era = era
+        return True
+
+    def _value(self) -> bytes:
+        """Returns the value of this process's keys."""
+        assert self._lease is not None
+        return f"{self._node_id}/{self._lease.id}".encode()
+
     async def _written_revision(
         self,
         key: str,
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -254,6 +254,7 @@
             timer,
             self._store,
             self.follower.store_cache.revision_of,
+            self._current_era,
         )
         self.connections = ServerConnections(timer, metrics.count_connect)
         placement = ServerSelector(
@@ -463,7 +464,11 @@
                 self._limits,
             )
         lease_holder = LeaseHolder(
-            node_id, self._timer, self._store, settings.bounds.lease_s
+            node_id,
+            self._timer,
+            self._store,
+            settings.bounds.lease_s,
+            self._current_era,
         )
         return DutyRunner(
             node_id,
@@ -506,6 +511,9 @@
             or self._zone_heads.own_rank() is not None
         )
 
+    def _current_era(self) -> int:
+        return self._store.eras.current
+
     async def _renew_presence(self) -> None:
         await self._presence.renew(self._zone_heads.uses_heads)
 
--- a/wasabiwing/presence.py
+++ b/wasabiwing/presence.py
@@ -17,6 +17,7 @@
 from wasabiwing.events import log_event
 from wasabiwing.leases import LEASE_PREFIX
 from wasabiwing.ports import LeaseStore
+from wasabiwing.store_eras import era_of
 from wasabiwing.timers import TimerService
 
 # Interval between two calls that renew the entry, in seconds.
@@ -40,6 +41,7 @@
         timer: TimerService,
         store: LeaseStore,
         known_revision: Callable[[str], int] = lambda key: 0,
+        current_era: Callable[[], int] = lambda: 0,
     ) -> None:
         self._node_id = node_id
         self._key = LEASE_PREFIX + name
@@ -47,6 +49,8 @@
         self._store = store
         # Returns the revision of a key in this node's copy of the store.
         self._known_revision = known_revision
+        # A restored store may hold neither the entry nor its lease.
+        self._current_era = current_era
         self._lease_id = 0
         self._ttl_s = 0.0
         self._valid_until = -inf
@@ -57,7 +61,11 @@
     @property
     def is_registered(self) -> bool:
         """Whether the entry is known to exist now."""
-        return self._revision > 0 and self._timer.now() < self._valid_until
+        return (
+            self._revision > 0
+            and era_of(self._revision) == self._current_era()
+            and self._timer.now() < self._valid_until
+        )
 
     async def renew(self, many_nodes: bool) -> None:
         """Writes or renews the entry; called every ``PRESENCE_PERIOD_S``."""
@@ -87,13 +95,16 @@
     async def _register(self, ttl_s: float) -> None:
         """Writes the entry under a new lease, replacing an older entry."""
         now = self._timer.now()
+        era = self._current_era()
         granted = await self._store.grant_lease(ttl_s)
         if isinstance(granted, Err):
             self._log_failure(granted)
             return
         lease = granted.ok_value
         value = self._node_id.encode()
-        expected = self._revision or self._known_revision(self._key)
+        expected = self._known_revision(self._key)
+        if self._revision and era_of(self._revision) == era:
+            expected = self._revision
         swapped = await self._store.swap(self._key, expected, value, lease.id)
         if not isinstance(swapped, Err) and not swapped.ok_value.swapped:
             # The entry is from an earlier start, or from a write whose reply
@@ -105,6 +116,9 @@
         if isinstance(swapped, Err) or not swapped.ok_value.swapped:
             self._log_failure(swapped)
             return
+        if self._current_era() != era:
+            # The lease may be gone; the next renewal tries again.
+            return
         self._lease_id = lease.id
         self._ttl_s = ttl_s
         self._revision = swapped.ok_value.revision
