Write again what the system wrote and a restore has undone

The operator and the servers write again what the store has lost. What the system wrote is its own to write again: records of reported usage windows and of quarantines.

The node that wrote a record writes it again, whether it still holds the duties or not. A window that ended before the restore and of which neither the store nor this node has a record is reported by nobody: a missed report costs less than a second one. A lease that records hang on is granted anew.

Not covered: a node that started after the restore knows of none.

--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -12,7 +12,7 @@
 from tests.network import FakeNetwork
 from tests.platform_fakes import CloudFake
 from tests.platform_fakes import LeaseStoreFake
-from tests.platform_fakes import StoreLink
+from tests.platform_fakes import LongPollStoreLink
 from wasabiwing.duties import DUTY_LEASE_NAME
 from wasabiwing.duties import DutyRunner
 from wasabiwing.duties import ELECTION_JITTER_S
@@ -29,12 +29,14 @@
 from wasabiwing.prefill_rates import PrefillRates
 from wasabiwing.presence import Presence
 from wasabiwing.prompt_cache import PromptCacheIndex
+from wasabiwing.restorable_store import RestorableStore
 from wasabiwing.server_demand import ServerDemand
 from wasabiwing.server_loads import ServerLoads
 from wasabiwing.store_progress import StoreProgress
 from wasabiwing.timers import FakeTimer
 from wasabiwing.usage_caps import CapTolerance
 from wasabiwing.usage_caps import UsageCaps
+from wasabiwing.usage_reporter import USAGE_PREFIX
 from wasabiwing.usage_reporter import UsageReporter
 from wasabiwing.usage_windows import UsageWindows
 from wasabiwing.zone_heads import ZoneHeads
@@ -54,9 +56,12 @@
         timer = fleet.timer
         node_id = f"node-{number}"
         self.node_id = node_id
-        self.link = StoreLink(fleet.store)
+        self.link = LongPollStoreLink(fleet.store, timer)
+        store = RestorableStore(self.link)
         self.nodes = NodeRegistry(node_id)
         self.frozen = False
+        # Whether the node takes part in elections.
+        self.may_hold = True
         self.inbox = transport_address.removeprefix("tcp://")
         transport = fleet.network.open(node_id, transport_address)
         self.transport = transport
@@ -75,18 +80,22 @@
         self.usage = UsageReporter(
             node_id,
             timer,
-            self.link,
+            store,
             fleet.cloud,
             self.windows,
             self.reports,
             DUE_S,
         )
-        self.leases = LeaseHolder(node_id, timer, self.link, LEASE_S)
+        self.link.eras.subscribe(self.usage.note_restore)
+        self.leases = LeaseHolder(
+            node_id, timer, store, LEASE_S, self._current_era
+        )
         self.presence = Presence(
             node_id,
             node_lease_name(node_id, self.inbox),
             timer,
-            self.link,
+            store,
+            current_era=self._current_era,
         )
         self.duties = DutyRunner(
             node_id,
@@ -98,6 +107,9 @@
             Random(number),
         )
 
+    def _current_era(self) -> int:
+        return self.link.eras.current
+
     async def stop(self) -> None:
         """Leaves the fleet in a planned stop."""
         await self.duties.resign()
@@ -147,6 +159,27 @@
             if node.leases.held_lease(DUTY_LEASE_NAME) is not None
         ]
 
+    def by_duty(self) -> tuple[NodeUnderTest, NodeUnderTest]:
+        """Returns the only holder and another node."""
+        [held_by] = self.holders()
+        [holder] = [node for node in self.nodes if node.node_id == held_by]
+        return holder, next(node for node in self.nodes if node is not holder)
+
+    def counts_by_window(self) -> dict[int, set[str]]:
+        """Returns the different counts that were reported for each window."""
+        found: dict[int, set[str]] = {}
+        for _, window, counts in self.cloud.reports:
+            found.setdefault(window, set()).add(str(sorted(counts.items())))
+        return found
+
+    def usage_records(self) -> dict[str, bytes]:
+        """Returns the records of usage windows in the store."""
+        return {
+            key: item.value
+            for key, item in self.store.item_by_key.items()
+            if key.startswith(USAGE_PREFIX)
+        }
+
     async def run(self, seconds: float) -> None:
         """Runs all nodes for some time."""
         for _ in range(round(seconds / STEP_S)):
@@ -174,8 +207,12 @@
     async def _renew(self, node: NodeUnderTest) -> None:
         # The random pause before an election would need a second clock.
         await node.leases.extend()
+        await node.usage.rewrite_records()
         await node.presence.renew(False)
-        if DUTY_LEASE_NAME not in node.nodes.held_lease_names:
+        if (
+            node.may_hold
+            and DUTY_LEASE_NAME not in node.nodes.held_lease_names
+        ):
             await node.leases.acquire(DUTY_LEASE_NAME)
 
     def _update_leases(self, node: NodeUnderTest) -> None:
@@ -382,3 +419,88 @@
                 known = counts_by_window.setdefault(window, counts)
                 assert known == counts
             assert len(counts_by_window) >= 5
+
+
+@pytest.mark.anyio
+class TestRestores:
+    """Duties while the store comes back from older copies."""
+
+    @pytest.mark.parametrize("seed", range(12))
+    async def test_window_is_reported_with_two_counts_after_a_restore(
+        self, seed: int
+    ) -> None:
+        """Guards against a record that is lost and made up anew."""
+        random = Random(seed)
+        async with fleet(3, seed) as nodes:
+            nodes.traffic = True
+            await nodes.run(6.0)
+            for _ in range(5):
+                copy = nodes.store.copy()
+                await nodes.run(random.uniform(0.5, 12.0))
+                if random.random() < 0.5:
+                    # The holder changes after the copy, or with the loss.
+                    for node in nodes.nodes:
+                        held = node.node_id in nodes.holders()
+                        node.frozen = held and random.random() < 0.7
+                    await nodes.run(random.choice((0.2, 4.0)))
+                nodes.store.restore(copy)
+                await nodes.run(random.uniform(0.2, 5.0))
+                for node in nodes.nodes:
+                    node.frozen = False
+                await nodes.run(random.uniform(1.0, 8.0))
+            await nodes.run(10.0)
+            assert all(
+                len(found) == 1 for found in nodes.counts_by_window().values()
+            )
+            holder_by_number: dict[int, set[str]] = {}
+            for _, stamp in nodes.cloud.calls:
+                holder_by_number.setdefault(stamp.fencing_number, set()).add(
+                    stamp.holder
+                )
+            assert all(len(found) == 1 for found in holder_by_number.values())
+            newest = max(window for _, window, _ in nodes.cloud.reports)
+            assert newest >= nodes.nodes[0].windows.window_now() - 3
+            assert len(nodes.holders()) == 1
+
+    async def test_late_counts_change_a_window_after_a_restore(self) -> None:
+        """Guards against a record that the next holder makes up anew."""
+        async with fleet(3) as nodes:
+            nodes.traffic = True
+            await nodes.run(6.0)
+            copy = nodes.store.copy()
+            first, silent = nodes.by_duty()
+            # Windows are reported without the counts of a silent node, which
+            # come afterwards.
+            silent.frozen = True
+            await nodes.run(15.0)
+            silent.frozen = False
+            await nodes.run(1.0)
+            reported = dict(nodes.counts_by_window())
+            first.frozen = True
+            nodes.store.restore(copy)
+            await nodes.run(20.0)
+            assert nodes.holders() != [first.node_id]
+            for window, counts in nodes.counts_by_window().items():
+                assert counts == reported.get(window, counts)
+                assert len(counts) == 1
+            assert max(nodes.counts_by_window()) > max(reported)
+
+    async def test_record_is_lost_once_its_writer_has_no_duty(self) -> None:
+        """Guards against records that only the holder writes again."""
+        async with fleet(3) as nodes:
+            nodes.traffic = True
+            await nodes.run(6.0)
+            copy = nodes.store.copy()
+            first, _ = nodes.by_duty()
+            await nodes.run(11.0)
+            before = nodes.usage_records()
+            first.frozen = True
+            await nodes.run(5.0)
+            assert first.node_id not in nodes.holders()
+            # It comes back and may not hold the duties again.
+            first.may_hold = False
+            first.frozen = False
+            nodes.store.restore(copy)
+            await nodes.run(5.0)
+            assert before.items() <= nodes.usage_records().items()
+            assert len(before) >= 2
--- a/tests/test_node_crashing_requests.py
+++ b/tests/test_node_crashing_requests.py
@@ -290,6 +290,25 @@
             await fleet.timer.advance(2.0)
             assert link.store.stored(QUARANTINE_PREFIX + "digest") is not None
 
+    async def test_record_is_lost_with_a_restore(self) -> None:
+        """Guards against a quarantine that the store has forgotten."""
+        async with node_fleet(1) as fleet:
+            link = fleet.links[0]
+            records = QuarantineRecords(
+                "node", fleet.timer, link, fleet.facts[0]
+            )
+            link.eras.subscribe(records.rewrite)
+            copy = link.store.copy()
+            fleet.facts[0].publish(
+                QUARANTINE_FACT_KIND, "digest", "crashes", 1
+            )
+            records.queue_write("digest")
+            await fleet.timer.advance(2.0)
+            link.store.restore(copy)
+            assert link.store.stored(QUARANTINE_PREFIX + "digest") is None
+            await fleet.timer.advance(4.0)
+            assert link.store.stored(QUARANTINE_PREFIX + "digest") is not None
+
     async def test_end_of_a_quarantine_replaces_its_record(self) -> None:
         async with node_fleet(2) as fleet:
             records = [
--- a/wasabiwing/duties.py
+++ b/wasabiwing/duties.py
@@ -74,6 +74,8 @@
         if self.stopping:
             return
         await self._leases.extend()
+        if self._usage is not None:
+            await self._usage.rewrite_records()
         if self._usage is None and self._autoscaler is None:
             return
         if self._leases.held_lease(DUTY_LEASE_NAME) is not None:
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -452,6 +452,7 @@
                 self._reports,
                 settings.bounds.usage_due_s,
             )
+            self._store.eras.subscribe(usage_reporter.note_restore)
         if platform.cloud is not None and settings.runs_autoscaler:
             autoscaler = Autoscaler(
                 node_id,
--- a/wasabiwing/node_quarantine.py
+++ b/wasabiwing/node_quarantine.py
@@ -4,7 +4,7 @@
 
 from wasabiwing.facts import Facts
 from wasabiwing.fleet_follower import FleetFollower
-from wasabiwing.ports import LeaseStore
+from wasabiwing.ports import LongPollStore
 from wasabiwing.quarantine import Quarantine
 from wasabiwing.quarantine_records import QUARANTINE_PREFIX
 from wasabiwing.quarantine_records import QuarantineRecords
@@ -19,7 +19,7 @@
 def build_quarantine(
     node_id: str,
     timer: TimerService,
-    store: LeaseStore,
+    store: LongPollStore,
     facts: Facts,
     follower: FleetFollower,
     directory: ServerDirectory,
@@ -29,6 +29,7 @@
 ) -> Quarantine[RegisteredServer]:
     """Returns a node's quarantine, with its records kept in the store."""
     records = QuarantineRecords(node_id, timer, store, facts)
+    store.eras.subscribe(records.rewrite)
     follower.on_key_change(QUARANTINE_PREFIX, records.apply_record)
 
     def is_leaving(server: RegisteredServer) -> bool:
--- a/wasabiwing/quarantine_records.py
+++ b/wasabiwing/quarantine_records.py
@@ -6,6 +6,8 @@
 content, before it accepts its first request.
 """
 
+from collections import deque
+
 from msgspec import DecodeError
 from msgspec import Struct
 from msgspec.json import decode
@@ -59,6 +61,8 @@
         # Revision of the record in the store, by the digest whose write is
         # pending; 0 for none.
         self._revision_by_pending_digest: dict[str, int] = {}
+        # Digests of the latest records that this node wrote.
+        self._written_digests: deque[str] = deque(maxlen=MAX_PENDING_RECORDS)
         timer.subscribe(WRITE_PERIOD_S, self.write)
 
     def queue_write(self, digest: str) -> None:
@@ -66,6 +70,11 @@
         if len(self._revision_by_pending_digest) < MAX_PENDING_RECORDS:
             self._revision_by_pending_digest.setdefault(digest, 0)
 
+    def rewrite(self) -> None:
+        """Queues the records again that a restore may have undone."""
+        for digest in self._written_digests:
+            self.queue_write(digest)
+
     def apply_record(self, key: str, value: bytes | None) -> None:
         """Publishes a stored record as a fact; a deleted record is ignored."""
         record = _decode(value)
@@ -97,6 +106,8 @@
                 return
             if written.ok_value is None:
                 del self._revision_by_pending_digest[digest]
+                if digest not in self._written_digests:
+                    self._written_digests.append(digest)
             else:
                 self._revision_by_pending_digest[digest] = written.ok_value
 
--- a/wasabiwing/usage_reporter.py
+++ b/wasabiwing/usage_reporter.py
@@ -2,10 +2,14 @@
 
 The counts of a window are stored by a conditional write before they are sent.
 A later holder that reports the window finds them in the store and sends the
-same counts, so that two reports of a window never differ.
+same counts, so that two reports of a window never differ. A restore of the
+store may undo the record: the node that wrote it writes it again, and a window
+that ended before the restore is reported by no node that knows no record.
 """
 
+from collections import OrderedDict
 from collections.abc import Mapping
+from math import inf
 
 from msgspec import DecodeError
 from msgspec import ValidationError
@@ -23,6 +27,7 @@
 from wasabiwing.events import log_event
 from wasabiwing.node_reports import NodeReports
 from wasabiwing.ports import LeaseStore
+from wasabiwing.ports import StoredValue
 from wasabiwing.timers import TimerService
 from wasabiwing.usage_windows import UsageWindows
 
@@ -41,6 +46,10 @@
 RECORD_LIFETIME_S = 300.0
 
 
+# Number of windows whose records a node can write again after a restore.
+MAX_RECORDED_WINDOWS = 24
+
+
 class UsageReporter:
     """Reports usage windows while this node holds the duties."""
 
@@ -65,6 +74,37 @@
         self._next_window: int | None = None
         self._record_lease = 0
         self._record_lease_until = 0.0
+        # Counts of the latest windows that this node has recorded, and the
+        # windows whose records have to be written again.
+        self._recorded_by_window: OrderedDict[int, Mapping[str, int]] = (
+            OrderedDict()
+        )
+        self._windows_to_rewrite: list[int] = []
+        # Monotonic time of the store's latest restore.
+        self._restored_at = -inf
+
+    def note_restore(self) -> None:
+        """Records that the store was restored from a copy."""
+        self._restored_at = self._timer.now()
+        self._record_lease_until = 0.0
+        self._windows_to_rewrite = list(self._recorded_by_window)
+
+    async def rewrite_records(self) -> None:
+        """Writes records again after a restore; stops at a failure."""
+        while self._windows_to_rewrite:
+            window = self._windows_to_rewrite[0]
+            counts = self._recorded_by_window[window]
+            recorded = await self._record(window, counts)
+            if isinstance(recorded, Err):
+                return
+            if window in self._windows_to_rewrite:
+                self._windows_to_rewrite.remove(window)
+            log_event(
+                Event.STORE_REWRITTEN,
+                self._node_id,
+                key=f"{USAGE_PREFIX}{window}",
+                is_same=recorded.ok_value == counts,
+            )
 
     def reset(self) -> None:
         """Forgets the next window; called when this node becomes holder."""
@@ -81,6 +121,15 @@
         if isinstance(recorded, Err):
             return recorded
         counts = recorded.ok_value
+        if counts is None:
+            log_event(
+                Event.USAGE_WITHHELD,
+                self._node_id,
+                window=window,
+                failure="a restore may have undone the record of its report",
+            )
+            self._next_window = window + 1
+            return Ok(True)
         sent = await self._cloud.report_usage(stamp, window, counts)
         if isinstance(sent, Err):
             return sent
@@ -107,26 +156,52 @@
 
     async def _stored_counts(
         self, window: int
+    ) -> Result[Mapping[str, int] | None, Failure]:
+        """Returns a window's counts in the store; writes them if missing.
+
+        ``None`` says that other counts may have been reported.
+        """
+        counts = self._recorded_by_window.get(window)
+        if counts is None:
+            if self._windows.window_end(window) <= self._restored_at:
+                return await self._counts_before_restore(window)
+            counts = self._reports.window_totals(window, self._windows)
+        return await self._record(window, counts)
+
+    async def _counts_before_restore(
+        self, window: int
+    ) -> Result[Mapping[str, int] | None, Failure]:
+        key = f"{USAGE_PREFIX}{window}"
+        found = await self._store.get(key)
+        if isinstance(found, Err):
+            return found
+        if found.ok_value is None:
+            return Ok(None)
+        return _decode_counts(found.ok_value)
+
+    async def _record(
+        self, window: int, counts: Mapping[str, int]
     ) -> Result[Mapping[str, int], Failure]:
-        """Returns a window's counts in the store; writes them if missing."""
+        """Returns a window's counts in the store, which are written first."""
         lease = await self._current_record_lease()
         if isinstance(lease, Err):
             return lease
         key = f"{USAGE_PREFIX}{window}"
-        counts = self._reports.window_totals(window, self._windows)
         value = encode(counts, order="sorted")
         swapped = await self._store.swap(key, 0, value, lease.ok_value)
         if isinstance(swapped, Err):
+            if swapped.err_value.code is ResultCode.LEASE_LOST:
+                self._record_lease_until = 0.0
             return swapped
         if swapped.ok_value.swapped:
+            self._recorded_by_window[window] = counts
+            if len(self._recorded_by_window) > MAX_RECORDED_WINDOWS:
+                self._recorded_by_window.popitem(last=False)
             return Ok(counts)
         current = swapped.ok_value.current
         if current is None:
             return Err(Failure(ResultCode.STORE_CONFLICT, key))
-        try:
-            return Ok(decode(current.value, type=dict[str, int]))
-        except (DecodeError, ValidationError) as error:
-            return Err(Failure(ResultCode.STORE_CONFLICT, f"{key}: {error}"))
+        return _decode_counts(current)
 
     async def _current_record_lease(self) -> Result[int, Failure]:
         """Returns the id of the store lease with which records expire."""
@@ -140,3 +215,12 @@
         # A new lease is granted early enough for each record to last.
         self._record_lease_until = now + RECORD_LIFETIME_S / 2
         return Ok(self._record_lease)
+
+
+def _decode_counts(stored: StoredValue) -> Result[dict[str, int], Failure]:
+    try:
+        return Ok(decode(stored.value, type=dict[str, int]))
+    except (DecodeError, ValidationError) as error:
+        return Err(
+            Failure(ResultCode.STORE_CONFLICT, f"{stored.key}: {error}")
+        )
