Let the stand-in store and the soak come back from an older copy

The adapter's tests play a listing whose pages are of two eras, a watch over a restore, revisions that fall, and a store that names no era.

tests/test_platform_store.py compares positions where it compared revisions, because the stand-in now names an era.

--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -2,16 +2,23 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from typing import Any
 
 from anyio import create_task_group
 from anyio import Event
 import pytest
 from result import Err
+from result import Result
 
 from wasabiwing.asgi import bind_listener
 from wasabiwing.asgi import listener_address
 from wasabiwing.asgi import serve_http
+from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
+from wasabiwing.ports import HttpReply
+from wasabiwing.store_eras import era_of
+from wasabiwing.store_eras import revision_of
+from wasabiwing.store_eras import store_position
 from wasabiwing.timers import FakeTimer
 from wasabiwing_platform.store import PlatformStore
 from wasabiwing_platform_standins.store import PAGE_ITEMS
@@ -28,6 +35,11 @@
         self.client = PlatformStore(address, self._count)
         self.store: StoreStandIn
 
+    @property
+    def position(self) -> int:
+        """Position of the store's latest change."""
+        return store_position(self.store.era or 0, self.store.revision)
+
     def _count(self, kind: str, code: ResultCode) -> None:
         self.codes.append(code)
 
@@ -65,7 +77,7 @@
             found.store.put("other", b"x")
             snapshot = (await found.client.snapshot("k/")).unwrap()
             assert len(snapshot.values) == PAGE_ITEMS + 3
-            assert snapshot.revision == found.store.revision
+            assert snapshot.revision == found.position
 
     async def test_watch_tells_changes_and_removals(self) -> None:
         async with served() as found:
@@ -74,7 +86,7 @@
             found.store.remove("a")
             changes = (await found.client.changes("", before, 1.0)).unwrap()
             assert [event.value for event in changes.events] == [b"1", None]
-            assert changes.revision == found.store.revision
+            assert changes.revision == found.position
 
     async def test_dropped_history_has_a_code_of_its_own(self) -> None:
         async with served() as found:
@@ -146,3 +158,77 @@
         assert isinstance(refused, Err)
         assert refused.err_value.code is ResultCode.STORE_UNAVAILABLE
         await client.close()
+
+
+@pytest.mark.anyio
+class TestRestores:
+    """Answers before and after the store comes back from a copy."""
+
+    async def test_revisions_fall_with_a_restore(self) -> None:
+        """Guards against a later change that looks like an earlier one."""
+        async with served() as found:
+            copy = found.store.copy()
+            found.store.put("a", b"1")
+            found.store.put("b", b"1")
+            before = (await found.client.get("b")).unwrap()
+            found.store.restore(copy)
+            found.store.put("b", b"2")
+            after = (await found.client.get("b")).unwrap()
+            assert before is not None and after is not None
+            assert revision_of(after.revision) < revision_of(before.revision)
+            assert after.revision > before.revision
+            assert found.client.eras.current == 2
+
+    async def test_watch_from_a_revision_that_is_gone_has_a_code(
+        self,
+    ) -> None:
+        async with served() as found:
+            copy = found.store.copy()
+            found.store.put("a", b"1")
+            snapshot = (await found.client.snapshot("")).unwrap()
+            found.store.restore(copy)
+            watched = await found.client.changes("", snapshot.revision, 1.0)
+            code = watched.unwrap_err().code
+            assert code is ResultCode.STORE_HISTORY_GONE
+
+    async def test_listing_holds_pages_of_two_eras(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a listing that no store ever held."""
+        async with served() as found:
+            found.store.put("a", b"old")
+            for number in range(PAGE_ITEMS):
+                found.store.put(f"k/{number:04}", b"old")
+            copy = found.store.copy()
+            found.store.put("a", b"lost")
+            send = found.client._client.send
+            pages = 0
+
+            async def send_and_restore(
+                *args: Any, **options: Any
+            ) -> Result[HttpReply, Failure]:
+                nonlocal pages
+                pages += 1
+                reply = await send(*args, **options)
+                if pages == 1:
+                    found.store.restore(copy)
+                return reply
+
+            monkeypatch.setattr(found.client._client, "send", send_and_restore)
+            snapshot = (await found.client.snapshot("")).unwrap()
+            assert pages == 4
+            value_by_key = {
+                stored.key: stored.value for stored in snapshot.values
+            }
+            assert len(value_by_key) == len(snapshot.values)
+            assert value_by_key["a"] == b"old"
+            assert {era_of(item.revision) for item in snapshot.values} == {2}
+            assert snapshot.revision == found.position
+
+    async def test_store_that_names_no_era_has_one(self) -> None:
+        async with served() as found:
+            found.store.era = None
+            found.store.put("a", b"1")
+            stored = (await found.client.get("a")).unwrap()
+            assert stored is not None
+            assert stored.revision == found.store.revision
--- a/wasabiwing_soak/deployment.py
+++ b/wasabiwing_soak/deployment.py
@@ -135,6 +135,11 @@
             if not node.process.ended():
                 await node.process.kill()
 
+    @property
+    def version(self) -> int:
+        """Version of the newest configuration."""
+        return self._version
+
     def configure(self, step: int) -> None:
         """Writes a configuration whose version is higher by ``step``."""
         self._version += step
--- a/wasabiwing_soak/fault_player.py
+++ b/wasabiwing_soak/fault_player.py
@@ -160,6 +160,9 @@
             return self._fail_store(STORE_FAULT_BY_KIND[kind])
         elif kind is FaultKind.STORE_HISTORY_DROPPED:
             self._deployment.store.drop_history()
+        elif kind is FaultKind.STORE_RESTORED:
+            copy = self._deployment.store.copy()
+            return lambda: self._deployment.store.restore(copy)
         elif kind is FaultKind.CONFIGURATION_CHANGED:
             self._deployment.configure(random.randint(1, MAX_VERSION_STEP))
         elif kind is FaultKind.SERVER_FAILS:
--- a/wasabiwing_soak/fault_schedule.py
+++ b/wasabiwing_soak/fault_schedule.py
@@ -31,6 +31,8 @@
     STORE_SILENT = "store_silent"
     STORE_LOSES_ANSWERS = "store_loses_answers"
     STORE_HISTORY_DROPPED = "store_history_dropped"
+    # The store loses what was written during the fault.
+    STORE_RESTORED = "store_restored"
     # Faults of one node's link to the store.
     STORE_LINK_SILENT = "store_link_silent"
     STORE_LINK_ONE_WAY = "store_link_one_way"
--- a/wasabiwing_soak/promises.py
+++ b/wasabiwing_soak/promises.py
@@ -46,6 +46,7 @@
     )
     SOUND_REQUESTS = "sound requests go on beside a part that crashes servers"
     RECOVERY = "after the last fault all nodes serve again"
+    NEWEST = "after the last fault all nodes have the newest configuration"
 
 
 @dataclass(frozen=True, slots=True)
--- a/wasabiwing_soak/soak.py
+++ b/wasabiwing_soak/soak.py
@@ -197,15 +197,20 @@
 
     async def _record_version(self, node: SoakNode) -> None:
         incarnation_id = node.process.incarnation_id
-        text = await self.deployment.metrics(node)
-        if node.process.incarnation_id != incarnation_id:
+        version = await self._version(node)
+        if version is None or node.process.incarnation_id != incarnation_id:
             # The process was restarted in the meantime.
             return
+        observed = SeenVersion(incarnation_id, self.clock(), version)
+        self._versions.append(observed)
+
+    async def _version(self, node: SoakNode) -> int | None:
+        """Returns the version in a node's metrics; ``None`` without any."""
+        text = await self.deployment.metrics(node)
         for family in text_string_to_metric_families(text):
             if family.name == GENERATION_METRIC:
-                version = int(family.samples[0].value)
-                observed = SeenVersion(incarnation_id, self.clock(), version)
-                self._versions.append(observed)
+                return int(family.samples[0].value)
+        return None
 
     async def _check_recovery(self) -> None:
         """Checks that each node serves soon after the last fault."""
@@ -230,6 +235,19 @@
             self._add_violation(
                 Promise.RECOVERY, f"{name} after {RECOVERY_TIMEOUT_S} s"
             )
+        await self._check_versions(until)
+
+    async def _check_versions(self, until: float) -> None:
+        """Checks that each node has the newest configuration in time."""
+        newest = self.deployment.version
+        for node in self.deployment.nodes:
+            version = await self._version(node)
+            while version != newest and self.clock() < until:
+                await sleep(RECOVERY_POLL_S)
+                version = await self._version(node)
+            if version != newest:
+                detail = f"{node.process.name}: {version}, not {newest}"
+                self._add_violation(Promise.NEWEST, detail)
 
     async def _is_served(
         self, client: HttpClient, name: str, text: str
