Repair the root record of a store that was restored from a backup

A watcher that reads the root record compares it with the generations that it has had in force. An older one that it knows is replaced by the one in force, with its chunks, so that later controllers get it and the next change its number; another content under a known number is a change made since, and gets the next number. What a controller does not know it leaves alone. All writes are conditional, so one watcher's takes effect.

--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -370,3 +370,60 @@
             await env.timer.advance(20)
             for node in nodes:
                 assert node.distributor.configuration == variant(3)
+                assert node.generations == sorted(set(node.generations))
+
+    async def test_change_after_a_long_loss_is_never_in_force(self) -> None:
+        """Guards against a number that is smaller than the one in force."""
+        async with bench() as env:
+            store = FakeConfigStore()
+            nodes = [start_node(env, store, number) for number in range(2)]
+            await apply(store, 1)
+            backup = dict(store.value_by_key)
+            for number in range(2, 6):
+                await env.timer.advance(20)
+                await apply(store, number)
+            await env.timer.advance(20)
+            store.value_by_key = backup
+            await apply(store, 9)
+            await env.timer.advance(20)
+            for node in nodes:
+                assert node.distributor.configuration == variant(9)
+                assert node.generations == sorted(set(node.generations))
+
+    @pytest.mark.parametrize("lost", ["a change", "all"])
+    async def test_restored_store_holds_an_older_generation(
+        self, lost: str
+    ) -> None:
+        """The generation in force is written again, with its chunks."""
+        async with bench() as env:
+            store = FakeConfigStore()
+            nodes = [start_node(env, store, number) for number in range(3)]
+            await apply(store, 1)
+            backup = dict(store.value_by_key) if lost == "a change" else {}
+            await env.timer.advance(20)
+            await apply(store, 2)
+            await env.timer.advance(20)
+            before = dict(store.value_by_key)
+            store.value_by_key = backup
+            await env.timer.advance(20)
+            assert before.keys() >= store.value_by_key.keys()
+            later = start_node(env, store, 9)
+            await env.timer.advance(20)
+            for node in [*nodes, later]:
+                assert node.distributor.generation == 2
+                assert node.distributor.configuration == variant(2)
+            assert await apply(store, 3) == 3
+
+    async def test_generation_that_is_not_known_is_replaced(self) -> None:
+        """A controller that knows too little leaves the store alone."""
+        async with bench() as env:
+            store = FakeConfigStore()
+            await apply(store, 1)
+            backup = dict(store.value_by_key)
+            await apply(store, 2)
+            node = start_node(env, store, 0)
+            await env.timer.advance(20)
+            store.value_by_key = dict(backup)
+            await env.timer.advance(20)
+            assert store.value_by_key == backup
+            assert node.distributor.configuration == variant(2)
--- a/wasabiwing/configuration_distribution.py
+++ b/wasabiwing/configuration_distribution.py
@@ -3,9 +3,12 @@
 A few controllers of each availability zone hold a watch on the store; the
 others poll it rarely. All controllers also learn of new generations from
 their peers, and announce them to peers and gateways. No node ever goes back
-to an earlier generation.
+to an earlier generation: a store that was restored from a backup gets the one
+in force from a watcher, and a change that was given the number of an earlier
+generation gets the next number.
 """
 
+from collections import OrderedDict
 from collections.abc import Callable
 from random import Random
 
@@ -20,6 +23,8 @@
 from wasabiwing.configuration_store import read_root
 from wasabiwing.configuration_store import Root
 from wasabiwing.configuration_store import ROOT_KEY
+from wasabiwing.configuration_store import StoredRoot
+from wasabiwing.configuration_store import write_root
 from wasabiwing.events import Event
 from wasabiwing.events import log_event
 from wasabiwing.message_router import MessageRouter
@@ -44,6 +49,9 @@
 # 23 reads a second, of about two thousand that the store answers.
 POLL_S = 60.0
 
+# Number of latest generations whose digests are remembered.
+MAX_KNOWN_GENERATIONS = 64
+
 # Number of peers to which a new generation is announced at once. The others
 # learn of it from these or from the next probe on a link. A small number
 # bounds what one node has to send when all of them request the chunks from it.
@@ -80,6 +88,7 @@
             node_id, timer, transport, self._on_in_force
         )
         self._watch_scope: CancelScope | None = None
+        self._digest_by_generation: OrderedDict[int, str] = OrderedDict()
         # Monotonic time at which the store last answered; ``None`` for never.
         self.store_heard_at: float | None = None
 
@@ -179,10 +188,46 @@
         if isinstance(stored, Err):
             return None
         self.store_heard_at = self._timer.now()
-        if stored.ok_value is None:
-            return 0
-        await self._load(stored.ok_value.root)
-        return stored.ok_value.revision
+        found = stored.ok_value
+        if found is not None:
+            await self._load(found.root)
+        if self.is_watcher:
+            await self._repair_root(found)
+        return 0 if found is None else found.revision
+
+    async def _repair_root(self, found: StoredRoot | None) -> None:
+        """Writes the root record of a store that was restored from a backup.
+
+        A known generation is an older copy, which the one in force replaces.
+        The number of a known generation with another content is a change that
+        was made since the restore. What this controller does not know is left
+        to others.
+        """
+        stored = 0 if found is None else found.root.generation
+        if stored > self.generation or self.generation == 0:
+            return
+        root = Root(self.generation, self.digest, f"restored-{self._node_id}")
+        chunk_by_digest = self._follower.chunk_by_digest
+        if found is not None:
+            known_digest = self._digest_by_generation.get(stored)
+            if known_digest is None or found.root.digest == self.digest:
+                return
+            if found.root.digest != known_digest:
+                root = Root(
+                    self.generation + 1, found.root.digest, found.root.apply_id
+                )
+                chunk_by_digest = {}
+        written = await write_root(self._store, root, found, chunk_by_digest)
+        log_event(
+            Event.STORE_REWRITTEN,
+            self._node_id,
+            key=ROOT_KEY,
+            found=stored,
+            generation=root.generation,
+            failure=str(written.err()) if isinstance(written, Err) else "",
+        )
+        if not isinstance(written, Err):
+            await self._load(root)
 
     async def _load(self, root: Root) -> None:
         if root.generation <= self.generation:
@@ -206,6 +251,9 @@
     async def _on_in_force(
         self, generation: int, configuration: Configuration
     ) -> None:
+        self._digest_by_generation[generation] = self.digest
+        if len(self._digest_by_generation) > MAX_KNOWN_GENERATIONS:
+            self._digest_by_generation.popitem(last=False)
         await self._listener(generation, configuration)
         notice = self._follower.notice()
         for address in self._gateway_addresses():
--- a/wasabiwing/configuration_store.py
+++ b/wasabiwing/configuration_store.py
@@ -191,14 +191,28 @@
     and compared by its ``apply_id``.
     """
     chunked = split_configuration(configuration)
-    for digest, chunk in chunked.chunk_by_digest.items():
+    generation = base.root.generation + 1 if base else 1
+    root = Root(generation, chunked.digest, apply_id)
+    return await write_root(store, root, base, chunked.chunk_by_digest, known)
+
+
+async def write_root(
+    store: ConfigStore,
+    root: Root,
+    base: StoredRoot | None,
+    chunk_by_digest: Mapping[str, bytes],
+    known: Container[str] = (),
+) -> Result[Root, Failure]:
+    """Writes chunks, then swaps the root record ``base``, if any, for another.
+
+    Chunks whose digests are in ``known`` are in the store already.
+    """
+    for digest, chunk in chunk_by_digest.items():
         if digest in known:
             continue
         written = await _write_chunk(store, digest, chunk)
         if isinstance(written, Err):
             return written
-    generation = base.root.generation + 1 if base else 1
-    root = Root(generation, chunked.digest, apply_id)
     revision = base.revision if base else 0
     swapped = await store.swap(ROOT_KEY, revision, encode(root))
     return await _resolve_swap(store, root, swapped)
