--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -298,6 +298,7 @@
     "freeze",
     "rejected by store",
     "store down",
+    "store restored",
     "loss",
     "late",
     "alone",
@@ -315,6 +316,8 @@
         self._last_version = 1
         self._last_incarnation = 1
         self._removed_server_ids: set[str] = set()
+        # The state to which the store falls back at the end of a round.
+        self._copy: LeaseStoreFake | None = None
         self.faults_run: list[str] = []
 
     async def run(self, rounds: int) -> list[str]:
@@ -327,6 +330,8 @@
     async def _run_round(self, fault: str) -> None:
         fleet = self._fleet
         self.faults_run.append(fault)
+        if fault == "store restored":
+            self._copy = fleet.store.copy()
         affected = self._draw_affected_nodes(fault)
         self._last_version += 1
         fleet.store.put("configuration", str(self._last_version).encode())
@@ -375,6 +380,9 @@
         network.loss_share = 0.0
         network.late_share = 0.0
         network.group_by_address.clear()
+        if self._copy is not None:
+            self._restore(self._copy)
+            self._copy = None
         for node in affected:
             node.link.unavailable = False
             if fault in ("restart", "heads"):
@@ -385,6 +393,16 @@
                 node.paused = False
                 node.transport.resume()
 
+    def _restore(self, copy: LeaseStoreFake) -> None:
+        """Restores the store; operator and servers write again at once."""
+        store = self._fleet.store
+        store.restore(copy)
+        store.put("configuration", str(self._last_version).encode())
+        for server_id in self._removed_server_ids:
+            key = f"servers/{server_id}"
+            if key in store.item_by_key:
+                store.put(key, None)
+
     def _violations(self) -> list[str]:
         violations = []
         expected = set(self._fleet.state_by_server)
