Judge a leaving server by answers that can have reached a node

Trace: three streams were sent to server-1 at 12.3 s over a link that held them back; node-0 gave them up at 13.4 s (SERVER_TIMEOUT in its log) and another server answered at 13.5 s. At 16.06 s the link delivered them to server-1, which said in their answers that it leaves; nobody read these. The check took the calls' successes for these answers. node-0 learned it at 17.69 s, from the request that arrived at 17.66 s.

A statement made after its call had ended reached no node. All others are checked as before.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -131,6 +131,9 @@
         assert not check_leaving(calls, [LEAVES], [arrival], [restart])
         new_life = replace(arrival, incarnation_id=1)
         assert not check_leaving(calls, [LEAVES], [new_life], [])
+        # The request reached this server after another one had answered it.
+        held_back = replace(LEAVES, at_s=SERVED.ended_s + 0.1)
+        assert not check_leaving(calls, [held_back], [arrival], [])
 
     def test_unwilling_server_gets_two_more_at_most(self) -> None:
         calls = [replace(SERVED, body=f"book {n}") for n in range(1, 5)]
--- a/wasabiwing_soak/promises.py
+++ b/wasabiwing_soak/promises.py
@@ -287,11 +287,14 @@
     call_by_body = {call.body: call for call in calls}
     for statement in statements:
         forwarded_call = call_by_body.get(statement.body)
-        # Only an answer that was forwarded has certainly reached the node.
+        # Only an answer that was forwarded has certainly reached the node. A
+        # request that was held back on its way may arrive after its call has
+        # ended, answered by another server.
         if (
             not statement.leaving
             or forwarded_call is None
             or forwarded_call.status != SUCCESS
+            or statement.at_s > forwarded_call.ended_s
         ):
             continue
         for arrival in arrivals:
