Bear a release and an old window while a restore is worked off

Reading the change once more: a lease that was released while its keys were looked for in a restored store ended the renewal with an error (dictionary changed size during iteration), and could be held again; a window that had fallen out of the remembered ones would have done the same to the records that are written again.

test_lease_that_is_released_meanwhile_is_held_again failed before. The second has no test of its own.

--- a/tests/test_store_restores.py
+++ b/tests/test_store_restores.py
@@ -1,16 +1,19 @@
 """Tests of nodes whose store comes back from an older copy."""
 
 import pytest
+from result import Result
 
 from tests.platform_fakes import LeaseStoreFake
 from tests.platform_fakes import LongPollStoreLink
 from tests.relay_fleet import relay_fleet
 from tests.relay_fleet import RelayFleet
 from tests.relay_fleet import RelayNode
+from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.events import Event
 from wasabiwing.fleet_follower import RESTORE_HOLD_S
 from wasabiwing.leases import LeaseHolder
+from wasabiwing.ports import StoredValue
 from wasabiwing.presence import Presence
 from wasabiwing.restorable_store import RestorableStore
 from wasabiwing.server_directory import RegisteredServer
@@ -402,6 +405,27 @@
         assert after is not None
         assert after.fencing_number > before.fencing_number
 
+    async def test_lease_that_is_released_meanwhile_is_held_again(
+        self,
+    ) -> None:
+        """Guards against a stop between a restore and the next renewal."""
+        found = RestoredLease()
+        for name in ("duties", "more"):
+            await found.holders[0].acquire(name)
+        copy = found.store.copy()
+        found.store.restore(copy)
+        await found.see_era()
+        get = found.links[0].get
+
+        async def get_late(key: str) -> Result[StoredValue | None, Failure]:
+            await found.holders[0].release("duties")
+            return await get(key)
+
+        found.links[0].get = get_late  # type: ignore[method-assign]
+        await found.holders[0].extend()
+        assert found.holders[0].held_lease("duties") is None
+        assert found.holders[0].held_lease("more") is not None
+
     async def test_entry_of_a_node_is_lost(self) -> None:
         found = RestoredLease()
         link = found.links[0]
--- a/wasabiwing/leases.py
+++ b/wasabiwing/leases.py
@@ -149,20 +149,26 @@
         era = self._current_era()
         if self._lease_era == era:
             return True
+        value = self._value()
         found_by_name: dict[str, HeldLease] = {}
-        for name, held in self._held_by_name.items():
+        for name, held in tuple(self._held_by_name.items()):
             found = await self._store.get(held.key)
             if isinstance(found, Err):
                 return False
             current = found.ok_value
-            if current is not None and current.value == self._value():
+            if current is not None and current.value == value:
                 found_by_name[name] = replace(
                     held, fencing_number=current.revision
                 )
-        if not found_by_name:
+        # A lease may have been released meanwhile.
+        self._held_by_name = {
+            name: found_by_name[name]
+            for name in self._held_by_name
+            if name in found_by_name
+        }
+        if not self._held_by_name:
             self._drop_all()
             return False
-        self._held_by_name = found_by_name
         self._lease_era = era
         return True
 
--- a/wasabiwing/usage_reporter.py
+++ b/wasabiwing/usage_reporter.py
@@ -93,7 +93,11 @@
         """Writes records again after a restore; stops at a failure."""
         while self._windows_to_rewrite:
             window = self._windows_to_rewrite[0]
-            counts = self._recorded_by_window[window]
+            counts = self._recorded_by_window.get(window)
+            if counts is None:
+                # Too old to be reported again.
+                self._windows_to_rewrite.remove(window)
+                continue
             recorded = await self._record(window, counts)
             if isinstance(recorded, Err):
                 return
