Count a process's start as a restore that it may have missed

The holder that had reported it was stopped, a restore undid its record, and the next holder, started around the restore, had seen none: it took the missing record for a window that nobody had reported.

Once a store was ever restored (its era is above the first), a window that ended before this process started is reported only with a record. Some windows may never be reported after restarts; that costs less than a second report.

test_process_that_starts_after_a_restore_reports_anew fails without the rule.

--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -32,6 +32,7 @@
 from wasabiwing.restorable_store import RestorableStore
 from wasabiwing.server_demand import ServerDemand
 from wasabiwing.server_loads import ServerLoads
+from wasabiwing.store_eras import FIRST_ERA
 from wasabiwing.store_progress import StoreProgress
 from wasabiwing.timers import FakeTimer
 from wasabiwing.usage_caps import CapTolerance
@@ -85,6 +86,7 @@
             self.windows,
             self.reports,
             DUE_S,
+            lambda: self.link.eras.was_restored,
         )
         self.link.eras.subscribe(self.usage.note_restore)
         self.leases = LeaseHolder(
@@ -485,6 +487,34 @@
                 assert len(counts) == 1
             assert max(nodes.counts_by_window()) > max(reported)
 
+    async def test_process_that_starts_after_a_restore_reports_anew(
+        self,
+    ) -> None:
+        """Guards against a holder that never saw the restore."""
+        async with fleet(3) as nodes:
+            nodes.store.era = FIRST_ERA
+            nodes.traffic = True
+            await nodes.run(6.0)
+            copy = nodes.store.copy()
+            first, silent = nodes.by_duty()
+            silent.frozen = True
+            await nodes.run(15.0)
+            silent.frozen = False
+            await nodes.run(1.0)
+            reported = nodes.counts_by_window()
+            nodes.store.restore(copy)
+            # Only a process that has just started may take the duties.
+            first.frozen = True
+            for node in nodes.nodes:
+                node.may_hold = False
+            nodes.add(9)
+            await nodes.run(20.0)
+            assert nodes.holders() == ["node-9"]
+            for window, counts in nodes.counts_by_window().items():
+                assert counts == reported.get(window, counts)
+                assert len(counts) == 1
+            assert max(nodes.counts_by_window()) > max(reported)
+
     async def test_record_is_lost_once_its_writer_has_no_duty(self) -> None:
         """Guards against records that only the holder writes again."""
         async with fleet(3) as nodes:
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -451,6 +451,7 @@
                 self._reported_state.windows,
                 self._reports,
                 settings.bounds.usage_due_s,
+                lambda: self._store.eras.was_restored,
             )
             self._store.eras.subscribe(usage_reporter.note_restore)
         if platform.cloud is not None and settings.runs_autoscaler:
--- a/wasabiwing/store_eras.py
+++ b/wasabiwing/store_eras.py
@@ -35,6 +35,10 @@
     return position & REVISION_MASK
 
 
+# Era of a store that was never restored.
+FIRST_ERA = 1
+
+
 class StoreEras:
     """The era of the store, as one process has seen it."""
 
@@ -51,6 +55,11 @@
         """The latest era that an answer has named; 0 before the first."""
         return self._current or 0
 
+    @property
+    def was_restored(self) -> bool:
+        """Whether the store was ever restored, also before this process."""
+        return self.current > FIRST_ERA
+
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Registers a listener for each restore of the store."""
         self._listeners.append(listener)
--- a/wasabiwing/usage_reporter.py
+++ b/wasabiwing/usage_reporter.py
@@ -4,10 +4,12 @@
 A later holder that reports the window finds them in the store and sends the
 same counts, so that two reports of a window never differ. A restore of the
 store may undo the record: the node that wrote it writes it again, and a window
-that ended before the restore is reported by no node that knows no record.
+that ended before the restore, or before the start of a process that may have
+missed it, is reported by no node that knows no record.
 """
 
 from collections import OrderedDict
+from collections.abc import Callable
 from collections.abc import Mapping
 from math import inf
 
@@ -62,6 +64,7 @@
         windows: UsageWindows,
         reports: NodeReports,
         due_s: float,
+        was_restored: Callable[[], bool] = lambda: False,
     ) -> None:
         self._node_id = node_id
         self._timer = timer
@@ -80,8 +83,11 @@
             OrderedDict()
         )
         self._windows_to_rewrite: list[int] = []
-        # Monotonic time of the store's latest restore.
+        # Whether the store was ever restored, and the monotonic times of its
+        # latest known restore and of this process's start.
+        self._was_restored = was_restored
         self._restored_at = -inf
+        self._started_at = timer.now()
 
     def note_restore(self) -> None:
         """Records that the store was restored from a copy."""
@@ -167,11 +173,20 @@
         """
         counts = self._recorded_by_window.get(window)
         if counts is None:
-            if self._windows.window_end(window) <= self._restored_at:
+            if self._windows.window_end(window) <= self._unknown_until():
                 return await self._counts_before_restore(window)
             counts = self._reports.window_totals(window, self._windows)
         return await self._record(window, counts)
 
+    def _unknown_until(self) -> float:
+        """Returns until when a report may be unknown to this node.
+
+        A process knows nothing of a restore before its start.
+        """
+        if self._was_restored():
+            return max(self._restored_at, self._started_at)
+        return self._restored_at
+
     async def _counts_before_restore(
         self, window: int
     ) -> Result[Mapping[str, int] | None, Failure]:
