--- a/tests/node_deployment.py
+++ b/tests/node_deployment.py
@@ -1,12 +1,18 @@
 """A node on loopback, with stand-ins for the platform around it."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from collections.abc import Mapping
 from contextlib import asynccontextmanager
 from contextlib import ExitStack
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
+from socket import AF_INET
+from socket import SO_REUSEADDR
+from socket import SOCK_STREAM
+from socket import socket
+from socket import SOL_SOCKET
 
 from anyio import CancelScope
 from anyio import create_task_group
@@ -18,6 +24,7 @@
 from wasabiwing.asgi import bind_listener
 from wasabiwing.asgi import listener_address
 from wasabiwing.asgi import serve_http
+from wasabiwing.fleet_follower import ChangeDecoder
 from wasabiwing.http_client import HttpClient
 from wasabiwing.metrics import NodeMetrics
 from wasabiwing.node import NodePlatform
@@ -81,6 +88,8 @@
     address_by_server: dict[str, str] = field(default_factory=dict)
     requests: int = 0
     started: bool = False
+    # Returns a node's decoder of changes from the node's id.
+    decoder_of: Callable[[str], ChangeDecoder] = lambda _: decode_item
     _process_by_server: dict[str, StandInServer] = field(default_factory=dict)
 
     def start(self) -> None:
@@ -140,12 +149,13 @@
 
     async def start_another(self, node_id: str) -> NodeSettings:
         """Starts one fields node and waits until it is ready."""
+        inbox, _ = reserve_adjacent_endpoints(self.reserved_sockets)
         settings = replace(
             self.settings,
             node_id=node_id,
             caller_endpoint=reserve_endpoint(self.reserved_sockets),
             readiness_endpoint=reserve_endpoint(self.reserved_sockets),
-            inbox=reserve_endpoint(self.reserved_sockets),
+            inbox=inbox,
         )
         self.tasks.start_soon(_run, settings, self)
         while await self.readiness_status(settings) != 200:
@@ -193,6 +203,24 @@
     return Endpoint(HOST, port)
 
 
+def reserve_adjacent_endpoints(
+    reserved: ExitStack,
+) -> tuple[Endpoint, Endpoint]:
+    """Returns two reserved addresses with consecutive ports."""
+    while True:
+        first = reserve_endpoint(reserved)
+        following = Endpoint(HOST, first.port + 1)
+        # With SO_REUSEADDR, it could get a port that others have reserved.
+        reservation = reserved.enter_context(socket(AF_INET, SOCK_STREAM))
+        try:
+            reservation.bind((following.host, following.port))
+        except OSError:
+            continue
+        # A program may still listen at the port.
+        reservation.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
+        return first, following
+
+
 @asynccontextmanager
 async def deployment(configured: bool = True) -> AsyncIterator[Deployment]:
     """Runs the stand-ins; the node starts when the test calls for it."""
@@ -210,6 +238,7 @@
             tasks.start_soon(
                 serve_http, cloud.application(), cloud_listener, Event()
             )
+            inbox, _ = reserve_adjacent_endpoints(reserved)
             node_settings = NodeSettings(
                 node_id="node-1",
                 availability_zone="zone-a",
@@ -217,7 +246,7 @@
                 availability_zones=("zone-a", "zone-b"),
                 caller_endpoint=reserve_endpoint(reserved),
                 readiness_endpoint=reserve_endpoint(reserved),
-                inbox=reserve_endpoint(reserved),
+                inbox=inbox,
                 store=_endpoint(listener_address(store_listener)),
                 cloud=_endpoint(listener_address(cloud_listener)),
                 reports_usage=True,
@@ -244,7 +273,11 @@
         return
 
     platform = NodePlatform(
-        store, cloud, PlatformHeaders(), decode_item, reload
+        store,
+        cloud,
+        PlatformHeaders(),
+        found.decoder_of(settings.node_id),
+        reload,
     )
     try:
         await run_node(settings, platform, metrics, found.stop)
--- a/wasabiwing_soak/loopback_proxy.py
+++ b/wasabiwing_soak/loopback_proxy.py
@@ -1,11 +1,14 @@
 """A TCP proxy that forwards connections and injects network faults.
 
 The proxy runs between a node and a server or store. It can delay data, hold
-data back in one direction or both, and reset connections.
+data back in one direction or both, reset connections, and cut the link as a
+network partition does.
 """
 
 from dataclasses import dataclass
 from dataclasses import field
+from enum import StrEnum
+from socket import create_connection
 from socket import SO_LINGER
 from socket import SOL_SOCKET
 from struct import pack
@@ -22,14 +25,28 @@
 from anyio import TASK_STATUS_IGNORED
 from anyio.abc import SocketAttribute
 from anyio.abc import SocketStream
+from anyio.abc import TaskGroup
 from anyio.abc import TaskStatus
 
+from wasabiwing.asgi import bind_listener
+
 HOST = "127.0.0.1"
 
 # Value of SO_LINGER with which closing a socket resets its connection.
 RESET_ON_CLOSE = pack("ii", 1, 0)
 
 
+class LinkCut(StrEnum):
+    """What a partition does to a link."""
+
+    # Open connections hang, and new ones time out.
+    SILENT = "silent"
+    # Open connections are reset, and new ones are refused.
+    REFUSE = "refuse"
+    # Open connections live on, and new ones are refused.
+    HALF = "half"
+
+
 @dataclass(slots=True, eq=False)
 class _Connection:
     """The two sockets of a forwarded connection."""
@@ -51,20 +68,37 @@
     silent_from_target: bool = False
     # Whether new connections are closed at once.
     closed: bool = False
+    # Address at which the proxy listens; port 0 stands for a free port.
+    host: str = HOST
+    port: int = 0
     address: str = ""
+    _cut: LinkCut | None = None
     _connections: set[_Connection] = field(default_factory=set)
     _changed: Event = field(default_factory=Event)
+    _cut_changed: Event = field(default_factory=Event)
 
     async def run(
         self, *, task_status: TaskStatus[str] = TASK_STATUS_IGNORED
     ) -> None:
         """Serves connections; the task status gets the proxy's address."""
-        listener = await create_tcp_listener(local_host=HOST, local_port=0)
-        port = listener.extra(SocketAttribute.local_port)
-        self.address = f"{HOST}:{port}"
-        async with listener:
-            task_status.started(self.address)
-            await listener.serve(self._serve)
+        # Reserves the port while nothing listens at it.
+        with bind_listener(self.host, self.port) as reserved:
+            self.port = reserved.getsockname()[1]
+            self.address = f"{self.host}:{self.port}"
+            async with create_task_group() as connections:
+                listens = Event()
+                connections.start_soon(self._listen, connections, listens)
+                await listens.wait()
+                task_status.started(self.address)
+
+    def set_cut(self, cut: LinkCut | None) -> None:
+        """Cuts the link, or restores it with ``None``."""
+        self._cut = cut
+        self.set_silence(cut is LinkCut.SILENT, cut is LinkCut.SILENT)
+        if cut is LinkCut.REFUSE:
+            self.reset()
+        self._cut_changed.set()
+        self._cut_changed = Event()
 
     def set_silence(self, to_target: bool, from_target: bool) -> None:
         """Sets in which directions data is held back.
@@ -85,12 +119,43 @@
             connection.scope.cancel()
         return count
 
+    async def _listen(self, connections: TaskGroup, listens: Event) -> None:
+        while True:
+            changed = self._cut_changed
+            if self._cut is None:
+                async with (
+                    await create_tcp_listener(
+                        local_host=self.host, local_port=self.port
+                    ) as listener,
+                    create_task_group() as accepting,
+                ):
+                    accepting.start_soon(
+                        listener.serve, self._serve, connections
+                    )
+                    listens.set()
+                    await changed.wait()
+                    accepting.cancel_scope.cancel()
+            elif self._cut is LinkCut.SILENT:
+                with bind_listener(self.host, self.port) as unanswered:
+                    # The kernel drops further connection requests as soon as
+                    # one connection waits to be accepted.
+                    unanswered.listen(0)
+                    with create_connection((self.host, self.port)):
+                        await changed.wait()
+            else:
+                await changed.wait()
+
     async def _serve(self, caller: SocketStream) -> None:
         host, _, port = self.target.rpartition(":")
         try:
             if self.closed:
                 raise ConnectionRefusedError
             target = await connect_tcp(host, int(port))
+            if self._cut in (LinkCut.REFUSE, LinkCut.HALF):
+                # It was accepted just before the cut.
+                _reset_on_close(caller)
+                await target.aclose()
+                raise ConnectionRefusedError
         except OSError:
             # The target is unreachable: close the caller's connection.
             await caller.aclose()
