Wait for a silent server where no other one can carry on the request

What callers saw: a sound server that sent nothing for a second or two cost them the answer. A begun stream was cut, and a request whose answer had not begun got 504 or 502, although the server went on a second later.

Cause: the watch cancelled each repeatable attempt after about a second of silence, and only afterwards the forwarder found that the request had no attempts or retry budget left, that no other server could take it, or that the process stops. Class of fault: work is ended before it is known that something better can take its place.

Change: the watch asks first. An attempt at a silent server is given up only if attempts are left, the process would not refuse a new request now, the retry budget is more than half full (silent_attempts decides so far), and another server has room, is not avoided and is not silent itself. That server and the token are taken before the cancellation, so that the retry cannot fail to begin. If the new server refuses the request, the silent one may get it again. An attempt that goes on is logged once (silent_attempt_kept).

Half of the budget stays for servers that fail, as one silent server may hold more requests than there are tokens.

--- a/tests/test_attempt_watch.py
+++ b/tests/test_attempt_watch.py
@@ -82,3 +82,27 @@
                 await found.watch.check()
         assert done.cancel_requested
         assert not done.ended_early
+
+    async def test_attempt_that_cannot_move_goes_on(self) -> None:
+        """Guards against an answer that ends because its server is silent."""
+        found = Watched()
+        movable = False
+        with found.watch.watch(
+            "server", 0, SILENCE_LIMIT_S, lambda: movable
+        ) as attempt:
+            await found.pass_time(10 * SILENCE_LIMIT_S, False)
+            assert not attempt.cancel_requested
+            movable = True
+            await found.pass_time(0.2, False)
+        assert attempt.ended_early
+
+    async def test_silent_servers_are_named(self) -> None:
+        found = Watched()
+        with (
+            found.watch.watch("server", 0, SILENCE_LIMIT_S),
+            found.watch.watch("mute", 0, 10 * SILENCE_LIMIT_S),
+        ):
+            assert not found.watch.silent_server_ids()
+            await found.pass_time(SERVER_SILENCE_S + 0.2, True)
+            assert found.watch.silent_server_ids() == {"mute"}
+        assert not found.watch.silent_server_ids()
--- a/wasabiwing/answer_relay.py
+++ b/wasabiwing/answer_relay.py
@@ -96,6 +96,8 @@
     # Monotonic time in seconds at which the whole request had been read.
     came_at: float = 0.0
     tried_server_ids: set[str] = field(default_factory=set)
+    # Tried servers that were left only because they were silent.
+    silent_server_ids: set[str] = field(default_factory=set)
     # Numbers of attempts that may have run, and of attempts that servers
     # refused before they ran.
     possible_runs: int = 0
--- a/wasabiwing/attempt_watch.py
+++ b/wasabiwing/attempt_watch.py
@@ -4,9 +4,11 @@
 others. An attempt that waits at a busy server must not be ended, because its
 retry would only add to the load. So an attempt is ended only if its server is
 silent towards all attempts of this node, or if the server has started several
-requests that were sent later and are no more urgent.
+requests that were sent later and are no more urgent, and only if its request
+can be carried on at another server (``silent_attempts``).
 """
 
+from collections.abc import Callable
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
@@ -38,6 +40,9 @@
     sent_at: float
     # Shortest silence after which the attempt may be ended, in seconds.
     silence_limit_s: float
+    # Whether the request can be carried on elsewhere; if so, what it needs
+    # for that is reserved.
+    may_move: Callable[[], bool]
     # Time of the latest event of the attempt.
     heard_at: float
     # Time of the first event of the attempt; ``None`` before it.
@@ -66,14 +71,21 @@
 
     @contextmanager
     def watch(
-        self, server_id: str, urgency: int, silence_limit_s: float
+        self,
+        server_id: str,
+        urgency: int,
+        silence_limit_s: float,
+        may_move: Callable[[], bool] = lambda: True,
     ) -> Iterator[WatchedAttempt]:
         """Watches an attempt while its block runs.
 
-        After a silence the block is cancelled, and ``ended_early`` is true.
+        After a silence the block is cancelled if ``may_move`` returns
+        ``True``, and ``ended_early`` is true.
         """
         now = self._timer.now()
-        attempt = WatchedAttempt(server_id, urgency, now, silence_limit_s, now)
+        attempt = WatchedAttempt(
+            server_id, urgency, now, silence_limit_s, may_move, now
+        )
         self._running.append(attempt)
         try:
             with attempt.scope:
@@ -97,6 +109,20 @@
             ):
                 other.overtaken_count += 1
 
+    def silent_server_ids(self) -> frozenset[str]:
+        """Returns the servers that are silent towards all their attempts."""
+        now = self._timer.now()
+        return frozenset(
+            attempt.server_id
+            for attempt in self._running
+            if self._server_silence_s(attempt, now) > SERVER_SILENCE_S
+        )
+
+    def _server_silence_s(self, attempt: WatchedAttempt, now: float) -> float:
+        return now - max(
+            self._loads.last_heard_at(attempt.server_id), attempt.heard_at
+        )
+
     async def check(self) -> None:
         """Cancels silent attempts; called every ``WATCH_PERIOD_S``."""
         now = self._timer.now()
@@ -104,13 +130,12 @@
             silence_s = now - attempt.heard_at
             if silence_s < attempt.silence_limit_s or attempt.cancel_requested:
                 continue
-            server_silence_s = now - max(
-                self._loads.last_heard_at(attempt.server_id), attempt.heard_at
-            )
+            server_silence_s = self._server_silence_s(attempt, now)
             overtaken = (
                 attempt.started_at is None
                 and attempt.overtaken_count >= OVERTAKEN_LIMIT
             )
-            if server_silence_s > SERVER_SILENCE_S or overtaken:
+            silent = server_silence_s > SERVER_SILENCE_S or overtaken
+            if silent and attempt.may_move():
                 attempt.cancel_requested = True
                 attempt.scope.cancel()
--- a/wasabiwing/call_forwarding.py
+++ b/wasabiwing/call_forwarding.py
@@ -4,6 +4,7 @@
 the connection proves, that the request has not run.
 """
 
+from collections.abc import Callable
 from functools import partial
 from math import inf
 from random import Random
@@ -48,6 +49,10 @@
 from wasabiwing.server_selection import ServerSelector
 from wasabiwing.server_statements import ServerStatements
 from wasabiwing.service_configuration import RouteKind
+from wasabiwing.silent_attempts import KEPT_BUDGET_SHARE
+from wasabiwing.silent_attempts import Prospects
+from wasabiwing.silent_attempts import wait_reason
+from wasabiwing.silent_attempts import WaitReason
 from wasabiwing.stop_admission import StopAdmission
 from wasabiwing.suspect_isolation import SuspectIsolation
 from wasabiwing.timers import TimerService
@@ -205,24 +210,31 @@
     async def _run_attempts(
         self, call: RoutedCall, progress: CallProgress, output: AnswerOutput
     ) -> Failure:
+        next_server: list[SelectedServer] = []
         while True:
-            placed = await self._wait_for_server(call, progress)
+            placed = (
+                next_server.pop()
+                if next_server
+                else await self._wait_for_server(call, progress)
+            )
             if isinstance(placed, Failure):
                 return (
                     placed
                     if progress.possible_runs == 0
                     else _final_failure(progress)
                 )
-            failure = await self._attempt(call, placed, progress, output)
+            failure = await self._attempt(
+                call, placed, progress, output, next_server
+            )
             if failure is None:
                 self._quarantine.note_success(call)
                 return Failure(ResultCode.OK)
             progress.last_failure = failure
-            if not self._may_retry(call, progress, failure):
+            if not self._may_retry(call, progress, failure, bool(next_server)):
                 return _final_failure(progress)
 
     def _stop_refusal(
-        self, call: RoutedCall, progress: CallProgress
+        self, call: RoutedCall, came_at: float
     ) -> Failure | None:
         """Returns why this process, which stops, makes no attempt any more.
 
@@ -231,7 +243,7 @@
         """
         return self._stop_admission.refusal(
             _run_kind(call),
-            progress.came_at,
+            came_at,
             call.deadline,
             call.head.answer_tokens,
         )
@@ -247,13 +259,17 @@
         if self._quarantine.suspect_digest(call):
             wait_s = SUSPECT_WAIT_S
         wait_until = self._timer.now() + wait_s
-        refusal = self._stop_refusal(call, progress)
+        refusal = self._stop_refusal(call, progress.came_at)
         if refusal is not None:
             return refusal
         while True:
             placed = self._placement.choose_server(
                 call, frozenset(progress.tried_server_ids)
             )
+            if isinstance(placed, Err) and progress.silent_server_ids:
+                # Those that took over have refused.
+                tried = progress.tried_server_ids - progress.silent_server_ids
+                placed = self._placement.choose_server(call, frozenset(tried))
             if not isinstance(placed, Err):
                 return placed.ok_value
             failure = placed.err_value
@@ -262,13 +278,78 @@
                 return failure
             await self._placement.wait_for_room(SERVER_POLL_S)
 
+    def _may_move(
+        self,
+        call: RoutedCall,
+        progress: CallProgress,
+        next_server: list[SelectedServer],
+        log_kept: Callable[[WaitReason, str], None],
+    ) -> bool:
+        """Whether the attempt at a silent server is given up.
+
+        If so, it takes a retry token and adds the next attempt's server to
+        ``next_server``.
+        """
+        budgets = self._retry_budgets
+        reason = wait_reason(
+            Prospects(
+                call.route.max_attempts - progress.possible_runs,
+                self._stop_refusal(call, self._timer.now()) is not None,
+                budgets.has_token(call.service, KEPT_BUDGET_SHARE),
+            )
+        )
+        if reason is not None:
+            log_kept(reason, "")
+            return False
+        excluded = progress.tried_server_ids | self._watch.silent_server_ids()
+        placed = self._placement.choose_server(
+            call, frozenset(excluded), needs_room=True
+        )
+        if isinstance(placed, Err):
+            log_kept(WaitReason.NO_SERVER, str(placed.err_value))
+            return False
+        budgets.take_token(call.service)
+        next_server.append(placed.ok_value)
+        return True
+
+    def _kept_logger(
+        self, call: RoutedCall, server_id: str
+    ) -> Callable[[WaitReason, str], None]:
+        """Returns what logs once that an attempt goes on, and why."""
+        logged = False
+
+        def log_kept(reason: WaitReason, detail: str) -> None:
+            nonlocal logged
+            if not logged:
+                logged = True
+                log_event(
+                    Event.SILENT_ATTEMPT_KEPT,
+                    self._node_id,
+                    request=call.head.attempt_id,
+                    server=server_id,
+                    reason=reason.value,
+                    detail=detail,
+                )
+
+        return log_kept
+
     def _may_retry(
-        self, call: RoutedCall, progress: CallProgress, failure: Failure
+        self,
+        call: RoutedCall,
+        progress: CallProgress,
+        failure: Failure,
+        is_prepared: bool,
     ) -> bool:
-        """Whether a failed attempt is retried; takes a retry token for it."""
+        """Whether a failed attempt is retried; takes a retry token for it.
+
+        A prepared retry has its server and its token already.
+        """
         reason = "budget used up"
         budgets = self._retry_budgets
-        if failure.run_state is RunState.NOT_RUN:
+        if is_prepared:
+            again = True
+            reason = "silent server"
+        elif failure.run_state is RunState.NOT_RUN:
             # A request of which no byte was sent has put no load on a server,
             # so all others may be tried.
             not_sent = failure.code in NOT_SENT_CODES
@@ -301,10 +382,12 @@
         placed: SelectedServer,
         progress: CallProgress,
         output: AnswerOutput,
+        next_server: list[SelectedServer],
     ) -> Failure | None:
         """Makes one attempt at a server.
 
-        Returns its failure, or ``None`` if the caller got the answer.
+        Returns its failure, or ``None`` if the caller got the answer. If the
+        server was silent, ``next_server`` has that of the next attempt.
         """
         server = placed.server
         progress.tried_server_ids.add(server.id)
@@ -320,12 +403,24 @@
         try:
             silence_limit_s = _silence_limit_s(call, placed, remaining_s)
             with self._watch.watch(
-                server.id, _urgency(call), silence_limit_s
+                server.id,
+                _urgency(call),
+                silence_limit_s,
+                partial(
+                    self._may_move,
+                    call,
+                    progress,
+                    next_server,
+                    self._kept_logger(call, server.id),
+                ),
             ) as watched:
                 failure = await self._exchange(
                     call, placed, progress, output, watched
                 )
-            if watched.ended_early:
+            if not watched.ended_early:
+                next_server.clear()
+            else:
+                progress.silent_server_ids.add(server.id)
                 progress.event_splitter.discard_incomplete_event()
                 failure = Failure(
                     ResultCode.SERVER_TIMEOUT,
--- a/wasabiwing/events.py
+++ b/wasabiwing/events.py
@@ -55,6 +55,7 @@
     PART_CLEARED = 217
     PART_PROBED = 218
     ANSWER_END_UNPROVED = 219
+    SILENT_ATTEMPT_KEPT = 224
     # 3xx: configuration.
     CONFIGURATION_IN_FORCE = 300
     CONFIGURATION_REJECTED = 301
@@ -161,6 +162,9 @@
     Event.REQUEST_TAKEN_STOPPING: (
         "A request was taken while the process stops, with the time left."
     ),
+    Event.SILENT_ATTEMPT_KEPT: (
+        "An attempt at a silent server goes on; nothing else can carry it."
+    ),
     Event.PART_QUARANTINED: (
         "A part of prompts was in repeated crashes; requests are refused."
     ),
--- a/wasabiwing/retry_budgets.py
+++ b/wasabiwing/retry_budgets.py
@@ -34,10 +34,17 @@
         """Adds a share of a token for the first attempt of a request."""
         self._tokens = min(self._tokens + share, self._reserve())
 
+    def has_token(self, kept_share: float = 0.0) -> bool:
+        """Whether a token is left besides a share of the full budget."""
+        reserve = self._reserve()
+        self._tokens = min(self._tokens, reserve)
+        # A budget of a single token can keep none back.
+        kept = max(min(kept_share * reserve, reserve - 1.0), 0.0)
+        return self._tokens - 1.0 >= kept
+
     def take_token(self) -> bool:
         """Takes a token for a retry, and returns whether there was one."""
-        self._tokens = min(self._tokens, self._reserve())
-        if self._tokens < 1.0:
+        if not self.has_token():
             return False
         self._tokens -= 1.0
         return True
@@ -63,6 +70,10 @@
         """Adds the first attempt of a request to its service's budget."""
         self._budget(service).note_first_attempt(self._share)
 
+    def has_token(self, service: str, kept_share: float) -> bool:
+        """Whether a service has a token besides a share of its budget."""
+        return self._budget(service).has_token(kept_share)
+
     def take_token(self, service: str) -> bool:
         """Takes a token of a service's budget; returns whether it had one."""
         return self._budget(service).take_token()
--- a/wasabiwing/server_selection.py
+++ b/wasabiwing/server_selection.py
@@ -97,11 +97,15 @@
         self._cold_rate_limiter = ColdRateLimiter(node_id, timer)
 
     def choose_server(
-        self, call: RoutedCall, tried: frozenset[str]
+        self,
+        call: RoutedCall,
+        tried: frozenset[str],
+        needs_room: bool = False,
     ) -> Result[SelectedServer, Failure]:
         """Returns the server for the next attempt of a request.
 
-        ``tried`` holds the ids of the servers of earlier attempts. The error
+        ``tried`` holds the ids of the servers of earlier attempts. A server
+        without a free slot is chosen only if not ``needs_room``. The error
         ``NO_BACKEND_SERVER`` says that no other server may take the request,
         ``OVERLOADED`` that none has room at this moment,
         ``DEADLINE_UNREACHABLE`` that the answer would begin after the
@@ -146,6 +150,8 @@
         if evaluation.failure is not None:
             return Err(evaluation.failure)
         choice, chosen = evaluation.choice, evaluation.candidate
+        if needs_room and not has_room(chosen):
+            return Err(Failure(ResultCode.OVERLOADED, f"full: {chosen.id}"))
         server = next(
             server for server in allowed_servers if server.id == chosen.id
         )
