--- a/tests/cut_nodes.py
+++ b/tests/cut_nodes.py
@@ -14,6 +14,7 @@
 from anyio import create_task_group
 from anyio import current_time
 from anyio import sleep
+from result import Err
 from result import Ok
 from result import Result
 
@@ -24,6 +25,7 @@
 from wasabiwing.node_settings import NodeSettings
 from wasabiwing_platform.documents import decode_item
 from wasabiwing_platform_standins.examples import caller_headers
+from wasabiwing_platform_standins.server import plain_answer
 from wasabiwing_platform_standins.server import ServerStandIn
 from wasabiwing_platform_standins.server import stream_answer
 from wasabiwing_platform_standins.server import STREAM_EVENTS
@@ -36,6 +38,7 @@
 # Routes with plain requests that may be repeated or not, and with streams
 # that may be resumed or not.
 ROUTES = ("read", "book", "chat", "notes")
+STREAM_ROUTES = ("chat", "notes")
 
 # Time that a server takes for a request, in seconds.
 RUN_S = 0.1
@@ -50,8 +53,18 @@
 COUNTED_FROM_S = 3.0
 COUNTED_UNTIL_S = 5.0
 
-# Time limit of a caller.
-TIMEOUT_MS = 1500
+# Time limit of a caller, in seconds.
+TIMEOUT_S = 1.5
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What a caller got for a request."""
+
+    # HTTP status; 0 without a whole answer.
+    status: int
+    # The answer's body, or why there is no whole answer.
+    text: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,7 +78,11 @@
     ended_s: float
     # HTTP status; 0 without a whole answer.
     status: int
-    served: bool
+
+    @property
+    def served(self) -> bool:
+        """Whether the request got its whole answer."""
+        return self.status == 200
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,6 +124,8 @@
     def __init__(self, system: Deployment) -> None:
         self.system = system
         self.nodes: list[NodeSettings] = []
+        self.servers: list[ServerStandIn] = []
+        self._count = 0
         self._links_by_node: dict[str, dict[str, LoopbackProxy]] = {}
         system.decoder_of = self._decoder
 
@@ -119,6 +138,7 @@
                 await system.add_server(service, server)
                 parts = STREAM_EVENTS if server.streams else 1
                 server.work_s = RUN_S / parts
+                self.servers.append(server)
         node_ids = [f"node-{number + 1}" for number in range(count)]
         for node_id in node_ids:
             links = self._links_by_node.setdefault(node_id, {})
@@ -136,6 +156,31 @@
             for link in self._links_by_node[node_id].values():
                 link.set_cut(cut)
 
+    async def send(
+        self, node: NodeSettings, route: str, body: bytes, timeout_s: float
+    ) -> Answer:
+        """Sends a caller's request to a node."""
+        self._count += 1
+        headers = caller_headers(
+            f"attempt-{self._count}", timeout_ms=int(timeout_s * 1000)
+        )
+        reply = await self.system.client.send(
+            "POST",
+            f"http://{node.caller_endpoint}/{route}/1",
+            headers,
+            body,
+            2 * timeout_s,
+        )
+        if isinstance(reply, Err):
+            return Answer(0, reply.err_value.detail)
+        answer = reply.ok_value
+        expected = plain_answer(body)
+        if route in STREAM_ROUTES:
+            expected = stream_answer()
+        if answer.status == 200 and answer.body != expected:
+            return Answer(0, "incomplete")
+        return Answer(answer.status, answer.body.decode())
+
     def _decoder(
         self, node_id: str
     ) -> Callable[[str, bytes | None], Result[FleetChange | None, str]]:
@@ -177,28 +222,11 @@
 
     async def ask(node: NodeSettings, route: str, number: int) -> None:
         sent_s = current_time() - cut_at
-        headers = caller_headers(
-            f"{node.node_id}-{route}-{number}", timeout_ms=TIMEOUT_MS
-        )
-        reply = await nodes.system.client.send(
-            "POST",
-            f"http://{node.caller_endpoint}/{route}/1",
-            headers,
-            b"order",
-            2 * TIMEOUT_MS / 1000.0,
-        )
-        status = reply.map_or(0, lambda answer: answer.status)
-        body = reply.map_or(b"", lambda answer: answer.body)
-        whole = route in ("read", "book") or body == stream_answer()
+        body = f"{node.node_id} {route} {number}".encode()
+        answer = await nodes.send(node, route, body, TIMEOUT_S)
+        ended_s = current_time() - cut_at
         tries.append(
-            FirstTry(
-                node.node_id,
-                route,
-                sent_s,
-                current_time() - cut_at,
-                status,
-                status == 200 and whole,
-            )
+            FirstTry(node.node_id, route, sent_s, ended_s, answer.status)
         )
 
     async with create_task_group() as callers:
--- a/wasabiwing_soak/loopback_proxy.py
+++ b/wasabiwing_soak/loopback_proxy.py
@@ -10,6 +10,7 @@
 from enum import StrEnum
 from socket import create_connection
 from socket import SO_LINGER
+from socket import socket
 from socket import SOL_SOCKET
 from struct import pack
 
@@ -18,11 +19,11 @@
 from anyio import ClosedResourceError
 from anyio import connect_tcp
 from anyio import create_task_group
-from anyio import create_tcp_listener
 from anyio import EndOfStream
 from anyio import Event
 from anyio import sleep
 from anyio import TASK_STATUS_IGNORED
+from anyio import wait_readable
 from anyio.abc import SocketAttribute
 from anyio.abc import SocketStream
 from anyio.abc import TaskGroup
@@ -123,18 +124,18 @@
         while True:
             changed = self._cut_changed
             if self._cut is None:
-                async with (
-                    await create_tcp_listener(
-                        local_host=self.host, local_port=self.port
-                    ) as listener,
-                    create_task_group() as accepting,
-                ):
-                    accepting.start_soon(
-                        listener.serve, self._serve, connections
-                    )
+                with bind_listener(self.host, self.port) as listener:
+                    listener.setblocking(False)
+                    listener.listen()
                     listens.set()
-                    await changed.wait()
-                    accepting.cancel_scope.cancel()
+                    async with create_task_group() as accepting:
+                        accepting.start_soon(
+                            self._accept, listener, connections
+                        )
+                        await changed.wait()
+                        accepting.cancel_scope.cancel()
+                    # They would be reset, but came before the cut.
+                    self._accept_waiting(listener, connections)
             elif self._cut is LinkCut.SILENT:
                 with bind_listener(self.host, self.port) as unanswered:
                     # The kernel drops further connection requests as soon as
@@ -145,21 +146,38 @@
             else:
                 await changed.wait()
 
-    async def _serve(self, caller: SocketStream) -> None:
+    async def _accept(self, listener: socket, connections: TaskGroup) -> None:
+        while True:
+            await wait_readable(listener)
+            self._accept_waiting(listener, connections)
+
+    def _accept_waiting(
+        self, listener: socket, connections: TaskGroup
+    ) -> None:
+        while True:
+            try:
+                accepted, _ = listener.accept()
+            except BlockingIOError:
+                return
+            connections.start_soon(self._serve, accepted)
+
+    async def _serve(self, accepted: socket) -> None:
+        caller = await SocketStream.from_socket(accepted)
         host, _, port = self.target.rpartition(":")
         try:
             if self.closed:
                 raise ConnectionRefusedError
             target = await connect_tcp(host, int(port))
-            if self._cut in (LinkCut.REFUSE, LinkCut.HALF):
-                # It was accepted just before the cut.
-                _reset_on_close(caller)
-                await target.aclose()
-                raise ConnectionRefusedError
         except OSError:
             # The target is unreachable: close the caller's connection.
             await caller.aclose()
             return
+        if self._cut is LinkCut.REFUSE:
+            # It was accepted just before the cut.
+            _reset_on_close(caller)
+            await caller.aclose()
+            await target.aclose()
+            return
         async with caller, target, create_task_group() as tasks:
             connection = _Connection(caller, target, tasks.cancel_scope)
             self._connections.add(connection)
