Do not take a cut of a process's own links for crashes of servers

Whether a server that cut a request has crashed was decided by one connection: if it was not accepted within 0.25 s, the server counted as crashed. A process that has lost its links, silently or with refusals, so declared sound servers crashed, and its suspicions and quarantines went to all other processes and into the store.

Seen before the change (tests/test_unproved_crashes.py, all links of the one process cut with refusals while requests run, registry unchanged): after two cuts the same sound request is refused with 107 QUARANTINED by a node and by a gateway; after one cut a node refuses a part of six prompts (`part-...`). A connection that times out counted as a crash.

A connection that times out proves nothing. A refused one counts only if at least half of up to four other servers accept a connection, those of the same service first. A cut without proof is kept by the process and told to nobody (`server_crash_unproved`) until the registry shows that the server's process is another one or gone, or another process reports the crash; it is dropped after 20 s, with the request's success, or when the server leaves. Gateway and node use `server_probe` and `quarantine` as before.

After the change the three requests are answered with 200.

`EndJudge` stays: an answer without length and chunks whose server refuses connections isn't proved whole, whether the server or the link is gone.

--- a/wasabiwing/events.py
+++ b/wasabiwing/events.py
@@ -83,6 +83,7 @@
     ANSWER_HEADER_UNKNOWN = 511
     SERVER_LIMIT_CHANGED = 512
     PERMIT_ISSUER_SILENT = 513
+    SERVER_CRASH_UNPROVED = 516
     # 6xx: claims and jobs.
     CLAIM_GRANTED = 600
     CLAIM_REPEATED = 601
@@ -215,6 +216,9 @@
     Event.PERMIT_ISSUER_SILENT: (
         "A process did not answer a request for permits; the next is asked."
     ),
+    Event.SERVER_CRASH_UNPROVED: (
+        "A server cut a request and cannot be reached, like other servers."
+    ),
     Event.CLAIM_GRANTED: "A gateway may send a non-idempotent request.",
     Event.CLAIM_REPEATED: "A known idempotency key was asked for again.",
     Event.PARTITION_LOADED: "A claim partition was read from the store.",
--- a/wasabiwing/explain_log.py
+++ b/wasabiwing/explain_log.py
@@ -45,6 +45,7 @@
 CONTENT_EVENTS = frozenset(
     {
         Event.SERVER_CRASHED,
+        Event.SERVER_CRASH_UNPROVED,
         Event.REQUEST_QUARANTINED,
         Event.QUARANTINE_ENDED,
     }
--- a/wasabiwing/gateway.py
+++ b/wasabiwing/gateway.py
@@ -66,6 +66,7 @@
 from wasabiwing.running_request import Interrupt
 from wasabiwing.send_permits import SendPermits
 from wasabiwing.server_limits import ServerLimits
+from wasabiwing.server_probe import CrashProbe
 from wasabiwing.server_probe import server_answers
 from wasabiwing.server_probe import server_listens
 from wasabiwing.server_records import LoadReport
@@ -143,7 +144,12 @@
             timer,
             self.facts,
             self.view.is_leaving,
-            partial(server_answers, client),
+            CrashProbe(
+                timer,
+                Random(seed),
+                partial(server_answers, client),
+                self._running_servers,
+            ).runs,
             count_refusal=self.metrics.count_part_refusal,
         )
         self.decisions = DecisionLog(node_id, timer)
@@ -334,6 +340,17 @@
         if request.uses:
             self._transport.send(self._settings.controller_address, request)
 
+    def _running_servers(self) -> list[tuple[str, str]]:
+        """Returns address and pool of the servers that stay."""
+        index = self.view.index
+        if index is None:
+            return []
+        return [
+            (server.address, index.pool_id_by_server[server_id])
+            for server_id, server in index.server_by_id.items()
+            if not self.view.is_leaving(server)
+        ]
+
     async def _on_grant(self, envelope: Envelope, grant: CreditGrant) -> None:
         self.credits.note_controller_message()
         self.credits.on_grant(grant)
--- a/wasabiwing/node_quarantine.py
+++ b/wasabiwing/node_quarantine.py
@@ -1,6 +1,7 @@
 """Builds a node's quarantine from its server directory and its store."""
 
 from collections.abc import Callable
+from random import Random
 
 from wasabiwing.facts import Facts
 from wasabiwing.fleet_follower import FleetFollower
@@ -10,6 +11,7 @@
 from wasabiwing.quarantine_records import QuarantineRecords
 from wasabiwing.server_directory import RegisteredServer
 from wasabiwing.server_directory import ServerDirectory
+from wasabiwing.server_probe import CrashProbe
 from wasabiwing.server_probe import server_accepts_connection
 from wasabiwing.server_probe import SharedProbe
 from wasabiwing.server_statements import ServerStatements
@@ -39,13 +41,28 @@
             return True
         return statements.is_leaving(server.id)
 
+    def has_ended(server: RegisteredServer) -> bool:
+        """Whether a server's process has gone, or was replaced by another."""
+        return directory.started_ms(server.id) != server.started_ms
+
+    probe = CrashProbe(
+        timer,
+        Random(node_id),
+        server_accepts_connection,
+        lambda: (
+            (entry.address, entry.service)
+            for entry in directory.entries()
+            if not is_leaving(entry)
+        ),
+    )
     return Quarantine(
         node_id,
         timer,
         facts,
         is_leaving,
-        SharedProbe(server_accepts_connection).probe,
+        SharedProbe(probe.runs).probe,
         records.queue_write,
         judge_period_s,
         count_refusal,
+        has_ended,
     )
--- a/wasabiwing/quarantine.py
+++ b/wasabiwing/quarantine.py
@@ -32,6 +32,9 @@
 from wasabiwing.quarantine_facts import QUARANTINE_RULE
 from wasabiwing.rendezvous import rank_members
 from wasabiwing.timers import TimerService
+from wasabiwing.unproved_crashes import CutRequest
+from wasabiwing.unproved_crashes import UnprovedCut
+from wasabiwing.unproved_crashes import UnprovedCuts
 
 CRASH_FACT_KIND = "crash"
 SUSPICION_FACT_KIND = "suspicion"
@@ -82,9 +85,9 @@
 
 ServerT = TypeVar("ServerT", bound=IdentifiedServer)
 
-# Returns whether the backend server at an address still answers; see
-# ``server_probe.py``.
-Probe = Callable[[str], Awaitable[bool]]
+# Returns whether the backend server at an address still answers, or ``None``
+# if this process cannot tell; see ``server_probe.py``.
+Probe = Callable[[str], Awaitable[bool | None]]
 
 
 class IdentifiedCall(Protocol):
@@ -126,7 +129,8 @@
     ``store_verdict`` is called with each digest or part whose quarantine
     begins or ends on evidence of this process, so that the verdict can be
     stored. ``count_refusal`` is called with the part for which a request is
-    refused.
+    refused. ``has_ended`` tells whether the registry shows that the process
+    of a server has ended.
     """
 
     def __init__(
@@ -139,6 +143,7 @@
         store_verdict: Callable[[str], None] = lambda digest: None,
         judge_period_s: float = JUDGE_PERIOD_S,
         count_refusal: Callable[[str], None] = lambda part: None,
+        has_ended: Callable[[ServerT], bool] = lambda server: False,
     ) -> None:
         self._node_id = node_id
         self._timer = timer
@@ -146,6 +151,8 @@
         self.is_leaving = is_leaving
         self._probe = probe
         self._store_verdict = store_verdict
+        self._has_ended = has_ended
+        self._unproved_cuts: UnprovedCuts[ServerT] = UnprovedCuts()
         # Digests of requests that this process saw end with a crash.
         self._locally_seen_digests: set[str] = set()
         # A crash is identified by server id and number, "server/number".
@@ -174,6 +181,7 @@
             count_refusal,
         )
         timer.subscribe(judge_period_s, self._judge_due_crashes)
+        timer.subscribe(judge_period_s, self._report_proved_crashes)
         timer.subscribe(EXPIRY_PERIOD_S, self._expire)
 
     def refusal(self, call: IdentifiedCall) -> Failure | None:
@@ -254,40 +262,91 @@
 
         ``started_at`` is the monotonic time at which the attempt began,
         ``answer_began_at`` that of its first event, ``None`` without one.
-        Returns whether the server has crashed: a server that still answers
-        has only cut a connection, and a leaving server was stopped.
+        Returns whether the server has crashed, or may have: a server that
+        still answers has only cut a connection, and a leaving server was
+        stopped.
         """
         if self.is_leaving(server):
             return False
         # The probe may take longer than an answer to settle.
-        answered = has_answer_settled(answer_began_at, self._timer.now())
-        if not answered:
+        cut_at = self._timer.now()
+        settled = has_answer_settled(answer_began_at, cut_at)
+        if not settled:
             self.parts.withdraw_clearance(call)
-        if await self._probe(server.address):
+        runs = await self._probe(server.address)
+        if runs:
             return False
-        number = self._crash_number(server.id, started_at)
-        digest = self._digest(call)
+        cut = UnprovedCut(
+            CutRequest(
+                call.request_id,
+                call.prompt_scope,
+                call.shared_parts,
+                self._digest(call),
+                started_at,
+                answer_began_at is not None,
+                settled,
+            ),
+            server,
+            cut_at,
+            self._latest_crash(server.id),
+        )
+        if runs is None:
+            log_event(
+                Event.SERVER_CRASH_UNPROVED,
+                self._node_id,
+                request=call.request_id,
+                server=server.id,
+                digest=cut.request.digest,
+            )
+            self._unproved_cuts.add(cut)
+        else:
+            self._report_crash(cut)
+        return True
+
+    def _report_crash(self, cut: UnprovedCut[ServerT]) -> None:
+        """Tells all processes that a server crashed and what ran on it."""
+        request = cut.request
+        server_id = cut.server.id
+        number = self._crash_number(server_id, request.started_at)
         log_event(
             Event.SERVER_CRASHED,
             self._node_id,
-            request=call.request_id,
-            server=server.id,
+            request=request.request_id,
+            server=server_id,
             crash=number,
-            digest=digest,
-            parts=part_keys(call),
-            answer_began=answer_began_at is not None,
+            digest=request.digest,
+            parts=part_keys(request),
+            answer_began=request.answer_began,
         )
-        self._locally_seen_digests.add(digest)
-        self._facts.publish(CRASH_FACT_KIND, server.id, "", number)
-        key = f"{digest}/{server.id}/{number}"
+        self._locally_seen_digests.add(request.digest)
+        self._facts.publish(CRASH_FACT_KIND, server_id, "", number)
+        key = f"{request.digest}/{server_id}/{number}"
         self._facts.publish(
             SUSPICION_FACT_KIND,
             key,
-            ANSWERED_VALUE if answered else "",
+            ANSWERED_VALUE if request.answer_settled else "",
             SUSPECTED_EPOCH,
         )
-        self.parts.note_crash(call, f"{server.id}/{number}", digest, answered)
-        return True
+        self.parts.note_crash(
+            request,
+            f"{server_id}/{number}",
+            request.digest,
+            request.answer_settled,
+        )
+
+    async def _report_proved_crashes(self) -> None:
+        """Reports crashes that were unproved when they cut a request."""
+        if not self._unproved_cuts:
+            return
+        for cut in self._unproved_cuts.take_proved(
+            self._timer.now(),
+            lambda cut: (
+                self._has_ended(cut.server)
+                or self._latest_crash(cut.server.id) > cut.known_crash
+            ),
+            lambda cut: self.is_leaving(cut.server),
+        ):
+            self._report_crash(cut)
 
     def note_answer_began(self, call: IdentifiedCall) -> None:
         """Handles the first event of an answer that a server computes."""
@@ -295,6 +354,8 @@
 
     def note_success(self, call: IdentifiedCall) -> None:
         """Clears a suspected digest after a request got its whole answer."""
+        if self._unproved_cuts:
+            self._unproved_cuts.drop(self._digest(call))
         digest = self._known_digest(call)
         for crash in tuple(self._crashes_by_digest.get(digest, ())):
             self._facts.publish(
@@ -315,6 +376,11 @@
                 self._digest_by_request.popitem(last=False)
         return digest
 
+    def _latest_crash(self, server_id: str) -> int:
+        """Returns the number of a server's latest known crash, or 0."""
+        known = self._facts.get(CRASH_FACT_KIND, server_id)
+        return 0 if known is None else known.epoch
+
     def _crash_number(self, server_id: str, started_at: float) -> int:
         """Returns the number of the server's crash that ended an attempt.
 
--- a/wasabiwing/server_directory.py
+++ b/wasabiwing/server_directory.py
@@ -187,17 +187,20 @@
 
     def servers_of_service(self, service: str) -> list[RegisteredServer]:
         """Returns the servers of a service that take new work, by id."""
-        entries = [
-            known.entry
-            for server_id in sorted(self._server_by_id)
-            if (known := self._current_server(server_id)) is not None
-        ]
         return [
             entry
-            for entry in entries
+            for entry in self.entries()
             if entry.service == service and not entry.draining
         ]
 
+    def entries(self) -> list[RegisteredServer]:
+        """Returns the entries of all servers, by id."""
+        return [
+            known.entry
+            for server_id in sorted(self._server_by_id)
+            if (known := self._current_server(server_id)) is not None
+        ]
+
     def _current_server(self, server_id: str) -> KnownServer | None:
         """Returns a server unless its lapsed entry has been given up."""
         known = self._server_by_id.get(server_id)
