Let another node carry requests of a node that reaches no server

Cause: a node had no other way to a server than its own links, and did not notice that they were cut: each request waited for connects that timed out, at one server after the other. Class of fault: a process takes its own view for the state of the whole system.

Change: server_reachability probes servers that owe an answer and are silent, and tells when the node is cut off; a silent server that accepts connections is sound. relay_peers decides when a request is relayed and to whom, peer_relay sends it over HTTP to the port after the other node's inbox, and the other node serves it as a caller's own: at most once, with its own routes and keys, without a second charge of the usage cap, never relayed again. A node that cannot carry it declines, and the next one is asked.

--- a/tests/node_deployment.py
+++ b/tests/node_deployment.py
@@ -149,13 +149,14 @@
 
     async def start_another(self, node_id: str) -> NodeSettings:
         """Starts one fields node and waits until it is ready."""
-        inbox, _ = reserve_adjacent_endpoints(self.reserved_sockets)
+        inbox, relay = reserve_adjacent_endpoints(self.reserved_sockets)
         settings = replace(
             self.settings,
             node_id=node_id,
             caller_endpoint=reserve_endpoint(self.reserved_sockets),
             readiness_endpoint=reserve_endpoint(self.reserved_sockets),
             inbox=inbox,
+            relay_endpoint=relay,
         )
         self.tasks.start_soon(_run, settings, self)
         while await self.readiness_status(settings) != 200:
@@ -238,7 +239,7 @@
             tasks.start_soon(
                 serve_http, cloud.application(), cloud_listener, Event()
             )
-            inbox, _ = reserve_adjacent_endpoints(reserved)
+            inbox, relay = reserve_adjacent_endpoints(reserved)
             node_settings = NodeSettings(
                 node_id="node-1",
                 availability_zone="zone-a",
@@ -247,6 +248,7 @@
                 caller_endpoint=reserve_endpoint(reserved),
                 readiness_endpoint=reserve_endpoint(reserved),
                 inbox=inbox,
+                relay_endpoint=relay,
                 store=_endpoint(listener_address(store_listener)),
                 cloud=_endpoint(listener_address(cloud_listener)),
                 reports_usage=True,
--- a/tests/test_attempt_watch.py
+++ b/tests/test_attempt_watch.py
@@ -1,11 +1,14 @@
 """Tests of ending silent attempts."""
 
+from math import inf
+
 from anyio import CancelScope
 import pytest
 
 from wasabiwing.attempt_watch import AttemptWatch
 from wasabiwing.attempt_watch import OVERTAKEN_LIMIT
 from wasabiwing.attempt_watch import SERVER_SILENCE_S
+from wasabiwing.attempt_watch import UNREACHABLE_SILENCE_S
 from wasabiwing.prefill_rates import PrefillRates
 from wasabiwing.server_loads import ServerLoads
 from wasabiwing.timers import FakeTimer
@@ -106,3 +109,22 @@
             await found.pass_time(SERVER_SILENCE_S + 0.2, True)
             assert found.watch.silent_server_ids() == {"mute"}
         assert not found.watch.silent_server_ids()
+
+    async def test_attempt_at_an_unreachable_server_ends_sooner(self) -> None:
+        """Its silence is no sound server's."""
+        found = Watched()
+        found.watch.use_reachability(lambda server_id: server_id == "gone")
+        with (
+            found.watch.watch("gone", 0, 10 * SILENCE_LIMIT_S) as attempt,
+            found.watch.watch("server", 0, 10 * SILENCE_LIMIT_S) as other,
+        ):
+            await found.pass_time(UNREACHABLE_SILENCE_S + 0.2, False)
+            assert attempt.cancel_requested
+            assert not other.cancel_requested
+
+    async def test_attempt_that_may_not_be_repeated_stays(self) -> None:
+        found = Watched()
+        found.watch.use_reachability(lambda server_id: True)
+        with found.watch.watch("gone", 0, inf) as attempt:
+            await found.pass_time(10.0, False)
+            assert not attempt.cancel_requested
--- a/wasabiwing/answer_relay.py
+++ b/wasabiwing/answer_relay.py
@@ -105,6 +105,14 @@
     fallback_answer: WholeAnswer | None = None
     last_failure: Failure | None = None
     usage_counted: bool = False
+    # Number of servers that accepted no connection, and whether another node
+    # may still be asked to carry the request.
+    failed_connects: int = 0
+    may_relay: bool = False
+    # Whether the attempt was ended so that another node gets the request.
+    moves_to_node: bool = False
+    # Whether another node has relayed the request to this one.
+    relayed: bool = False
 
 
 class AnswerRelay:
@@ -259,7 +267,7 @@
         """Relays the events of a stream, each once it is complete."""
         cutter = progress.event_splitter
         # Another server may continue the stream with events of other lengths.
-        headers = _without_length(head.forwarded_headers)
+        headers = without_length(head.forwarded_headers)
         framing = _framing(call, answer)
         is_first_event = True
         events_before = cutter.event_count
@@ -382,13 +390,13 @@
     headers = whole_answer.headers
     if whole_answer.status in BODYLESS_STATUSES:
         # The HTTP server would wait for a body of the named length.
-        headers = _without_length(headers)
+        headers = without_length(headers)
     await output.start(whole_answer.status, headers, whole_answer.states_end)
     await output.write(whole_answer.body)
     await output.finish()
 
 
-def _without_length(headers: RawHeaders) -> RawHeaders:
+def without_length(headers: RawHeaders) -> RawHeaders:
     """Returns the headers without the length of the body."""
     return tuple(
         (name, value)
--- a/wasabiwing/attempt_watch.py
+++ b/wasabiwing/attempt_watch.py
@@ -13,6 +13,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 from dataclasses import field
+from math import inf
 
 from anyio import CancelScope
 
@@ -26,6 +27,10 @@
 # stalled, in seconds. A busy engine sends an event at least this often.
 SERVER_SILENCE_S = 0.9
 
+# Silence after which an attempt may be ended at a server that accepts no
+# connection, in seconds.
+UNREACHABLE_SILENCE_S = 0.4
+
 # Number of later requests that a server has started after which an earlier one
 # counts as forgotten.
 OVERTAKEN_LIMIT = 3
@@ -68,6 +73,12 @@
         self._timer = timer
         self._loads = loads
         self._running: list[WatchedAttempt] = []
+        # Whether a server accepts no connection.
+        self._is_unreachable: Callable[[str], bool] = lambda server_id: False
+
+    def use_reachability(self, is_unreachable: Callable[[str], bool]) -> None:
+        """Sets what tells whether a server accepts no connection."""
+        self._is_unreachable = is_unreachable
 
     @contextmanager
     def watch(
@@ -109,13 +120,26 @@
             ):
                 other.overtaken_count += 1
 
+    def silence_by_server(self) -> dict[str, float]:
+        """Returns for how long servers that owe an answer have been silent.
+
+        The silences are in seconds, by server id.
+        """
+        now = self._timer.now()
+        silence_by_id: dict[str, float] = {}
+        for attempt in self._running:
+            silence_by_id[attempt.server_id] = max(
+                self._server_silence_s(attempt, now),
+                silence_by_id.get(attempt.server_id, 0.0),
+            )
+        return silence_by_id
+
     def silent_server_ids(self) -> frozenset[str]:
         """Returns the servers that are silent towards all their attempts."""
-        now = self._timer.now()
         return frozenset(
-            attempt.server_id
-            for attempt in self._running
-            if self._server_silence_s(attempt, now) > SERVER_SILENCE_S
+            server_id
+            for server_id, silence_s in self.silence_by_server().items()
+            if silence_s > SERVER_SILENCE_S
         )
 
     def _server_silence_s(self, attempt: WatchedAttempt, now: float) -> float:
@@ -128,14 +152,23 @@
         now = self._timer.now()
         for attempt in list(self._running):
             silence_s = now - attempt.heard_at
-            if silence_s < attempt.silence_limit_s or attempt.cancel_requested:
+            if attempt.cancel_requested:
+                continue
+            unreachable = self._is_unreachable(attempt.server_id)
+            if silence_s < attempt.silence_limit_s and not (
+                unreachable
+                and attempt.silence_limit_s < inf
+                and silence_s >= UNREACHABLE_SILENCE_S
+            ):
                 continue
             server_silence_s = self._server_silence_s(attempt, now)
             overtaken = (
                 attempt.started_at is None
                 and attempt.overtaken_count >= OVERTAKEN_LIMIT
             )
-            silent = server_silence_s > SERVER_SILENCE_S or overtaken
+            silent = (
+                server_silence_s > SERVER_SILENCE_S or overtaken or unreachable
+            )
             if silent and attempt.may_move():
                 attempt.cancel_requested = True
                 attempt.scope.cancel()
--- a/wasabiwing/call_forwarding.py
+++ b/wasabiwing/call_forwarding.py
@@ -31,10 +31,15 @@
 from wasabiwing.events import log_event
 from wasabiwing.metrics import GatewayMetrics
 from wasabiwing.node_reports import NodeReports
+from wasabiwing.peer_relay import PeerRelay
 from wasabiwing.prefill_rates import PrefillRates
 from wasabiwing.prompt_cache import PromptCacheIndex
 from wasabiwing.quarantine import Quarantine
 from wasabiwing.quarantine import request_digest
+from wasabiwing.relay_peers import is_relay_due
+from wasabiwing.relay_peers import may_relay_refusal
+from wasabiwing.relay_peers import MOST_UNREACHABLE
+from wasabiwing.relay_peers import UNHEARD_S
 from wasabiwing.retry_budgets import ServiceRetryBudgets
 from wasabiwing.routed_calls import CallCodec
 from wasabiwing.routed_calls import RoutedCall
@@ -45,6 +50,7 @@
 from wasabiwing.server_demand import ServerDemand
 from wasabiwing.server_directory import RegisteredServer
 from wasabiwing.server_loads import ServerLoads
+from wasabiwing.server_reachability import ServerReachability
 from wasabiwing.server_selection import SelectedServer
 from wasabiwing.server_selection import ServerSelector
 from wasabiwing.server_statements import ServerStatements
@@ -116,6 +122,8 @@
         statements: ServerStatements,
         stop_admission: StopAdmission,
         end_judge: EndJudge[RegisteredServer],
+        reachability: ServerReachability,
+        peer_relay: PeerRelay,
         random: Random,
     ) -> None:
         self._node_id = node_id
@@ -137,6 +145,8 @@
         self._statements = statements
         self._stop_admission = stop_admission
         self._end_judge = end_judge
+        self._reachability = reachability
+        self._peer_relay = peer_relay
         self._random = random
         self._running = RunningCalls()
 
@@ -172,14 +182,20 @@
                 running.ended_by_stop = True
                 running.scope.cancel()
 
-    async def serve(self, call: RoutedCall, output: AnswerOutput) -> Failure:
+    async def serve(
+        self, call: RoutedCall, output: AnswerOutput, relayed: bool = False
+    ) -> Failure:
         """Serves a request until its answer or final failure is sent.
 
+        A request that another node has relayed is not relayed again.
         Returns the final failure, which has the code ``OK`` if the caller got
         an answer.
         """
         progress = CallProgress(
-            EventSplitter(call.head.last_event_id), self._timer.now()
+            EventSplitter(call.head.last_event_id),
+            self._timer.now(),
+            relayed=relayed,
+            may_relay=not relayed,
         )
         if self._stop_admission.stopping:
             log_event(
@@ -212,11 +228,23 @@
     ) -> Failure:
         next_server: list[SelectedServer] = []
         while True:
+            if not next_server and self._is_relay_due(call, progress):
+                failure = await self._relay_to_node(call, progress, output)
+                if failure is not None:
+                    return failure
             placed = (
                 next_server.pop()
                 if next_server
                 else await self._wait_for_server(call, progress)
             )
+            if isinstance(placed, Failure) and self._may_relay_refusal(
+                call, progress, placed
+            ):
+                failure = await self._relay_to_node(call, progress, output)
+                if failure is not None:
+                    return failure
+                if progress.may_relay:
+                    continue
             if isinstance(placed, Failure):
                 return (
                     placed
@@ -230,9 +258,70 @@
                 self._quarantine.note_success(call)
                 return Failure(ResultCode.OK)
             progress.last_failure = failure
-            if not self._may_retry(call, progress, failure, bool(next_server)):
+            is_prepared = bool(next_server) or progress.moves_to_node
+            progress.moves_to_node = False
+            if not self._may_retry(call, progress, failure, is_prepared):
                 return _final_failure(progress)
 
+    async def _relay_to_node(
+        self, call: RoutedCall, progress: CallProgress, output: AnswerOutput
+    ) -> Failure | None:
+        """Asks other nodes to carry a request.
+
+        Returns the request's final failure, with the code ``OK`` if the caller
+        got the answer, or ``None`` if a further attempt follows here.
+        """
+        end = await self._peer_relay.relay(call, progress, output)
+        # Without another node, the own servers are tried once more.
+        progress.may_relay = end.taken
+        if not end.taken:
+            return None
+        if end.failure is None:
+            return Failure(ResultCode.OK)
+        progress.last_failure = end.failure
+        if end.final or not self._may_retry(
+            call, progress, end.failure, False
+        ):
+            return _final_failure(progress)
+        return None
+
+    def _may_relay_refusal(
+        self, call: RoutedCall, progress: CallProgress, refusal: Failure
+    ) -> bool:
+        """Whether another node is asked about a request refused here."""
+        return progress.may_relay and may_relay_refusal(
+            refusal, self._unreachable_share(call)
+        )
+
+    def _is_relay_due(self, call: RoutedCall, progress: CallProgress) -> bool:
+        """Whether another node is asked to carry a request now."""
+        if not progress.may_relay:
+            return False
+        server_ids = self._placement.server_ids(call.service)
+        return (
+            is_relay_due(
+                self._reachability.is_cut_off_from(server_ids),
+                progress.failed_connects,
+                len(server_ids - progress.tried_server_ids),
+                self._reachability.heard_any_since(
+                    self._timer.now() - UNHEARD_S
+                ),
+            )
+            and self._stop_refusal(call, progress.came_at) is None
+        )
+
+    def _is_cut_off(self, call: RoutedCall) -> bool:
+        """Whether this node reaches no server that may take a request."""
+        return self._reachability.is_cut_off_from(
+            self._placement.server_ids(call.service)
+        )
+
+    def _unreachable_share(self, call: RoutedCall) -> float:
+        """Returns the share of a request's servers that are unreachable."""
+        return self._reachability.unreachable_share(
+            self._placement.server_ids(call.service)
+        )
+
     def _stop_refusal(
         self, call: RoutedCall, came_at: float
     ) -> Failure | None:
@@ -255,6 +344,11 @@
 
         While no server has room, the request waits for a short time.
         """
+        if (
+            progress.relayed
+            and self._unreachable_share(call) >= MOST_UNREACHABLE
+        ):
+            return Failure(ResultCode.CONNECT_FAILED, "few servers reached")
         wait_s = max_wait_for_server_s(call.route.latency_target_s)
         if self._quarantine.suspect_digest(call):
             wait_s = SUSPECT_WAIT_S
@@ -282,25 +376,33 @@
         self,
         call: RoutedCall,
         progress: CallProgress,
+        server_id: str,
         next_server: list[SelectedServer],
         log_kept: Callable[[WaitReason, str], None],
     ) -> bool:
         """Whether the attempt at a silent server is given up.
 
         If so, it takes a retry token and adds the next attempt's server to
-        ``next_server``.
+        ``next_server``, or notes that another node gets the request.
         """
         budgets = self._retry_budgets
+        # A server that accepts no connection is more than silent.
+        is_silent = not self._reachability.is_unreachable(server_id)
         reason = wait_reason(
             Prospects(
                 call.route.max_attempts - progress.possible_runs,
                 self._stop_refusal(call, self._timer.now()) is not None,
-                budgets.has_token(call.service, KEPT_BUDGET_SHARE),
+                budgets.has_token(
+                    call.service, KEPT_BUDGET_SHARE if is_silent else 0.0
+                ),
             )
         )
         if reason is not None:
             log_kept(reason, "")
             return False
+        if progress.may_relay and self._is_cut_off(call):
+            progress.moves_to_node = budgets.take_token(call.service)
+            return progress.moves_to_node
         excluded = progress.tried_server_ids | self._watch.silent_server_ids()
         placed = self._placement.choose_server(
             call, frozenset(excluded), needs_room=True
@@ -410,6 +512,7 @@
                     self._may_move,
                     call,
                     progress,
+                    server.id,
                     next_server,
                     self._kept_logger(call, server.id),
                 ),
@@ -493,7 +596,9 @@
                 call, placed, sent.ok_value, progress, output, watched
             )
         if sent.err_value.code is ResultCode.CONNECT_FAILED:
+            progress.failed_connects += 1
             self._loads.note_unreachable(server.id)
+            self._reachability.note_connect_failed(server.id)
             await self._connections.close_idle(server.id)
         return sent.err_value
 
--- a/wasabiwing/caller_http.py
+++ b/wasabiwing/caller_http.py
@@ -6,7 +6,9 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Container
 from collections.abc import Sequence
+from dataclasses import replace
 from random import Random
 
 from anyio import create_task_group
@@ -33,6 +35,11 @@
 from wasabiwing.fleet_follower import FleetView
 from wasabiwing.header_timeout import has_next_request
 from wasabiwing.metrics import GatewayMetrics
+from wasabiwing.relay_peers import ATTEMPTS_LEFT
+from wasabiwing.relay_peers import decline_reason
+from wasabiwing.relay_peers import DECLINED
+from wasabiwing.relay_peers import is_declined
+from wasabiwing.relay_peers import RELAY_HEADERS
 from wasabiwing.routed_calls import CallCodec
 from wasabiwing.routed_calls import CallHead
 from wasabiwing.routed_calls import RawHeaders
@@ -64,6 +71,7 @@
     ResultCode.REQUEST_TOO_LARGE: 413,
     ResultCode.HEADERS_TOO_LARGE: 431,
     ResultCode.OVERLOADED: 429,
+    ResultCode.NODE_LEAVING: 503,
 }
 
 
@@ -71,9 +79,15 @@
     """The answer to one caller, as ASGI messages."""
 
     def __init__(
-        self, scope: Scope, send: Send, closes: Callable[[], bool]
+        self,
+        scope: Scope,
+        send: Send,
+        closes: Callable[[], bool],
+        relayed: bool = False,
     ) -> None:
         self._answer = AsgiAnswer(scope, send)
+        # Whether the request comes from another node.
+        self._relayed = relayed
         # Whether the caller is told to close its connection afterwards.
         self._closes = closes
 
@@ -116,6 +130,8 @@
         if retry_after_s is not None:
             value = f"{retry_after_s:.2f}".encode()
             headers.append((b"retry-after", value))
+        if self._relayed and is_declined(failure):
+            headers.append((DECLINED, failure.code.name.encode()))
         await self.start(status, tuple(headers))
         await self.write(body)
         await self.finish()
@@ -135,6 +151,7 @@
         stop_admission: StopAdmission,
         metrics: GatewayMetrics,
         random: Random,
+        node_hosts: Callable[[], Container[str]],
     ) -> None:
         self._node_id = node_id
         self._timer = timer
@@ -145,10 +162,32 @@
         self._stop_admission = stop_admission
         self._metrics = metrics
         self._random = random
+        # Returns the hosts of the other nodes.
+        self._node_hosts = node_hosts
         self.running_request_count = 0
+        # Number of those that other nodes have relayed.
+        self._relayed_count = 0
+
+    def relay_application(self) -> Application:
+        """Returns the ASGI application for requests of other nodes."""
+
+        async def application(
+            scope: Scope, receive: Receive, send: Send
+        ) -> None:
+            if scope["type"] != "http":
+                return
+            self.running_request_count += 1
+            self._relayed_count += 1
+            try:
+                await self._serve(scope, receive, send, relayed=True)
+            finally:
+                self.running_request_count -= 1
+                self._relayed_count -= 1
+
+        return application
 
     def application(self) -> Application:
-        """Returns the ASGI application."""
+        """Returns the ASGI application for callers."""
 
         async def application(
             scope: Scope, receive: Receive, send: Send
@@ -163,9 +202,17 @@
 
         return application
 
-    async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
+    async def _serve(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+        relayed: bool = False,
+    ) -> None:
         received_at = self._timer.now()
-        output = CallerOutput(scope, send, lambda: self._closes_after(scope))
+        output = CallerOutput(
+            scope, send, lambda: self._closes_after(scope), relayed
+        )
         configuration = self._view.configuration
         limits = RequestLimits()
         if configuration is not None:
@@ -182,7 +229,12 @@
             failure = Failure(ResultCode.REQUEST_TOO_LARGE)
             await self._refuse(output, failure)
             return
-        parsed = self._build_call(scope, body, received_at)
+        if relayed:
+            refusal = self._relay_refusal(scope)
+            if refusal is not None:
+                await self._refuse(output, refusal)
+                return
+        parsed = self._build_call(scope, body, received_at, relayed)
         if isinstance(parsed, Err):
             await self._refuse(output, parsed.err_value)
             return
@@ -205,11 +257,27 @@
                 tasks.cancel_scope.cancel()
 
             tasks.start_soon(cancel_when_caller_leaves)
-            outcome = await self._forwarder.serve(call, output)
+            outcome = await self._forwarder.serve(call, output, relayed)
             answered = True
             tasks.cancel_scope.cancel()
             self._count(call.route.name, outcome)
-            self._refund_cap(call, outcome)
+            if not relayed:
+                self._refund_cap(call, outcome)
+
+    def _relay_refusal(self, scope: Scope) -> Failure | None:
+        """Returns why this node does not carry a relayed request."""
+        client = scope.get("client")
+        if client is None or client[0] not in self._node_hosts():
+            return Failure(ResultCode.UNKNOWN_ROUTE, "not a known node")
+        reason = decline_reason(
+            self._stop_admission.stopping,
+            self._view.loaded,
+            # This request is counted already.
+            self._relayed_count - 1,
+        )
+        if reason:
+            return Failure(ResultCode.NODE_LEAVING, reason)
+        return None
 
     def _closes_after(self, scope: Scope) -> bool:
         """Whether the caller's connection is closed after this answer.
@@ -219,7 +287,7 @@
         return self._stop_admission.stopping and not has_next_request(scope)
 
     def _build_call(
-        self, scope: Scope, body: bytes, received_at: float
+        self, scope: Scope, body: bytes, received_at: float, relayed: bool
     ) -> Result[RoutedCall, Failure]:
         """Builds the call of a request that passes all checks."""
         configuration = self._view.configuration
@@ -230,7 +298,16 @@
                     retry_after_s=STARTUP_RETRY_S,
                 )
             )
-        parsed = self._codec.read_call(tuple(scope["headers"]))
+        headers = tuple(scope["headers"])
+        attempts_left = None
+        if relayed:
+            attempts_left = _attempts_left(headers)
+            headers = tuple(
+                (name, value)
+                for name, value in headers
+                if name not in RELAY_HEADERS
+            )
+        parsed = self._codec.read_call(headers)
         if isinstance(parsed, Err):
             return Err(Failure(ResultCode.MALFORMED_REQUEST, parsed.err_value))
         head = parsed.ok_value
@@ -238,6 +315,9 @@
         route = configuration.find_route(head.host, path.decode("latin-1"))
         if route is None:
             return Err(Failure(ResultCode.UNKNOWN_ROUTE))
+        if attempts_left is not None:
+            attempts = min(attempts_left, route.max_attempts)
+            route = replace(route, max_attempts=attempts)
         found = _find_organisation(configuration, route, head)
         if isinstance(found, Err):
             return found
@@ -252,7 +332,8 @@
             received_at=received_at,
             deadline=received_at + _timeout_s(route, head),
         )
-        return self._check_cap(call)
+        # The node that relays a request has charged the usage cap.
+        return Ok(call) if relayed else self._check_cap(call)
 
     def _check_cap(self, call: RoutedCall) -> Result[RoutedCall, Failure]:
         """Charges a call to its organisation's usage cap, or refuses it."""
@@ -313,6 +394,14 @@
     return Ok(found)
 
 
+def _attempts_left(headers: RawHeaders) -> int | None:
+    """Returns the attempts that a relayed request may still make."""
+    for name, value in headers:
+        if name == ATTEMPTS_LEFT and value.isdigit():
+            return max(int(value), 1)
+    return None
+
+
 def _header_bytes(headers: RawHeaders) -> int:
     """Returns the size of headers as they were on the wire, in bytes."""
     return sum(
--- a/wasabiwing/events.py
+++ b/wasabiwing/events.py
@@ -55,6 +55,8 @@
     PART_CLEARED = 217
     PART_PROBED = 218
     ANSWER_END_UNPROVED = 219
+    REQUEST_RELAYED = 222
+    RELAY_DECLINED = 223
     SILENT_ATTEMPT_KEPT = 224
     # 3xx: configuration.
     CONFIGURATION_IN_FORCE = 300
@@ -84,6 +86,8 @@
     SERVER_LIMIT_CHANGED = 512
     PERMIT_ISSUER_SILENT = 513
     SERVER_CRASH_UNPROVED = 516
+    SERVERS_CUT_OFF = 518
+    SERVERS_REACHED = 519
     # 6xx: claims and jobs.
     CLAIM_GRANTED = 600
     CLAIM_REPEATED = 601
@@ -177,6 +181,12 @@
     Event.ANSWER_END_UNPROVED: (
         "An answer ended with its connection, which does not prove it whole."
     ),
+    Event.REQUEST_RELAYED: (
+        "Another node carries a request, as this one reaches no server."
+    ),
+    Event.RELAY_DECLINED: (
+        "Another node does not carry a request; it has not run there."
+    ),
     Event.CALLER_LEFT: "A caller closed the connection before the end.",
     Event.CONFIGURATION_IN_FORCE: "A node put a generation in force.",
     Event.CONFIGURATION_REJECTED: "A received configuration is unusable.",
@@ -219,6 +229,8 @@
     Event.SERVER_CRASH_UNPROVED: (
         "A server cut a request and cannot be reached, like other servers."
     ),
+    Event.SERVERS_CUT_OFF: "The process reaches no backend server.",
+    Event.SERVERS_REACHED: "The process reaches a backend server again.",
     Event.CLAIM_GRANTED: "A gateway may send a non-idempotent request.",
     Event.CLAIM_REPEATED: "A known idempotency key was asked for again.",
     Event.PARTITION_LOADED: "A claim partition was read from the store.",
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -51,6 +51,7 @@
 from wasabiwing.node_reports import REPORT_PERIOD_S
 from wasabiwing.node_reports import ReportedState
 from wasabiwing.node_settings import NodeSettings
+from wasabiwing.peer_relay import PeerRelay
 from wasabiwing.ports import LongPollStore
 from wasabiwing.ports import Transport
 from wasabiwing.prefill_rates import PrefillRates
@@ -58,6 +59,7 @@
 from wasabiwing.presence import PRESENCE_PERIOD_S
 from wasabiwing.prompt_cache import PromptCacheIndex
 from wasabiwing.quarantine import CRASHES_TO_QUARANTINE
+from wasabiwing.relay_peers import RelayPeers
 from wasabiwing.restorable_store import RestorableStore
 from wasabiwing.retry_budgets import ServiceRetryBudgets
 from wasabiwing.routed_calls import CallCodec
@@ -67,7 +69,9 @@
 from wasabiwing.server_directory import ServerDirectory
 from wasabiwing.server_limits import ServerLimits
 from wasabiwing.server_loads import ServerLoads
+from wasabiwing.server_probe import accepts_any_connection
 from wasabiwing.server_probe import server_listens
+from wasabiwing.server_reachability import ServerReachability
 from wasabiwing.server_selection import ServerSelector
 from wasabiwing.server_statements import ServerStatements
 from wasabiwing.service_configuration import RequestLimits
@@ -257,6 +261,15 @@
             self._current_era,
         )
         self.connections = ServerConnections(timer, metrics.count_connect)
+        watch = AttemptWatch(timer, self._loads)
+        self.reachability = ServerReachability(
+            node_id,
+            timer,
+            directory.address_by_id,
+            watch.silence_by_server,
+            accepts_any_connection,
+            self._loads.note_unreachable,
+        )
         placement = ServerSelector(
             node_id,
             settings.availability_zone,
@@ -269,11 +282,21 @@
             isolation,
             self._statements,
             self._permits,
+            self.reachability.is_unreachable,
         )
-        watch = AttemptWatch(timer, self._loads)
         timer.subscribe(WATCH_PERIOD_S, watch.check)
         self.stop_admission = StopAdmission(timer)
         end_judge = EndJudge(timer, quarantine.is_leaving, server_listens)
+        self._loads.on_heard(self.reachability.note_heard)
+        watch.use_reachability(self.reachability.is_unreachable)
+        self._peer_relay = PeerRelay(
+            node_id,
+            timer,
+            platform.codec,
+            RelayPeers(timer, self._relay_inboxes, random),
+            ServerConnections(timer, lambda node_id: None),
+        )
+        self._has_relay = settings.relay_endpoint is not None
         self.forwarder = CallForwarder(
             node_id,
             timer,
@@ -319,6 +342,8 @@
             self._statements,
             self.stop_admission,
             end_judge,
+            self.reachability,
+            self._peer_relay,
             random,
         )
         self.caller_http = CallerHttp(
@@ -331,6 +356,7 @@
             self.stop_admission,
             metrics.gateway,
             random,
+            self._node_hosts,
         )
         self.duty_runner = self._build_duties(settings, platform, random)
         self._reported_ready = False
@@ -491,6 +517,16 @@
                     service.engine.kv_capacity_tokens
                 )
 
+    def _relay_inboxes(self) -> dict[str, str]:
+        """Returns the inboxes of the nodes that may carry requests."""
+        return self._reports.live_inboxes() if self._has_relay else {}
+
+    def _node_hosts(self) -> frozenset[str]:
+        """Returns the hosts of the other nodes."""
+        return frozenset(
+            inbox.rpartition(":")[0] for inbox in self.nodes.peers().values()
+        )
+
     def _on_server_restarted_or_removed(self, server_id: str) -> None:
         """Drops the state of a backend server whose process is new or gone.
 
@@ -499,6 +535,7 @@
         """
         self._prompt_cache.remove_server(server_id)
         self._loads.remove_server(server_id)
+        self.reachability.remove_server(server_id)
         entry = self.view.directory.get(server_id)
         if entry is not None:
             self._statements.note_registered(server_id, entry.started_ms)
@@ -537,3 +574,4 @@
             )
             await self.connections.close_all_idle()
         await self.connections.close_expired()
+        await self._peer_relay.close_expired()
--- a/wasabiwing/node_program.py
+++ b/wasabiwing/node_program.py
@@ -11,6 +11,7 @@
 from wasabiwing.events import Event as LogEvent
 from wasabiwing.events import log_event
 from wasabiwing.header_timeout import header_timeout_protocol
+from wasabiwing.header_timeout import PipelineProtocol
 from wasabiwing.message_router import MessageRouter
 from wasabiwing.metrics import NodeMetrics
 from wasabiwing.nng_transport import open_transport
@@ -40,6 +41,11 @@
     readiness_listener = bind_listener(
         settings.readiness_endpoint.host, settings.readiness_endpoint.port
     )
+    relay_listener = None
+    if settings.relay_endpoint is not None:
+        relay_listener = bind_listener(
+            settings.relay_endpoint.host, settings.relay_endpoint.port
+        )
     inbox = f"tcp://{settings.inbox}"
     never_stopped = Event()
     async with (
@@ -63,6 +69,16 @@
             readiness_listener,
             never_stopped,
         )
+        if relay_listener is not None:
+            tasks.start_soon(
+                serve_http,
+                node.caller_http.relay_application(),
+                relay_listener,
+                drained,
+                lambda: node.limits.idle_timeout_s,
+                PipelineProtocol,
+                lambda: max(node.stop_admission.time_left_s, 0.0),
+            )
         log_event(
             LogEvent.PROGRAM_STARTED,
             settings.node_id,
--- a/wasabiwing/node_settings.py
+++ b/wasabiwing/node_settings.py
@@ -76,6 +76,10 @@
     # Whether the whole system starts for the first time, without any state.
     first_start: bool
     bounds: NodeBounds
+    # Address to which other nodes send requests that they cannot send to a
+    # backend server themselves: the port after that of the inbox, on all
+    # nodes. ``None`` if the deployment leaves no port for it.
+    relay_endpoint: Endpoint | None = None
     # Shortest lease lifetime that the store grants.
     min_lease_s: float = 1.0
     # Processor time of the VM, in tenths of a core.
--- a/wasabiwing/routed_calls.py
+++ b/wasabiwing/routed_calls.py
@@ -185,5 +185,14 @@
         stream continues; empty for the beginning.
         """
 
+    def peer_headers(
+        self, call: RoutedCall, remaining_s: float, last_event_id: str
+    ) -> RawHeaders:
+        """Returns the headers of a request that another node carries.
+
+        They let that node treat the request as the caller's own, with its
+        API key. The other arguments are those of ``server_headers``.
+        """
+
     def read_answer(self, status: int, headers: RawHeaders) -> AnswerHead:
         """Parses the headers of a backend server's answer."""
--- a/wasabiwing/server_directory.py
+++ b/wasabiwing/server_directory.py
@@ -175,6 +175,15 @@
         known = self._current_server(server_id)
         return None if known is None else known.entry
 
+    def address_by_id(self) -> dict[str, str]:
+        """Returns the addresses of the servers that take new work."""
+        return {
+            server_id: known.entry.address
+            for server_id in list(self._server_by_id)
+            if (known := self._current_server(server_id)) is not None
+            and not known.entry.draining
+        }
+
     def started_ms(self, server_id: str) -> int:
         """Returns the start of a server's process in Unix ms; 0 if unknown."""
         known = self._server_by_id.get(server_id)
--- a/wasabiwing/server_loads.py
+++ b/wasabiwing/server_loads.py
@@ -5,6 +5,7 @@
 Times are monotonic seconds.
 """
 
+from collections.abc import Callable
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
@@ -86,6 +87,11 @@
         self._timer = timer
         self._rates = rates
         self._server_by_id: dict[str, _Server] = {}
+        self._on_heard: Callable[[str], None] = lambda server_id: None
+
+    def on_heard(self, listener: Callable[[str], None]) -> None:
+        """Registers a listener for the ids of servers that send anything."""
+        self._on_heard = listener
 
     def note_sent(
         self,
@@ -106,11 +112,12 @@
         """Records that a server has computed a request's prompt."""
         server = self._server(server_id)
         server.pending_by_attempt.pop(attempt_id, None)
-        server.heard_at = self._timer.now()
+        self.note_heard(server_id)
 
     def note_heard(self, server_id: str) -> None:
         """Records that a server has sent something."""
         self._server(server_id).heard_at = self._timer.now()
+        self._on_heard(server_id)
 
     def note_ended(
         self, server_id: str, attempt_id: str, failed: bool | None
--- a/wasabiwing/server_probe.py
+++ b/wasabiwing/server_probe.py
@@ -106,6 +106,21 @@
     return None
 
 
+async def accepts_any_connection(address: str) -> bool:
+    """Whether an address accepts a connection, also one that it closes.
+
+    Tells whether the network leads to a server; the probe sends no byte.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        with move_on_after(ACCEPT_TIMEOUT_S):
+            async with await connect_tcp(host, int(port)):
+                return True
+    except OSError:
+        return False
+    return False
+
+
 async def server_listens(address: str) -> bool:
     """Whether a process still listens at an address.
 
--- a/wasabiwing/server_selection.py
+++ b/wasabiwing/server_selection.py
@@ -5,9 +5,11 @@
 request is refused.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
 from dataclasses import dataclass
+from dataclasses import replace
 
 from result import Err
 from result import Ok
@@ -83,6 +85,7 @@
         isolation: SuspectIsolation,
         statements: ServerStatements,
         permits: SendPermits,
+        is_unreachable: Callable[[str], bool],
     ) -> None:
         self._availability_zone = availability_zone
         self._timer = timer
@@ -94,8 +97,13 @@
         self._isolation = isolation
         self._statements = statements
         self._permits = permits
+        self._is_unreachable = is_unreachable
         self._cold_rate_limiter = ColdRateLimiter(node_id, timer)
 
+    def server_ids(self, service: str) -> frozenset[str]:
+        """Returns the ids of the servers that may get a service's requests."""
+        return frozenset(server.id for server in self._view.servers(service))
+
     def choose_server(
         self,
         call: RoutedCall,
@@ -385,11 +393,16 @@
                 expected = expected_cached_tokens(position, shared)
                 cached = max(cached, expected)
             uncached = max(call.head.prompt_tokens - cached, 1)
+        load = self._loads.estimate(
+            server.id, call.service, call.urgency_class
+        )
+        if self._is_unreachable(server.id):
+            load = replace(load, avoided=True)
         return Candidate(
             server.id,
             server.availability_zone == self._availability_zone,
             server.slots,
-            self._loads.estimate(server.id, call.service, call.urgency_class),
+            load,
             uncached,
         )
 
