Tell others nothing of attempts that got no connection

A node counted load, prompt placement and demand when it chose a server, before the connection opened, and told other nodes. Other nodes then avoid servers for requests that never got there, and send prompts to servers that do not have their parts; the autoscaler sees the work of each attempt. A gateway reported failed connections to the servers' home controllers, which lower the limit of a sound server for all gateways, and pause it if all of a batch failed.

Seen before the change (tests/test_cut_links.py, one request, three servers to which connections time out): three placements, loads at three servers in seven entries of reports, demand counted three times; at the gateway one refusal counted against the limit.

Load and placement are told once the request has a connection; demand counts with the first attempt, and with further ones that get a connection. Failed connections count against no limit: the home controller polls the server itself.

After the change: no placement, no load, demand counted once, no refusal.

Looked at and left: the shares of failures and the avoidance of servers stay in the process, hold for all servers alike and end within 4 s and 0.8 s; a request that hangs on an open connection does count as load until it is ended; retries of such requests take tokens of this process only. A home controller that is cut itself still takes its servers for unreachable and so lowers their limits: the same protects restarted servers from too much load.

--- /dev/null
+++ b/tests/test_cut_links.py
@@ -0,0 +1,120 @@
+"""Tests of what a process with cut links to servers tells others."""
+
+from contextlib import ExitStack
+
+from anyio import sleep
+import pytest
+
+from tests.node_deployment import Deployment
+from tests.node_deployment import deployment
+from tests.policy_examples import policy_bench
+from tests.policy_examples import UNREACHABLE
+from tests.test_node_crashing_requests import call_with_parts
+from tests.test_node_crashing_requests import NODE_KNOWN_S
+from tests.test_unproved_crashes import deaf_listener
+from wasabiwing.node_reports import NodeReports
+from wasabiwing.server_demand import ServerDemand
+from wasabiwing.server_loads import NodeLoad
+from wasabiwing.server_loads import ServerLoads
+from wasabiwing_platform_standins.server import ServerStandIn
+
+pytestmark = pytest.mark.anyio
+
+SERVERS = 3
+
+
+class Reported:
+    """What a node tells others about its attempts."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        # Servers said to have a prompt, and to run requests.
+        self.placements: list[str] = []
+        self.loaded: list[str] = []
+        # Services of which demand was counted.
+        self.demanded: list[str] = []
+        own_load = ServerLoads.own_load_by_server
+        note_placement = NodeReports.note_placement
+        note_work = ServerDemand.note_work
+
+        def own_load_by_server(loads: ServerLoads) -> dict[str, NodeLoad]:
+            found = own_load(loads)
+            self.loaded.extend(found)
+            return found
+
+        def place(reports: NodeReports, server_id: str, parts: object) -> None:
+            self.placements.append(server_id)
+            note_placement(reports, server_id, ())
+
+        def demand(
+            demand: ServerDemand, service: str, computing_s: float
+        ) -> None:
+            self.demanded.append(service)
+            note_work(demand, service, computing_s)
+
+        monkeypatch.setattr(
+            ServerLoads, "own_load_by_server", own_load_by_server
+        )
+        monkeypatch.setattr(NodeReports, "note_placement", place)
+        monkeypatch.setattr(ServerDemand, "note_work", demand)
+
+
+async def start_two_nodes(found: Deployment) -> None:
+    """Starts two nodes and waits until they report to each other."""
+    await found.wait_ready()
+    await found.start_another("node-2")
+    await sleep(NODE_KNOWN_S)
+
+
+class TestReportsOfCutNode:
+    """A node to whose servers new connections time out."""
+
+    async def test_servers_without_connection_get_no_load_and_no_prompt(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against other nodes that believe a cut node's attempts.
+
+        They would avoid servers for load that these do not have, and send
+        prompts to servers without their parts.
+        """
+        reported = Reported(monkeypatch)
+        with ExitStack() as stack:
+            async with deployment() as found:
+                for number in range(SERVERS):
+                    server_id = f"server-{number}"
+                    address = stack.enter_context(deaf_listener())
+                    found.address_by_server[server_id] = address
+                    found.register(server_id, "models")
+                await start_two_nodes(found)
+                reply = await call_with_parts(
+                    found, "/notes/1", ["shared", "own"]
+                )
+                assert reply.status == 503
+        assert reported.placements == []
+        assert reported.loaded == []
+        assert reported.demanded == ["models"]
+
+    async def test_load_is_told_once_the_request_has_a_connection(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        reported = Reported(monkeypatch)
+        async with deployment() as found:
+            server = ServerStandIn("server-0", work_s=1.0)
+            await found.add_server("models", server)
+            await start_two_nodes(found)
+            reply = await call_with_parts(found, "/notes/1", ["shared", "own"])
+            assert reply.status == 200
+        assert reported.placements == ["server-0"]
+        assert "server-0" in reported.loaded
+        assert reported.demanded == ["models"]
+
+
+class TestReportsOfCutGateway:
+    """A gateway to whose servers no connection opens."""
+
+    async def test_failed_connections_do_not_lower_a_limit(self) -> None:
+        """Guards against a cut gateway that limits servers for all others."""
+        on = policy_bench()
+        choice = on.router.choose_server(on.call("r"), 1, frozenset())
+        on.admission.release(choice.unwrap(), UNREACHABLE)
+        uses = on.admission._credits.build_request("x").uses
+        assert sum(use.failed + use.refused for use in uses) == 0
--- a/wasabiwing/call_forwarding.py
+++ b/wasabiwing/call_forwarding.py
@@ -590,6 +590,7 @@
             call.body,
             remaining_s,
             partial(self._statements.may_still_send, server.id),
+            partial(self._note_connected, call, placed, progress),
         )
         if not isinstance(sent, Err):
             return await self._relay.relay_answer(
@@ -606,24 +607,16 @@
         self, call: RoutedCall, placed: SelectedServer, progress: CallProgress
     ) -> None:
         server_id = placed.server.id
-        if not progress.tried_server_ids - {server_id}:
+        if _is_first_attempt(progress, server_id):
             self._retry_budgets.note_first_attempt(call.service)
+            self._note_demand(call, placed)
         self._loads.note_sent(
             server_id,
             call.head.attempt_id,
             call.urgency_class,
             placed.uncached_tokens,
+            has_connection=False,
         )
-        if call.head.prompt_parts:
-            self._prompts.note_prompt(server_id, call.head.prompt_parts)
-            self._reports.note_placement(
-                server_id, call.head.prompt_parts[:-1]
-            )
-            self._demand.note_work(
-                call.service,
-                placed.uncached_tokens
-                * self._rates.prefill_s_per_token(call.service),
-            )
         log_event(
             Event.ROUTE_DECISION,
             self._node_id,
@@ -641,6 +634,31 @@
             },
         )
 
+    def _note_connected(
+        self, call: RoutedCall, placed: SelectedServer, progress: CallProgress
+    ) -> None:
+        """Records what other nodes hear of an attempt.
+
+        A server without a connection gets neither load nor prompt.
+        """
+        server_id = placed.server.id
+        self._loads.note_connected(server_id, call.head.attempt_id)
+        if not _is_first_attempt(progress, server_id):
+            self._note_demand(call, placed)
+        if call.head.prompt_parts:
+            self._prompts.note_prompt(server_id, call.head.prompt_parts)
+            self._reports.note_placement(
+                server_id, call.head.prompt_parts[:-1]
+            )
+
+    def _note_demand(self, call: RoutedCall, placed: SelectedServer) -> None:
+        if call.head.prompt_parts:
+            self._demand.note_work(
+                call.service,
+                placed.uncached_tokens
+                * self._rates.prefill_s_per_token(call.service),
+            )
+
     async def _send_failure(
         self,
         call: RoutedCall,
@@ -682,6 +700,11 @@
         )
 
 
+def _is_first_attempt(progress: CallProgress, server_id: str) -> bool:
+    """Whether an attempt at a server is the first of its request."""
+    return not progress.tried_server_ids - {server_id}
+
+
 def _cancelled_failure(
     running: RunningCall, progress: CallProgress
 ) -> Failure:
--- a/wasabiwing/gateway_credits.py
+++ b/wasabiwing/gateway_credits.py
@@ -112,12 +112,17 @@
         Invalid requests are left out: they say nothing about the server, and
         one caller could otherwise stop the credits of a whole pool. Requests
         that crash the server are left out as well; the home controller lowers
-        the limit of a server that does not answer its load requests.
+        the limit of a server that does not answer its load requests. So are
+        those for which no connection opened: the links of this gateway may be
+        cut, and others reach the server.
         """
         if outcome.crashed:
             return
         failure = outcome.failure
-        if failure and failure.code is ResultCode.SERVER_REJECTED:
+        if failure and failure.code in (
+            ResultCode.SERVER_REJECTED,
+            ResultCode.CONNECT_FAILED,
+        ):
             return
         counts = self._outcomes_by_server.setdefault(server_id, _Outcomes())
         if outcome.failure is None:
--- a/wasabiwing/server_connections.py
+++ b/wasabiwing/server_connections.py
@@ -180,13 +180,15 @@
         body: bytes,
         answer_timeout_s: float,
         may_send: Callable[[], bool] = lambda: True,
+        note_connected: Callable[[], None] = lambda: None,
     ) -> Result[ServerAnswer, Failure]:
         """Sends a request and waits for the headers of its answer.
 
         The failure's run state is ``NOT_RUN`` only if no byte was sent.
         ``may_send`` is called once a new connection is open; if it returns
-        ``False``, the request is not sent. Whoever calls this method closes
-        the returned answer.
+        ``False``, the request is not sent. ``note_connected`` is called right
+        before the request is sent. Whoever calls this method closes the
+        returned answer.
         """
         host, _, port = address.rpartition(":")
         entry = await self._pop_idle(server_id)
@@ -218,6 +220,7 @@
             },
         )
         answer = ServerAnswer(self, server_id, entry)
+        note_connected()
         try:
             response = await entry.connection.handle_async_request(request)
         except ConnectionNotAvailable as error:
--- a/wasabiwing/server_loads.py
+++ b/wasabiwing/server_loads.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
@@ -51,6 +52,8 @@
         default_factory=dict
     )
     running: int = 0
+    # Attempts that wait for a connection.
+    connecting: set[str] = field(default_factory=set)
     load_by_peer: dict[str, tuple[float, NodeLoad]] = field(
         default_factory=dict
     )
@@ -99,15 +102,24 @@
         attempt_id: str,
         urgency_class: int,
         prompt_tokens: int,
+        has_connection: bool = True,
     ) -> None:
         """Adds a request that is sent to a server.
 
-        ``prompt_tokens`` are those that the server has to compute.
+        ``prompt_tokens`` are those that the server has to compute. Without a
+        connection the request is left out of reports until
+        ``note_connected``.
         """
         server = self._server(server_id)
+        if not has_connection:
+            server.connecting.add(attempt_id)
         server.running += 1
         server.pending_by_attempt[attempt_id] = (urgency_class, prompt_tokens)
 
+    def note_connected(self, server_id: str, attempt_id: str) -> None:
+        """Records that a request has a connection to its server."""
+        self._server(server_id).connecting.discard(attempt_id)
+
     def note_first_event(self, server_id: str, attempt_id: str) -> None:
         """Records that a server has computed a request's prompt."""
         server = self._server(server_id)
@@ -128,6 +140,7 @@
         """
         server = self._server(server_id)
         server.running = max(server.running - 1, 0)
+        server.connecting.discard(attempt_id)
         server.pending_by_attempt.pop(attempt_id, None)
         if failed is not None:
             current = self._failure_share(server)
@@ -170,9 +183,11 @@
     def own_load_by_server(self) -> dict[str, NodeLoad]:
         """Returns this node's requests in flight, for its reports."""
         return {
-            server_id: NodeLoad(_pending_by_class(server), server.running)
+            server_id: NodeLoad(
+                _pending_by_class(server, server.connecting), count
+            )
             for server_id, server in self._server_by_id.items()
-            if server.running
+            if (count := server.running - len(server.connecting)) > 0
         }
 
     def last_heard_at(self, server_id: str) -> float:
@@ -228,8 +243,11 @@
         return self._server_by_id.setdefault(server_id, _Server())
 
 
-def _pending_by_class(server: _Server) -> tuple[int, ...]:
+def _pending_by_class(
+    server: _Server, left_out: Collection[str] = ()
+) -> tuple[int, ...]:
     tokens = [0] * URGENCY_CLASSES
-    for urgency_class, count in server.pending_by_attempt.values():
-        tokens[urgency_class] += count
+    for attempt_id, (urgency, count) in server.pending_by_attempt.items():
+        if attempt_id not in left_out:
+            tokens[urgency] += count
     return tuple(tokens)
