End connections over dead links by keep-alive probes that fit together

Connections to servers had SO_KEEPALIVE and TCP_USER_TIMEOUT = 2500 ms, but no keep-alive times: Linux sends the first probe after two hours. A request that was acknowledged before its link died hung until its deadline. The HTTP client of the gateway, store and cloud adapters had no options. TCP_USER_TIMEOUT also decides when probes give up: set beside other times it would end a connection at the first probe after 2.5 s, whatever TCP_KEEPCNT.

Measured on loopback, the peer's socket dropping all packets, until the wait ends: options as before 2.74 s with unacknowledged bytes, not within 12 s without; 2500 ms with probes after 1 and 2 s 2.73 and 2.86 s; 4500 ms with four probes 4.75 and 4.91 s. A body that a server does not read ends after the user timeout, too: 2.77 and 4.78 s.

One module has idle time 1 s, interval 1 s, four probes, user timeout 4.5 s, for both data paths and all adapters. With four probes a link that loses some packets does not cut a slow, sound server; that is why the user timeout rises from 2.5 s.

--- a/wasabiwing/http_client.py
+++ b/wasabiwing/http_client.py
@@ -32,6 +32,7 @@
 from wasabiwing.codes import RunState
 from wasabiwing.ports import HttpReply
 from wasabiwing.retry_after import read_retry_after
+from wasabiwing.tcp_options import SOCKET_OPTIONS
 
 CONNECT_TIMEOUT_S = 1.0
 
@@ -144,6 +145,7 @@
             max_keepalive_connections=max_connections,
             keepalive_expiry=KEEPALIVE_EXPIRY_S,
             retries=0,
+            socket_options=SOCKET_OPTIONS,
         )
 
     async def close(self) -> None:
--- a/wasabiwing/server_connections.py
+++ b/wasabiwing/server_connections.py
@@ -9,11 +9,6 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 from dataclasses import dataclass
-from socket import IPPROTO_TCP
-from socket import SO_KEEPALIVE
-from socket import SOL_SOCKET
-from socket import TCP_NODELAY
-from socket import TCP_USER_TIMEOUT
 
 from httpcore import AnyIOBackend
 from httpcore import AsyncHTTP11Connection
@@ -35,14 +30,12 @@
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
 from wasabiwing.routed_calls import RawHeaders
+from wasabiwing.tcp_options import SOCKET_OPTIONS
 from wasabiwing.timers import TimerService
 
 # The network between zones responds within milliseconds.
 CONNECT_TIMEOUT_S = 0.6
 
-# Time in milliseconds after which unacknowledged bytes mean a broken link.
-USER_TIMEOUT_MS = 2500
-
 # Idle connections are closed this many seconds before the server's own idle
 # timeout.
 IDLE_MARGIN_S = 1.0
@@ -51,12 +44,6 @@
 # of servers.
 DEFAULT_IDLE_TIMEOUT_S = 2.0
 
-SOCKET_OPTIONS = (
-    (IPPROTO_TCP, TCP_NODELAY, 1),
-    (SOL_SOCKET, SO_KEEPALIVE, 1),
-    (IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
-)
-
 READ_ERRORS = (NetworkError, ProtocolError, TimeoutException)
 
 # Limits in bytes for one plain answer and for all plain answers that a node
--- /dev/null
+++ b/wasabiwing/tcp_options.py
@@ -0,0 +1,38 @@
+"""Socket options of connections to backend servers and other services.
+
+They end a connection over a dead link. While the peer's kernel acknowledges
+data or keep-alive probes, a connection stays open, however long the peer's
+process is silent. ``TCP_USER_TIMEOUT`` bounds the wait for both, whatever
+``TCP_KEEPCNT`` says, so the numbers below have to fit together.
+"""
+
+from socket import IPPROTO_TCP
+from socket import SO_KEEPALIVE
+from socket import SOL_SOCKET
+from socket import TCP_KEEPCNT
+from socket import TCP_KEEPIDLE
+from socket import TCP_KEEPINTVL
+from socket import TCP_NODELAY
+from socket import TCP_USER_TIMEOUT
+
+# Silence in seconds after which the first keep-alive probe is sent, and the
+# time between two probes.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+
+# Number of unanswered probes after which the connection ends. A link that
+# loses a part of its packets rarely loses all of them.
+KEEPALIVE_PROBES = 4
+
+# Time in milliseconds for which sent bytes may stay unacknowledged. It is less
+# than the time of all probes by less than an interval.
+USER_TIMEOUT_MS = 4500
+
+SOCKET_OPTIONS = (
+    (IPPROTO_TCP, TCP_NODELAY, 1),
+    (SOL_SOCKET, SO_KEEPALIVE, 1),
+    (IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+    (IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+    (IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES),
+    (IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+)
