Do not end a draining VM because its controller cannot reach it

The controller that drains a VM took a failed connection to its server for a server without work. With its own links cut, it ended VMs whose requests still ran for gateways that reach them. It is the same cause as with crashes: one process's failed connection decides for all.

A failed connection counts only if `CrashProbe` proves that the server has crashed: refused, while other servers are reached. Otherwise the VM stays until its server answers or is gone.

A server that refuses while another one accepts still does.

--- a/tests/test_cut_links.py
+++ b/tests/test_cut_links.py
@@ -1,33 +1,97 @@
 """Tests of what a process with cut links to servers tells others."""
 
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+from collections.abc import Iterator
+from contextlib import AbstractContextManager
+from contextlib import asynccontextmanager
+from contextlib import closing
+from contextlib import contextmanager
 from contextlib import ExitStack
+from dataclasses import replace
+from random import Random
+from typing import cast
 
 from anyio import sleep
 import pytest
 
+from tests.fake_config_store import FakeConfigStore
 from tests.node_deployment import Deployment
 from tests.node_deployment import deployment
 from tests.policy_examples import policy_bench
+from tests.policy_examples import pool_configuration
+from tests.policy_examples import SilentTransport
 from tests.policy_examples import UNREACHABLE
 from tests.test_node_crashing_requests import call_with_parts
 from tests.test_node_crashing_requests import NODE_KNOWN_S
 from tests.test_unproved_crashes import deaf_listener
+from wasabiwing.asgi import bind_listener
+from wasabiwing.asgi import listener_address
+from wasabiwing.facts import Facts
+from wasabiwing.http_client import HttpClient
 from wasabiwing.node_reports import NodeReports
+from wasabiwing.notices import NoticeTable
+from wasabiwing.ports import Cloud
+from wasabiwing.ports import MemberView
+from wasabiwing.ports import VmInfo
 from wasabiwing.server_demand import ServerDemand
 from wasabiwing.server_loads import NodeLoad
 from wasabiwing.server_loads import ServerLoads
+from wasabiwing.timers import FakeTimer
+from wasabiwing.vm_manager import DRAIN_PROPAGATION_S
+from wasabiwing.vm_manager import VmManager
+from wasabiwing.weight_store import HttpWeightStore
 from wasabiwing_platform_standins.server import ServerStandIn
 
 pytestmark = pytest.mark.anyio
 
+HOST = "127.0.0.1"
+
 SERVERS = 3
 
 
+@contextmanager
+def refusing_port() -> Iterator[str]:
+    """Reserves a port that refuses connections."""
+    with closing(bind_listener(HOST, 0)) as reserved:
+        yield listener_address(reserved)
+
+
+@asynccontextmanager
+async def started_manager(
+    other: str,
+) -> AsyncIterator[tuple[VmManager, FakeTimer]]:
+    """Builds a manager of VMs that knows one other server's address."""
+    timer = FakeTimer()
+    transport = SilentTransport()
+    client = HttpClient()
+    manager = VmManager(
+        "controller-1",
+        timer,
+        cast(MemberView, None),
+        Facts(timer, transport, Random(1), tuple),
+        NoticeTable("controller-1", timer, transport, tuple, tuple),
+        FakeConfigStore(),
+        cast(Cloud, None),
+        cast(HttpWeightStore, None),
+        client,
+        lambda pool_id, version: True,
+    )
+    configuration = pool_configuration(1, 4)
+    (pool,) = configuration.pools
+    server = replace(pool.servers[0], address=other)
+    pool = replace(pool, servers=(server,))
+    manager.use_configuration(replace(configuration, pools=(pool,)))
+    yield manager, timer
+    await manager.close()
+    await client.close()
+
+
 class Reported:
     """What a node tells others about its attempts."""
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
-        # Servers said to have a prompt, and to run requests.
+        # Servers that are said to have a prompt, and to run requests.
         self.placements: list[str] = []
         self.loaded: list[str] = []
         # Services of which demand was counted.
@@ -118,3 +182,31 @@
         on.admission.release(choice.unwrap(), UNREACHABLE)
         uses = on.admission._credits.build_request("x").uses
         assert sum(use.failed + use.refused for use in uses) == 0
+
+
+class TestCutController:
+    """A controller that drains a VM to which its links are cut."""
+
+    @pytest.mark.parametrize("way", [deaf_listener, refusing_port])
+    async def test_server_out_of_reach_is_not_taken_for_idle(
+        self, way: Callable[[], AbstractContextManager[str]]
+    ) -> None:
+        """Guards against the end of a VM whose requests still run."""
+        with way() as address, way() as other:
+            async with started_manager(other) as (manager, timer):
+                vm = VmInfo("vm", "a", "small", False, "running", address, {})
+                assert not await manager._drain(vm)
+                await timer.advance(2 * DRAIN_PROPAGATION_S)
+                assert not await manager._drain(vm)
+
+    async def test_crashed_server_is_idle(self) -> None:
+        with refusing_port() as address, closing(bind_listener(HOST, 0)) as on:
+            on.listen()
+            async with started_manager(listener_address(on)) as (
+                manager,
+                timer,
+            ):
+                vm = VmInfo("vm", "a", "small", False, "running", address, {})
+                assert not await manager._drain(vm)
+                await timer.advance(2 * DRAIN_PROPAGATION_S)
+                assert await manager._drain(vm)
--- a/wasabiwing/vm_manager.py
+++ b/wasabiwing/vm_manager.py
@@ -5,6 +5,9 @@
 it.
 """
 
+from functools import partial
+from random import Random
+
 from msgspec import DecodeError
 from msgspec import Struct
 from msgspec import ValidationError
@@ -27,11 +30,14 @@
 from wasabiwing.pool_servers import VM_ENDED
 from wasabiwing.pool_servers import vm_servers
 from wasabiwing.pool_servers import VmServer
+from wasabiwing.pool_servers import with_vm_servers
 from wasabiwing.ports import Cloud
 from wasabiwing.ports import ConfigStore
 from wasabiwing.ports import MemberView
 from wasabiwing.ports import VmInfo
 from wasabiwing.rendezvous import owner
+from wasabiwing.server_probe import CrashProbe
+from wasabiwing.server_probe import server_answers
 from wasabiwing.timers import TimerService
 from wasabiwing.vm_reconciler import MayStop
 from wasabiwing.vm_reconciler import reconcile_lease_name
@@ -96,6 +102,12 @@
             self._drain,
         )
         self._configuration: Configuration | None = None
+        self._crash_probe = CrashProbe(
+            timer,
+            Random(node_id),
+            partial(server_answers, client),
+            self._list_servers,
+        )
         # Ids of VMs that the cloud has listed.
         self._listed_ids: set[str] = set()
         self._draining_since_by_vm: dict[str, float] = {}
@@ -199,7 +211,12 @@
             "GET", f"http://{vm.address}/v1/load", timeout_s=LOAD_TIMEOUT_S
         )
         if isinstance(reply, Err):
-            return reply.err_value.code is ResultCode.CONNECT_FAILED
+            # Other processes may reach a server to which the links of this
+            # one are cut.
+            return (
+                reply.err_value.code is ResultCode.CONNECT_FAILED
+                and await self._crash_probe.runs(vm.address) is False
+            )
         if reply.ok_value.status != HTTP_OK:
             return False
         try:
@@ -207,3 +224,16 @@
         except (DecodeError, ValidationError):
             return False
         return load.running + load.waiting == 0
+
+    def _list_servers(self) -> list[tuple[str, str]]:
+        """Returns address and pool of all servers."""
+        if self._configuration is None:
+            return []
+        configuration = with_vm_servers(
+            self._configuration, vm_servers(self._facts)
+        )
+        return [
+            (server.address, pool.id)
+            for pool in configuration.pools
+            for server in pool.servers
+        ]
