Lend the slots of brittle servers through one process of the fleet

A backend server can state Server-Brittle: N. It then may let fewer requests wait, and crashes when it refuses more than N in a second. No module read the header, and each node sent by loads that are up to a second old.

BrittleServers keeps the statements (facts; one start each; servers of the service that have said nothing count as brittle meanwhile). SlotIssuer, at the process that also issues permits, lends each slot for one request and refuses at once what no slot reaches in time. After refusals a server gets fewer requests for a while. ServerSlots is the node's side.

--- a/wasabiwing/call_forwarding.py
+++ b/wasabiwing/call_forwarding.py
@@ -369,6 +369,7 @@
             failure = placed.err_value
             waiting_helps = failure.code is ResultCode.OVERLOADED
             if not waiting_helps or self._timer.now() >= wait_until:
+                self._placement.give_up(call)
                 return failure
             await self._placement.wait_for_room(SERVER_POLL_S)
 
@@ -550,6 +551,12 @@
             self._loads.note_ended(server.id, call.head.attempt_id, failed)
             self._isolation.note_ended(server.id, placed.suspect_digest)
             self._statements.note_ended(server.id, failed is False)
+            self._placement.note_ended(
+                call,
+                server,
+                failure is not None
+                and failure.code is ResultCode.SERVER_REFUSED,
+            )
         code = ResultCode.OK if failure is None else failure.code
         self._metrics.attempts.labels(call.service, code.name).inc()
         if failure is not None:
--- a/wasabiwing/events.py
+++ b/wasabiwing/events.py
@@ -85,6 +85,8 @@
     ANSWER_HEADER_UNKNOWN = 511
     SERVER_LIMIT_CHANGED = 512
     PERMIT_ISSUER_SILENT = 513
+    SERVER_BRITTLE_CHANGED = 514
+    BRITTLE_SERVER_SPARED = 515
     SERVER_CRASH_UNPROVED = 516
     SERVERS_CUT_OFF = 518
     SERVERS_REACHED = 519
@@ -226,6 +228,12 @@
     Event.PERMIT_ISSUER_SILENT: (
         "A process did not answer a request for permits; the next is asked."
     ),
+    Event.SERVER_BRITTLE_CHANGED: (
+        "A backend server stated that it is brittle, or no longer does."
+    ),
+    Event.BRITTLE_SERVER_SPARED: (
+        "A brittle server refused a request and gets fewer for a while."
+    ),
     Event.SERVER_CRASH_UNPROVED: (
         "A server cut a request and cannot be reached, like other servers."
     ),
--- a/wasabiwing/messages.py
+++ b/wasabiwing/messages.py
@@ -665,6 +665,52 @@
     return_s: float = 0.0
 
 
+class SlotRequest(Struct, frozen=True, array_like=True, tag=112):
+    """Asks for a slot of a brittle server for one request."""
+
+    service: str
+    request_id: str
+    # Ids of the brittle servers, the preferred one first, with the number of
+    # their slots and of the requests that they can refuse in a second.
+    servers: tuple[tuple[str, int, int], ...]
+    urgency: int
+    # Seconds for which the request may wait.
+    wait_s: float
+
+
+class SlotGrant(Struct, frozen=True, array_like=True, tag=113):
+    """Answers a request for a slot."""
+
+    service: str
+    request_id: str
+    # Server whose slot is granted; empty if none is.
+    server_id: str = ""
+    # Seconds after which a refused caller should return; 0 if the request
+    # has a place in the queue.
+    return_s: float = 0.0
+
+
+class SlotEnded(Struct, frozen=True, array_like=True, tag=114):
+    """States that a request has left the slot of a brittle server."""
+
+    service: str
+    server_id: str
+    request_id: str
+    # Whether the server refused the request.
+    refused: bool = False
+    # Slots of the server, and requests that it can refuse in a second.
+    slots: int = 1
+    max_refusals: int = 0
+
+
+class SlotReport(Struct, frozen=True, array_like=True, tag=115):
+    """States which requests of the sender are at brittle servers."""
+
+    service: str
+    # Ids of the requests by server id.
+    running: tuple[tuple[str, tuple[str, ...]], ...]
+
+
 Message = (
     Ping
     | Ack
@@ -704,6 +750,10 @@
     | FleetContent
     | PermitRequest
     | PermitGrant
+    | SlotRequest
+    | SlotGrant
+    | SlotEnded
+    | SlotReport
 )
 
 M = TypeVar("M", bound=Struct)
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -19,6 +19,7 @@
 from wasabiwing.attempt_watch import AttemptWatch
 from wasabiwing.attempt_watch import WATCH_PERIOD_S
 from wasabiwing.autoscaler import Autoscaler
+from wasabiwing.brittle_servers import BrittleServers
 from wasabiwing.call_forwarding import CallForwarder
 from wasabiwing.caller_http import CallerHttp
 from wasabiwing.codes import ResultCode
@@ -73,6 +74,7 @@
 from wasabiwing.server_probe import server_listens
 from wasabiwing.server_reachability import ServerReachability
 from wasabiwing.server_selection import ServerSelector
+from wasabiwing.server_slots import ServerSlots
 from wasabiwing.server_statements import ServerStatements
 from wasabiwing.service_configuration import RequestLimits
 from wasabiwing.service_configuration import ServiceConfiguration
@@ -233,6 +235,16 @@
             self._reports.live_inboxes,
             self._reports.heard_share,
         )
+        brittle = BrittleServers(
+            node_id,
+            timer,
+            self.facts,
+            directory.started_ms,
+            metrics.count_statement,
+        )
+        self._slots = ServerSlots(
+            node_id, timer, transport, brittle, self._permits, random
+        )
         quarantine = build_quarantine(
             node_id,
             timer,
@@ -283,6 +295,7 @@
             self._statements,
             self._permits,
             self.reachability.is_unreachable,
+            self._slots,
         )
         timer.subscribe(WATCH_PERIOD_S, watch.check)
         self.stop_admission = StopAdmission(timer)
@@ -319,6 +332,7 @@
                     directory,
                     self._statements,
                     self._limits,
+                    brittle,
                     UnknownHeaders(
                         node_id, metrics.gateway.count_unknown_header
                     ),
@@ -410,6 +424,7 @@
         messages.register(FleetContent, self._fleet_relay.receive_catch_up)
         self.facts.register(messages)
         self._permits.register(messages)
+        self._slots.register(messages)
 
     @property
     def limits(self) -> RequestLimits:
--- a/wasabiwing/routed_calls.py
+++ b/wasabiwing/routed_calls.py
@@ -157,10 +157,15 @@
     limit_per_s: float | None = None
     # Whether the server named a limit that cannot be parsed.
     limit_unreadable: bool = False
-    # Number of header values about these three that cannot be parsed.
+    # Number of header values about the server that cannot be parsed.
     unreadable_count: int = 0
     # Headers that the codec does not read.
     unknown_headers: RawHeaders = ()
+    # Number of requests that a brittle server can refuse in a second without
+    # a crash; ``None`` if it does not say that it is brittle.
+    max_refusals: int | None = None
+    # Whether the server said so with a value that cannot be parsed.
+    max_refusals_unreadable: bool = False
 
 
 class CallCodec(Protocol):
--- a/wasabiwing/send_permits.py
+++ b/wasabiwing/send_permits.py
@@ -351,6 +351,43 @@
         state.sequence += 1
         self._transport.send(inbox, request, state.sequence)
 
+    def issuers_of(self, service: str, count: int) -> list[tuple[str, str]]:
+        """Returns ids and inboxes of the first processes to ask.
+
+        The inbox of this process is empty.
+        """
+        now = self._timer.now()
+        inbox_by_id = {**self._members(), self._node_id: ""}
+        return [
+            (member_id, inbox_by_id[member_id])
+            for member_id in self._ranking(service, inbox_by_id)
+            if member_id == self._node_id
+            or self._passed_over_until.get(member_id, -inf) <= now
+        ][:count]
+
+    def is_first_issuer(self, service: str) -> bool:
+        """Whether this process is the first choice for issuing."""
+        return self._ranking(service, self._members())[0] == self._node_id
+
+    def inbox_of(self, member_id: str) -> str:
+        """Returns the inbox of a live process; empty if it is not known."""
+        return self._members().get(member_id, "")
+
+    def heard_share(self) -> float:
+        """Returns the share of all processes that this one hears."""
+        return self._heard_share()
+
+    def pass_over(self, service: str, issuer_id: str) -> None:
+        """Stops asking a process for a while, because it did not answer."""
+        until = self._timer.now() + PASSED_OVER_S
+        self._passed_over_until[issuer_id] = until
+        log_event(
+            Event.PERMIT_ISSUER_SILENT,
+            self._node_id,
+            service=service,
+            issuer=issuer_id,
+        )
+
     def _note_unanswered(self, service: str, state: _ServiceState) -> None:
         """Passes over an issuer that did not answer again and again."""
         state.asked_at = None
@@ -358,14 +395,7 @@
         if state.unanswered < MAX_UNANSWERED:
             return
         state.unanswered = 0
-        until = self._timer.now() + PASSED_OVER_S
-        self._passed_over_until[state.asked_id] = until
-        log_event(
-            Event.PERMIT_ISSUER_SILENT,
-            self._node_id,
-            service=service,
-            issuer=state.asked_id,
-        )
+        self.pass_over(service, state.asked_id)
 
     async def _receive_request(
         self, envelope: Envelope, request: PermitRequest
@@ -429,14 +459,7 @@
 
     def _issuer_of(self, service: str) -> tuple[str, str]:
         """Returns the id and inbox of the process to ask."""
-        now = self._timer.now()
-        inbox_by_id = self._members()
-        for member_id in self._ranking(service, inbox_by_id):
-            if member_id == self._node_id:
-                break
-            if self._passed_over_until.get(member_id, -inf) <= now:
-                return member_id, inbox_by_id[member_id]
-        return self._node_id, ""
+        return self.issuers_of(service, 1)[0]
 
     def _issued_share(self, service: str) -> float:
         """Returns the share of the limits that this process may issue."""
--- a/wasabiwing/server_selection.py
+++ b/wasabiwing/server_selection.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import replace
@@ -29,6 +30,7 @@
 from wasabiwing.prefill_rates import PrefillRates
 from wasabiwing.prompt_cache import PromptCacheIndex
 from wasabiwing.routed_calls import RoutedCall
+from wasabiwing.send_permits import MAX_DESCRIBED
 from wasabiwing.send_permits import SendPermits
 from wasabiwing.server_choice import Candidate
 from wasabiwing.server_choice import choose_server
@@ -36,6 +38,8 @@
 from wasabiwing.server_choice import ServerChoice
 from wasabiwing.server_directory import RegisteredServer
 from wasabiwing.server_loads import ServerLoads
+from wasabiwing.server_slots import MAX_AWAITED_S
+from wasabiwing.server_slots import ServerSlots
 from wasabiwing.server_statements import ServerStatements
 from wasabiwing.server_statements import WithholdReason
 from wasabiwing.suspect_isolation import SuspectIsolation
@@ -86,6 +90,7 @@
         statements: ServerStatements,
         permits: SendPermits,
         is_unreachable: Callable[[str], bool],
+        slots: ServerSlots,
     ) -> None:
         self._availability_zone = availability_zone
         self._timer = timer
@@ -98,6 +103,7 @@
         self._statements = statements
         self._permits = permits
         self._is_unreachable = is_unreachable
+        self._slots = slots
         self._cold_rate_limiter = ColdRateLimiter(node_id, timer)
 
     def server_ids(self, service: str) -> frozenset[str]:
@@ -151,7 +157,9 @@
         allowed_servers = [
             item for item in allowed_servers if item.id in allowed_ids
         ]
-        evaluated = self._choose_within_limits(call, allowed_servers)
+        evaluated = self._choose_within_slots(
+            call, allowed_servers, [server.id for server in servers]
+        )
         if isinstance(evaluated, Err):
             return evaluated
         evaluation = evaluated.ok_value
@@ -167,6 +175,7 @@
         if self._view.directory.is_cold(server.id):
             self._cold_rate_limiter.take_token(server.id)
         self._permits.note_sent(call.service, server.id, call.request_id)
+        self._slots.note_sent(call.service, server.id, call.request_id)
         return Ok(
             SelectedServer(
                 server,
@@ -223,6 +232,99 @@
             )
         )
 
+    def _choose_within_slots(
+        self,
+        call: RoutedCall,
+        allowed_servers: list[RegisteredServer],
+        service_ids: list[str],
+    ) -> Result[_Evaluation, Failure]:
+        """Returns the best server, a brittle one only with a slot of it.
+
+        A request asks for a slot where the other servers have no room. The
+        error is ``OVERLOADED`` while a slot may become free in time, and
+        otherwise ``NO_BACKEND_SERVER``.
+        """
+        refusals_by_id = self._slots.brittle_servers(call.service, service_ids)
+        if not refusals_by_id:
+            return self._choose_within_limits(call, allowed_servers)
+        brittle = [
+            item for item in allowed_servers if item.id in refusals_by_id
+        ]
+        others = [
+            item for item in allowed_servers if item.id not in refusals_by_id
+        ]
+        if not brittle:
+            return self._choose_within_limits(call, others)
+        elsewhere = (
+            self._choose_within_limits(call, others) if others else None
+        )
+        if isinstance(elsewhere, Ok):
+            evaluation = elsewhere.ok_value
+            if evaluation.failure is None and has_room(evaluation.candidate):
+                return elsewhere
+        wait_s = max_wait_for_server_s(call.route.latency_target_s)
+        outlook = self._slots.want(
+            call.service,
+            call.request_id,
+            self._by_preference(call, brittle, refusals_by_id),
+            call.urgency_class,
+            wait_s,
+        )
+        if outlook.server_id:
+            granted = [
+                item for item in brittle if item.id == outlook.server_id
+            ]
+            if not granted:
+                self._slots.give_up(call.service, call.request_id)
+                return Err(Failure(ResultCode.OVERLOADED, "slot came late"))
+            return self._choose_within_limits(call, granted)
+        if elsewhere is not None and (
+            outlook.refused or outlook.waited_s >= MAX_AWAITED_S
+        ):
+            return elsewhere
+        names = ",".join(item.id for item in brittle[:MAX_DESCRIBED])
+        return Err(
+            Failure(
+                ResultCode.NO_BACKEND_SERVER
+                if outlook.refused
+                else ResultCode.OVERLOADED,
+                f"no free slot of brittle servers: {names}",
+                retry_after_s=outlook.return_s,
+            )
+        )
+
+    def _by_preference(
+        self,
+        call: RoutedCall,
+        brittle: list[RegisteredServer],
+        refusals_by_id: Mapping[str, int],
+    ) -> list[tuple[str, int, int]]:
+        """Returns brittle servers with slots and refusals, best first."""
+        server_by_id = {server.id: server for server in brittle}
+        scored = self._choose_from_sets(call, brittle).choice.score_by_server
+        order = [server_id for server_id, _ in scored]
+        order += [item for item in server_by_id if item not in set(order)]
+        return [
+            (
+                server_id,
+                server_by_id[server_id].slots,
+                refusals_by_id[server_id],
+            )
+            for server_id in order
+        ]
+
+    def note_ended(
+        self, call: RoutedCall, server: RegisteredServer, refused: bool
+    ) -> None:
+        """Records that a request's attempt at a server has ended."""
+        self._slots.note_ended(
+            call.service, server.id, call.request_id, server.slots, refused
+        )
+
+    def give_up(self, call: RoutedCall) -> None:
+        """Records that a request looks for no server any more."""
+        self._slots.give_up(call.service, call.request_id)
+
     def _choose_within_limits(
         self, call: RoutedCall, allowed_servers: list[RegisteredServer]
     ) -> Result[_Evaluation, Failure]:
@@ -277,7 +379,10 @@
 
     async def wait_for_room(self, seconds: float) -> None:
         """Waits until a server may have room, for ``seconds`` at most."""
-        await self._permits.wait(seconds)
+        if self._slots.is_awaited:
+            await self._slots.wait(seconds)
+        else:
+            await self._permits.wait(seconds)
 
     def _permitted_servers(
         self, call: RoutedCall, servers: list[RegisteredServer]
--- a/wasabiwing/statement_listener.py
+++ b/wasabiwing/statement_listener.py
@@ -4,6 +4,7 @@
 the one sent, states nothing about the server asked.
 """
 
+from wasabiwing.brittle_servers import BrittleServers
 from wasabiwing.events import Event
 from wasabiwing.events import log_event
 from wasabiwing.routed_calls import AnswerHead
@@ -30,12 +31,14 @@
         directory: ServerDirectory,
         statements: ServerStatements,
         limits: ServerLimits,
+        brittle: BrittleServers,
         unknown_headers: UnknownHeaders,
     ) -> None:
         self._node_id = node_id
         self._directory = directory
         self._statements = statements
         self._limits = limits
+        self._brittle = brittle
         self._unknown_headers = unknown_headers
         self._ignored_count = 0
 
@@ -60,13 +63,21 @@
             self._ignore(call, server, "unreadable value")
         reason = self._reason_to_ignore(call, server, status, head)
         if reason:
-            if head.leaving or asks_pause or head.limit_per_s is not None:
+            states_number = (head.limit_per_s, head.max_refusals) != (
+                None,
+                None,
+            )
+            if head.leaving or asks_pause or states_number:
                 self._ignore(call, server, reason)
             return
         if head.attempt_id and not head.limit_unreadable:
             self._limits.note_answer(
                 server.id, server.started_ms, head.limit_per_s, sent_at
             )
+        if head.attempt_id and not head.max_refusals_unreadable:
+            self._brittle.note_answer(
+                server.id, server.started_ms, head.max_refusals, sent_at
+            )
         if head.leaving:
             self._statements.note_leaving(server.id, server.started_ms)
         if asks_pause and head.retry_after_s is not None:
