--- a/wasabiwing/brittle_servers.py
+++ b/wasabiwing/brittle_servers.py
@@ -44,6 +44,17 @@
     learned_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Presumption:
+    """What is presumed of servers beside brittle ones of their service."""
+
+    # Lowest number of refusals that a brittle one could bear.
+    max_refusals: int
+    # Times from which and until which it is presumed.
+    since: float
+    until: float
+
+
 class BrittleServers:
     """Statements of all servers, as one gateway or node knows them."""
 
@@ -64,9 +75,7 @@
         self._statement_by_server: dict[str, _Statement] = {}
         # Servers whose last statement was that they are brittle.
         self._brittle_ids: set[str] = set()
-        # Lowest number of refusals that servers of a service could bear, and
-        # the time until which it is presumed of others, by service.
-        self._presumed_by_service: dict[str, tuple[int, float]] = {}
+        self._presumption_by_service: dict[str, _Presumption] = {}
         facts.set_rule(FACT_KIND, FactRule(lifetime_s=RECORD_LIFETIME_S))
         facts.subscribe(FACT_KIND, self._apply)
 
@@ -78,7 +87,7 @@
         The values are the numbers of requests that they can refuse in a
         second without a crash.
         """
-        if not self._brittle_ids and not self._presumed_by_service:
+        if not self._brittle_ids and not self._presumption_by_service:
             return {}
         now = self._timer.now()
         ids = list(server_ids)
@@ -89,24 +98,33 @@
             and (statement := self._recent(server_id)) is not None
             and statement.max_refusals is not None
         ]
+        presumption = self._presumption_by_service.get(service)
         if stated:
-            self._presumed_by_service[service] = (
+            presumption = _Presumption(
                 min(stated),
+                now if presumption is None else presumption.since,
                 now + EARLIER_START_S,
             )
-        presumed, until = self._presumed_by_service.get(service, (0, 0.0))
-        if until <= now:
-            self._presumed_by_service.pop(service, None)
+            self._presumption_by_service[service] = presumption
+        if presumption is None or presumption.until <= now:
+            self._presumption_by_service.pop(service, None)
             return {}
         found: dict[str, int] = {}
         for server_id in ids:
             statement = self._of_this_start(server_id)
             if statement is None:
-                found[server_id] = presumed
+                found[server_id] = presumption.max_refusals
             elif statement.max_refusals is not None:
                 found[server_id] = statement.max_refusals
         return found
 
+    def known_s(self, service: str) -> float:
+        """Returns for how long brittle servers of a service are known."""
+        presumption = self._presumption_by_service.get(service)
+        if presumption is None:
+            return 0.0
+        return self._timer.now() - presumption.since
+
     def note_answer(
         self,
         server_id: str,
--- a/wasabiwing/explain_log.py
+++ b/wasabiwing/explain_log.py
@@ -30,6 +30,8 @@
         Event.SERVER_WANTS_NOTHING,
         Event.SERVER_WANTED_AGAIN,
         Event.SERVER_LIMIT_CHANGED,
+        Event.SERVER_BRITTLE_CHANGED,
+        Event.BRITTLE_SERVER_SPARED,
         Event.PERMIT_ISSUER_SILENT,
         Event.DEPENDENCY_LOST,
         Event.DEPENDENCY_REGAINED,
--- a/wasabiwing/messages.py
+++ b/wasabiwing/messages.py
@@ -674,8 +674,10 @@
     # their slots and of the requests that they can refuse in a second.
     servers: tuple[tuple[str, int, int], ...]
     urgency: int
-    # Seconds for which the request may wait.
+    # Seconds for which the request may wait, and for which its process has
+    # known of brittle servers of the service.
     wait_s: float
+    known_s: float = 0.0
 
 
 class SlotGrant(Struct, frozen=True, array_like=True, tag=113):
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -243,7 +243,13 @@
             metrics.count_statement,
         )
         self._slots = ServerSlots(
-            node_id, timer, transport, brittle, self._permits, random
+            node_id,
+            timer,
+            transport,
+            brittle,
+            self._permits,
+            self.nodes.node_ids,
+            random,
         )
         quarantine = build_quarantine(
             node_id,
--- a/wasabiwing/send_permits.py
+++ b/wasabiwing/send_permits.py
@@ -373,6 +373,10 @@
         """Returns the inbox of a live process; empty if it is not known."""
         return self._members().get(member_id, "")
 
+    def member_ids(self) -> Iterable[str]:
+        """Returns the ids of the other live processes."""
+        return self._members()
+
     def heard_share(self) -> float:
         """Returns the share of all processes that this one hears."""
         return self._heard_share()
--- a/wasabiwing/server_slots.py
+++ b/wasabiwing/server_slots.py
@@ -6,10 +6,12 @@
 of those that were sent before the servers said so.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
 from dataclasses import dataclass
+from math import inf
 from random import Random
 
 from anyio import Event as AnyioEvent
@@ -23,6 +25,7 @@
 from wasabiwing.messages import SlotReport
 from wasabiwing.messages import SlotRequest
 from wasabiwing.ports import Transport
+from wasabiwing.rendezvous import owner
 from wasabiwing.send_permits import ANSWER_TIMEOUT_S
 from wasabiwing.send_permits import MAX_UNANSWERED
 from wasabiwing.send_permits import SendPermits
@@ -76,9 +79,6 @@
 
     asked_at: float
     seen_at: float
-    asked_id: str
-    # Whether the issuer has answered in any way.
-    answered: bool = False
     # The issuer's final answer.
     grant: SlotGrant | None = None
 
@@ -93,6 +93,7 @@
         transport: Transport,
         brittle: BrittleServers,
         permits: SendPermits,
+        registered_ids: Callable[[], Iterable[str]],
         random: Random,
     ) -> None:
         self._node_id = node_id
@@ -100,15 +101,30 @@
         self._transport = transport
         self._brittle = brittle
         self._permits = permits
-        self._issuer = SlotIssuer(node_id, timer, self._issued_share, random)
+        # Returns the ids of all processes, whether or not they are heard.
+        self._registered_ids = registered_ids
+        self._issuer = SlotIssuer(
+            node_id, timer, self._issued_share, self._issuable_slots, random
+        )
+        # Number of slots by server and its slots, and the processes that it
+        # was made from: those that are heard, and all.
+        self._issuable_by_server: dict[tuple[str, int], int] = {}
+        self._issuable_from: tuple[frozenset[str], frozenset[str]] = (
+            frozenset(),
+            frozenset(),
+        )
         # Wishes by service and request.
         self._wish_by_key: dict[tuple[str, str], _Wish] = {}
         # Requests at all servers, by service and server.
         self._running: dict[str, dict[str, set[str]]] = {}
         # Services for which the last report named requests.
         self._reported: set[str] = set()
-        # Requests in a row that an issuer has not answered.
-        self._unanswered = 0
+        # The processes that are heard and all, and until when they are used.
+        self._known_processes = self._issuable_from
+        self._processes_until = -inf
+        # First time and number of requests that an issuer has not answered,
+        # by service and issuer.
+        self._unanswered: dict[tuple[str, str], tuple[float, int]] = {}
         # Set, and replaced, when a request gets an answer.
         self._answered = AnyioEvent()
         timer.subscribe(REPORT_PERIOD_S, self._report)
@@ -146,15 +162,17 @@
         wish = self._wish_by_key.get(key)
         if wish is None:
             issuer_id, inbox = self._permits.issuers_of(service, 1)[0]
-            wish = self._wish_by_key[key] = _Wish(now, now, issuer_id)
+            wish = self._wish_by_key[key] = _Wish(now, now)
             request = SlotRequest(
                 service,
                 request_id,
                 tuple(servers[:MAX_ASKED_SERVERS]),
                 urgency,
                 wait_s,
+                self._brittle.known_s(service),
             )
             if inbox:
+                self._note_asked(service, issuer_id)
                 self._transport.send(inbox, request)
             else:
                 self._note_grant(self._issuer.ask(self._node_id, request))
@@ -269,29 +287,61 @@
         """Ends the wishes of requests that are gone."""
         now = self._timer.now()
         for key, wish in list(self._wish_by_key.items()):
-            if not wish.answered and now - wish.asked_at > ANSWER_TIMEOUT_S:
-                self._note_unanswered(key[0], wish)
-            if now - wish.seen_at > WISH_LIFETIME_S and (
-                wish.answered or now - wish.asked_at > ANSWER_TIMEOUT_S
-            ):
+            if now - wish.seen_at > WISH_LIFETIME_S:
                 self.give_up(*key)
         self._send_grants(self._issuer.check())
 
-    def _note_unanswered(self, service: str, wish: _Wish) -> None:
-        wish.answered = True
-        self._unanswered += 1
-        if self._unanswered >= MAX_UNANSWERED:
-            self._unanswered = 0
-            if wish.asked_id != self._node_id:
-                self._permits.pass_over(service, wish.asked_id)
+    def _note_asked(self, service: str, issuer_id: str) -> None:
+        """Passes over an issuer that did not answer again and again."""
+        now = self._timer.now()
+        first_at, count = self._unanswered.get((service, issuer_id), (now, 0))
+        if count >= MAX_UNANSWERED and now - first_at > ANSWER_TIMEOUT_S:
+            del self._unanswered[service, issuer_id]
+            self._permits.pass_over(service, issuer_id)
+            return
+        self._unanswered[service, issuer_id] = (first_at, count + 1)
 
     def _issued_share(self, service: str) -> float:
-        """Returns the share of the slots that this process may issue."""
-        share = self._permits.heard_share()
+        """Returns the share of the slots that this process may issue.
+
+        Slots of processes that are not heard are left out before.
+        """
+        members, registered = self._processes()
+        share = self._permits.heard_share() if members >= registered else 1.0
         if not self._permits.is_first_issuer(service):
             share *= NEXT_ISSUER_SHARE
         return share
 
+    def _issuable_slots(self, server_id: str, slots: int) -> int:
+        """Returns how many slots belong to the processes that are heard.
+
+        In a fleet that is cut into parts each part uses its own slots. All
+        processes agree on them without a message.
+        """
+        members, registered = self._processes()
+        if members >= registered:
+            return slots
+        if self._issuable_from != (members, registered):
+            self._issuable_from = (members, registered)
+            self._issuable_by_server = {}
+        key = (server_id, slots)
+        if key not in self._issuable_by_server:
+            self._issuable_by_server[key] = sum(
+                owner(f"{server_id}/{number}", registered) in members
+                for number in range(slots)
+            )
+        return self._issuable_by_server[key]
+
+    def _processes(self) -> tuple[frozenset[str], frozenset[str]]:
+        """Returns the ids of the processes that are heard, and of all."""
+        now = self._timer.now()
+        if now >= self._processes_until:
+            self._processes_until = now + CHECK_PERIOD_S
+            members = frozenset((*self._permits.member_ids(), self._node_id))
+            registered = frozenset(self._registered_ids()) | members
+            self._known_processes = (members, registered)
+        return self._known_processes
+
     def _send_grants(self, grants: Grants) -> None:
         for holder, grant in grants:
             if holder == self._node_id:
@@ -303,12 +353,10 @@
 
     def _note_grant(self, grant: SlotGrant) -> None:
         """Takes an issuer's answer to a request of this process."""
-        self._unanswered = 0
         wish = self._wish_by_key.get((grant.service, grant.request_id))
         if wish is None:
             self._give_back(grant)
             return
-        wish.answered = True
         if grant.server_id or grant.return_s:
             wish.grant = grant
             self._answered.set()
@@ -323,6 +371,7 @@
     async def _receive_grant(
         self, envelope: Envelope, grant: SlotGrant
     ) -> None:
+        self._unanswered.pop((grant.service, envelope.sender), None)
         self._note_grant(grant)
 
     async def _receive_ended(
--- a/wasabiwing/slot_issuer.py
+++ b/wasabiwing/slot_issuer.py
@@ -30,11 +30,23 @@
 GRANT_LIFETIME_S = 0.6
 REPORT_LIFETIME_S = 2.0
 
+# Time after its first message about a service in which a process does not know
+# yet which slots are taken, in seconds; longer than the period of reports.
+WARM_UP_S = 0.35
+
+# Age from which a process would have heard of brittle servers before, in
+# seconds.
+INFORMED_AGE_S = 3.0
+
 # Time in which refusals are counted, in seconds, and the share of those that
 # a server can bear after which it gets no requests for that time.
 REFUSAL_WINDOW_S = 1.0
 MAX_REFUSAL_SHARE = 0.5
 
+# Weight of the refusal of a request that had no slot, because its process did
+# not know of the brittle server. It says nothing about the slots.
+UNKNOWN_WEIGHT = 0.5
+
 # Time after which a server that had less room than slots is tried with one
 # more request, in seconds.
 ROOM_STEP_S = 3.0
@@ -71,7 +83,8 @@
     expiry_by_key: dict[_Key, float] = field(default_factory=dict)
     # Times of the grants, by request.
     granted_at: dict[_Key, float] = field(default_factory=dict)
-    refused_at: deque[float] = field(default_factory=deque)
+    # Times and weights of refusals.
+    refusals: deque[tuple[float, float]] = field(default_factory=deque)
     # Number of requests that the server held when it refused one, and when
     # one more is tried; more than its slots if unknown.
     room: float = inf
@@ -96,6 +109,8 @@
     duration_s: float = 0.0
     # Latest time at which a refused caller was asked to return.
     return_at: float = -inf
+    # Time of the first message about the service.
+    opened_at: float = 0.0
     # Draw from 0 to 1 for a part of a slot, and when it ends.
     draw: float = 0.0
     draw_until: float = -inf
@@ -109,6 +124,7 @@
         node_id: str,
         timer: TimerService,
         share: Callable[[str], float],
+        issuable: Callable[[str, int], int],
         random: Random,
     ) -> None:
         self._node_id = node_id
@@ -116,7 +132,11 @@
         # Returns the share of the slots that this process may issue for a
         # service.
         self._share = share
+        # Returns how many of a server's slots belong to this process and
+        # those that it hears.
+        self._issuable = issuable
         self._random = random
+        self._created_at = timer.now()
         self._server_by_id: dict[str, _Server] = {}
         self._service_by_name: dict[str, _Service] = {}
 
@@ -142,8 +162,16 @@
         ]
         ahead = len(before)
         server_id = self._free_server(service, request)
-        if server_id and not any(
-            self._free_server(service, other) for other in before
+        is_warm = now - service.opened_at >= WARM_UP_S
+        # A server that has only just become brittle has places left.
+        may_grant = is_warm or (
+            request.known_s < WARM_UP_S
+            and now - self._created_at >= INFORMED_AGE_S
+        )
+        if (
+            may_grant
+            and server_id
+            and not any(self._free_server(service, other) for other in before)
         ):
             return self._grant(key, request, server_id)
         ids = [server_id for server_id, _, _ in request.servers]
@@ -169,11 +197,11 @@
         server = self._server(ended.server_id)
         key = (holder, ended.request_id)
         granted_at = server.granted_at.pop(key, None)
-        server.expiry_by_key.pop(key, None)
+        had_slot = server.expiry_by_key.pop(key, None) is not None
         if ended.refused:
             server.slots = ended.slots
             server.max_refusals = ended.max_refusals
-            self._note_refusal(ended.server_id, server)
+            self._note_refusal(ended.server_id, server, had_slot)
         elif granted_at is not None:
             service = self._service(ended.service)
             change = now - granted_at - service.duration_s
@@ -184,6 +212,7 @@
     def report(self, holder: str, report: SlotReport) -> None:
         """Takes over which requests a process has at the servers."""
         now = self._timer.now()
+        self._service(report.service)
         running = {
             (server_id, (holder, request_id))
             for server_id, request_ids in report.running
@@ -210,6 +239,8 @@
         service = self._service(service_name)
         self._drop_expired(service)
         granted: Grants = []
+        if self._timer.now() - service.opened_at < WARM_UP_S:
+            return granted
         for key, waiter in sorted(
             service.waiter_by_key.items(), key=lambda item: _rank(item[1])
         ):
@@ -249,10 +280,14 @@
             server_id: self._taken(server_id)
             for server_id, _, _ in request.servers
         }
+        issuable_by_id = {
+            server_id: self._issuable(server_id, slots)
+            for server_id, slots, _ in request.servers
+        }
         order = list(taken_by_id)
         if share < 1.0:
-            total = share * sum(slots for _, slots, _ in request.servers)
-            if sum(taken_by_id.values()) >= self._whole(service, total):
+            total = self._whole(service, share * sum(issuable_by_id.values()))
+            if sum(taken_by_id.values()) >= total:
                 return ""
             # Processes that cannot hear each other prefer the same servers.
             self._random.shuffle(order)
@@ -263,7 +298,7 @@
                 if taken_by_id[server_id]
                 < min(
                     self._capacity(server_id),
-                    ceil(self._server(server_id).slots * share),
+                    ceil(issuable_by_id[server_id] * share),
                 )
             ),
             "",
@@ -287,10 +322,11 @@
         if server.room < server.slots and now >= server.next_step_at:
             server.room += 1
             server.next_step_at = now + ROOM_STEP_S
-        refused = server.refused_at
-        while refused and refused[0] <= now - REFUSAL_WINDOW_S:
-            refused.popleft()
-        if refused and len(refused) >= server.max_refusals * MAX_REFUSAL_SHARE:
+        refusals = server.refusals
+        while refusals and refusals[0][0] <= now - REFUSAL_WINDOW_S:
+            refusals.popleft()
+        weight = sum(weight for _, weight in refusals)
+        if refusals and weight >= server.max_refusals * MAX_REFUSAL_SHARE:
             return 0
         return int(min(server.slots, server.room))
 
@@ -308,18 +344,21 @@
             server.granted_at.pop(key, None)
         return len(server.expiry_by_key)
 
-    def _note_refusal(self, server_id: str, server: _Server) -> None:
+    def _note_refusal(
+        self, server_id: str, server: _Server, had_slot: bool
+    ) -> None:
         now = self._timer.now()
-        server.refused_at.append(now)
-        server.room = max(min(self._taken(server_id), server.slots - 1), 1)
-        server.next_step_at = now + ROOM_STEP_S
+        server.refusals.append((now, 1.0 if had_slot else UNKNOWN_WEIGHT))
+        if had_slot:
+            server.room = max(min(self._taken(server_id), server.slots - 1), 1)
+            server.next_step_at = now + ROOM_STEP_S
         log_event(
             Event.BRITTLE_SERVER_SPARED,
             self._node_id,
             server=server_id,
-            room=server.room,
+            room=min(server.room, server.slots),
             slots=server.slots,
-            refusals=len(server.refused_at),
+            refusals=len(server.refusals),
             max_refusals=server.max_refusals,
         )
 
@@ -337,7 +376,7 @@
             server_id: server
             for server_id, server in self._server_by_id.items()
             if server.expiry_by_key
-            or server.refused_at
+            or server.refusals
             or server.room < server.slots
         }
 
@@ -345,7 +384,11 @@
         return self._server_by_id.setdefault(server_id, _Server())
 
     def _service(self, name: str) -> _Service:
-        return self._service_by_name.setdefault(name, _Service())
+        service = self._service_by_name.get(name)
+        if service is None:
+            service = _Service(opened_at=self._timer.now())
+            self._service_by_name[name] = service
+        return service
 
 
 def _rank(waiter: _Waiter) -> tuple[int, float]:
