Let a gateway wait for a silent engine where nothing else can carry on

What callers saw: an answer of the own interface ended with an error when its engine was silent for longer than stream_silence_s (10 s by default) and no other attempt was possible, although the deadline was later.

Cause: as in the node, an attempt was given up before it was known whether another one can take its place; the engine's stream was cancelled, too.

Change: silent_attempts decides for both data paths. Where no attempt, no half of the retry budget, no time before the kill or no other server is left, the gateway resumes the stream at the same engine, each time for stream_silence_s, until the deadline. Each time is logged (silent_attempt_kept).

Test: two engines that stall after 3 events for 3 s, stream_silence_s 0.2: before, the caller got an error document; now the whole answer.

Not changed: an engine that names no stream, or that sends no head of its answer, can't be resumed, so that the request is given up as before.

--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -76,6 +76,29 @@
             assert await recomputed_tokens(deployment.vms[0], "stall") > 6
             assert stalled.cancelled_ids
 
+    async def test_a_silent_stream_that_nothing_can_continue_waits(
+        self,
+    ) -> None:
+        """Guards against an answer that ends because its engine is silent."""
+        async with running(
+            CONFIGURATION, 1, stream_silence_s=0.2
+        ) as deployment:
+            engines = deployment.engine_by_id.values()
+            for engine in engines:
+                engine.faults.stall_after = 3
+            async with create_task_group() as tasks:
+
+                async def go_on() -> None:
+                    await sleep(3.0)
+                    for engine in engines:
+                        engine.faults.stall_after = None
+
+                tasks.start_soon(go_on)
+                reply = await Caller(HttpClient()).chat(
+                    deployment.vms[0], "drop"
+                )
+            assert chat_text(reply) == answer_text("drop", 20)
+
     async def test_a_crash_in_mid_answer_continues_elsewhere(self) -> None:
         """Guards against losing the answer with its engine."""
         async with running(CONFIGURATION, 1) as deployment:
--- a/wasabiwing/admission.py
+++ b/wasabiwing/admission.py
@@ -38,6 +38,9 @@
 from wasabiwing.run_durations import TrackedRun
 from wasabiwing.server_statements import stated_pause_s
 from wasabiwing.server_statements import UNKNOWN_START
+from wasabiwing.silent_attempts import Prospects
+from wasabiwing.silent_attempts import wait_reason
+from wasabiwing.silent_attempts import WaitReason
 from wasabiwing.stop_admission import StopAdmission
 from wasabiwing.timers import TimerService
 
@@ -188,6 +191,28 @@
             statements.note_pause(assignment.server.id, UNKNOWN_START, pause_s)
         statements.note_ended(assignment.server.id, outcome.failure is None)
 
+    def silent_wait_reason(
+        self,
+        call: Call,
+        excluded: frozenset[str],
+        attempts_left: int,
+        budget_left: bool,
+    ) -> WaitReason | None:
+        """Returns why an attempt at a silent server is not given up.
+
+        ``excluded`` holds the ids of that server and of earlier ones.
+        """
+        reason = wait_reason(
+            Prospects(
+                attempts_left,
+                self._stop_refusal(call) is not None,
+                budget_left,
+            )
+        )
+        if reason is None and not self._router.has_candidate(call, excluded):
+            reason = WaitReason.NO_SERVER
+        return reason
+
     def has_idle_slot(self, pool: Pool) -> bool:
         """Whether a slot of a pool is free and no request waits for one."""
         if len(self._queue_by_pool[pool.id]):
--- a/wasabiwing/model_dispatch.py
+++ b/wasabiwing/model_dispatch.py
@@ -34,12 +34,14 @@
 from wasabiwing.ports import ModelEngine
 from wasabiwing.quarantine import Quarantine
 from wasabiwing.retry_policy import final_failure
+from wasabiwing.retry_policy import MAX_ATTEMPTS
 from wasabiwing.retry_policy import RetryDecision
 from wasabiwing.retry_policy import RetryPolicy
 from wasabiwing.run_durations import end_of_run
 from wasabiwing.running_request import EnginePosition
 from wasabiwing.running_request import Interrupt
 from wasabiwing.running_request import RunningRequest
+from wasabiwing.silent_attempts import KEPT_BUDGET_SHARE
 from wasabiwing.timers import TimerService
 
 # Greatest number of consecutive resumes of one engine stream that bring no new
@@ -386,6 +388,28 @@
             )
         return failure
 
+    def _must_wait(
+        self, request: RunningRequest, assignment: ServerAssignment
+    ) -> bool:
+        """Whether nothing else can carry on an attempt at a silent engine."""
+        call = request.call
+        server_id = assignment.server.id
+        reason = self._admission.silent_wait_reason(
+            call,
+            frozenset(request.tried_server_ids | {server_id}),
+            MAX_ATTEMPTS - request.failures - 1,
+            self._retries.has_token(call.pool, KEPT_BUDGET_SHARE),
+        )
+        if reason is not None:
+            log_event(
+                Event.SILENT_ATTEMPT_KEPT,
+                self._node_id,
+                request=call.request_id,
+                server=server_id,
+                reason=reason.value,
+            )
+        return reason is not None
+
     async def _read_stream(
         self, request: RunningRequest, assignment: ServerAssignment
     ) -> tuple[Failure | None, float | None]:
@@ -417,6 +441,14 @@
             failure = await self._reader.resume_attempt(request, assignment)
             if answer.offset > offset:
                 resumes = 0
+        while (
+            failure is not None
+            and failure.code is ResultCode.SERVER_TIMEOUT
+            and request.engine_position is not None
+            and self._must_wait(request, assignment)
+        ):
+            # A silent engine may be sound; the deadline ends the wait.
+            failure = await self._reader.resume_attempt(request, assignment)
         if failure is None:
             request.last_attempt_cut = False
         if failure is not None and failure.code is ResultCode.SERVER_TIMEOUT:
--- a/wasabiwing/retry_policy.py
+++ b/wasabiwing/retry_policy.py
@@ -93,6 +93,10 @@
         backoff_s = self._backoff_s(attempt) if rule.backoff else 0.0
         return RetryDecision(True, "another server may succeed", backoff_s)
 
+    def has_token(self, pool: Pool, kept_share: float) -> bool:
+        """Whether a pool has a token besides a share of its budget."""
+        return self._budget(pool).has_token(kept_share)
+
     def _budget(self, pool: Pool) -> RetryBudget:
         return self._budget_by_pool.setdefault(pool.id, RetryBudget())
 
--- a/wasabiwing/routing.py
+++ b/wasabiwing/routing.py
@@ -147,6 +147,11 @@
             return Err(self._failure_without_candidate(call, survey, outlook))
         return Ok(self.assign(call, chosen, attempt))
 
+    def has_candidate(self, call: Call, excluded: frozenset[str]) -> bool:
+        """Whether a server would be chosen now; takes no slot."""
+        self._update_index()
+        return bool(self._survey(call, excluded).candidates)
+
     def assign(
         self, call: Call, server: BackendServer, attempt: int
     ) -> ServerAssignment:
