--- a/tests/test_node_brittle.py
+++ b/tests/test_node_brittle.py
@@ -88,19 +88,30 @@
     return outcomes
 
 
+async def start_and_kill(found: Deployment) -> None:
+    """Starts one more node, then kills the first one."""
+    await sleep(BRITTLE_CONTACT_S + 1.0)
+    await found.start_another("node-another")
+    await sleep(2.0)
+    found.kill()
+
+
 async def play(
     found: Deployment,
     node_count: int,
     servers: Sequence[ServerStandIn],
     load: float,
+    leave_out_first: bool = False,
 ) -> tuple[int, float]:
     """Sends more than the slots can serve; returns falls and served share.
 
-    The share is that of what the slots can serve.
+    The share is that of what the slots can serve. The first node gets no
+    requests if it is left out.
     """
     for server in servers:
         await found.add_server("desk", server, slots=SLOTS)
     nodes = await start_nodes(found, node_count)
+    nodes = nodes[leave_out_first:]
     able_per_s = len(servers) * SLOTS / WORK_S
     async with create_task_group() as tasks:
         tasks.start_soon(restart_fallen, found, servers)
@@ -149,3 +160,13 @@
             falls, share = await play(found, node_count, servers, load)
             assert falls <= allowed_falls(server_count)
             assert share >= SERVED_SHARE
+
+    async def test_node_that_comes_and_node_that_is_killed(self) -> None:
+        async with deployment() as found:
+            servers = brittle_servers(4, 2)
+            found.tasks.start_soon(start_and_kill, found)
+            falls, share = await play(
+                found, 4, servers, 1.5, leave_out_first=True
+            )
+            assert falls <= allowed_falls(len(servers))
+            assert share >= SERVED_SHARE
