Let the soak cut nodes from all servers and silence servers

Cause: the soak had one proxy for each server, shared by all nodes, so it could cut no node's links; and a silent server was a silent link, which excuses nodes from promises.

Change: each node has a proxy to each server. The registry names an address at which nothing listens; a launcher of the node program redirects connections to the node's own proxies. The servers learn from the proxy's address which node sent a request, so the promises about leaving and unwilling servers and about limits are now kept by sender: with requests that another node carries, the caller's node is not the sender. A cut no longer shares its state with other faults of a link.

New faults: some nodes cut from all servers for 1 to 8 s (silent, refuse, half); servers that neither read nor send for 0.5 to 2 s, which excuses nothing, also beside planned stops. A soak of cuts (--cuts) has longer cuts and fewer other faults. During cuts each node gets a request each 0.2 s, whatever becomes of earlier ones.

A caller of another node no longer excuses the sender.

--- a/tests/node_deployment.py
+++ b/tests/node_deployment.py
@@ -8,11 +8,6 @@
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
-from socket import AF_INET
-from socket import SO_REUSEADDR
-from socket import SOCK_STREAM
-from socket import socket
-from socket import SOL_SOCKET
 
 from anyio import CancelScope
 from anyio import create_task_group
@@ -44,6 +39,7 @@
 from wasabiwing_platform_standins.examples import server_document
 from wasabiwing_platform_standins.server import ServerStandIn
 from wasabiwing_platform_standins.store import StoreStandIn
+from wasabiwing_soak.deployment import reserve_adjacent_ports
 from wasabiwing_standins.server import StandInServer
 
 HOST = "127.0.0.1"
@@ -208,18 +204,8 @@
     reserved: ExitStack,
 ) -> tuple[Endpoint, Endpoint]:
     """Returns two reserved addresses with consecutive ports."""
-    while True:
-        first = reserve_endpoint(reserved)
-        following = Endpoint(HOST, first.port + 1)
-        # With SO_REUSEADDR, it could get a port that others have reserved.
-        reservation = reserved.enter_context(socket(AF_INET, SOCK_STREAM))
-        try:
-            reservation.bind((following.host, following.port))
-        except OSError:
-            continue
-        # A program may still listen at the port.
-        reservation.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
-        return first, following
+    port = reserve_adjacent_ports(reserved)
+    return Endpoint(HOST, port), Endpoint(HOST, port + 1)
 
 
 @asynccontextmanager
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,7 +5,9 @@
 """
 
 from collections.abc import AsyncIterator
+from collections.abc import Sequence
 from contextlib import asynccontextmanager
+from contextlib import ExitStack
 from contextlib import suppress
 from dataclasses import replace
 from pathlib import Path
@@ -15,6 +17,7 @@
 from anyio import connect_tcp
 from anyio import create_task_group
 from anyio import create_tcp_listener
+from anyio import current_time
 from anyio import EndOfStream
 from anyio import fail_after
 from anyio import move_on_after
@@ -32,9 +35,11 @@
 from tests.raw_server import RawAnswer
 from tests.raw_server import RawServer
 from tests.raw_server import serve_raw
+from wasabiwing.asgi import bind_listener
 from wasabiwing.codes import RunState
 from wasabiwing.http_client import HttpClient
 from wasabiwing_platform_standins.balancer import BalancerStandIn
+from wasabiwing_platform_standins.server import ServerStandIn
 from wasabiwing_soak.crashing_parts import check_parts
 from wasabiwing_soak.crashing_parts import draw_part_crashes
 from wasabiwing_soak.crashing_parts import OTHER_KINDS
@@ -44,12 +49,20 @@
 from wasabiwing_soak.crashing_parts import prompt_header
 from wasabiwing_soak.crashing_parts import PromptDraw
 from wasabiwing_soak.crashing_parts import store_absences
+from wasabiwing_soak.cut_nodes import check_cuts
+from wasabiwing_soak.cut_nodes import CONTACT_S
+from wasabiwing_soak.cut_nodes import cut_outcomes
+from wasabiwing_soak.cut_nodes import CutOutcome
+from wasabiwing_soak.cut_nodes import draw_cuts
+from wasabiwing_soak.cut_nodes import NodeCut
+from wasabiwing_soak.deployment import reserve_adjacent_ports
 from wasabiwing_soak.fault_schedule import draw_schedule
 from wasabiwing_soak.fault_schedule import FaultKind
 from wasabiwing_soak.fault_schedule import PlannedFault
 from wasabiwing_soak.kept_connection import KeptConnection
 from wasabiwing_soak.kept_connection import KeptReply
 from wasabiwing_soak.loopback_proxy import HOST
+from wasabiwing_soak.loopback_proxy import LinkCut
 from wasabiwing_soak.loopback_proxy import LoopbackProxy
 from wasabiwing_soak.node_process import STOP_GRACE_S
 from wasabiwing_soak.planned_stops import check_stopping_nodes
@@ -86,9 +99,9 @@
 
 pytestmark = pytest.mark.anyio
 
-LEAVES = ServerStatement("server-0", 0, "book 1", 10.1, True, None)
+LEAVES = ServerStatement("server-0", 0, "book 1", 10.1, True, None, "node-0")
 
-REFUSES = ServerStatement("server-0", 0, "book 1", 10.1, False, 4.0)
+REFUSES = ServerStatement("server-0", 0, "book 1", 10.1, False, 4.0, "node-0")
 
 SERVED = CallRecord(
     body="book 1",
@@ -117,16 +130,22 @@
 
     def test_leaving_server_gets_nothing_later_from_that_node(self) -> None:
         later = replace(SERVED, body="book 2", sent_s=12.5, ended_s=12.6)
-        arrival = RequestArrival("server-0", 0, "book 2", 12.55)
+        arrival = RequestArrival(
+            "server-0", 0, "book 2", 12.55, sender="node-0"
+        )
         calls = [SERVED, later]
         [found] = check_leaving(calls, [LEAVES], [arrival], [])
         assert found.promise is Promise.LEAVING
         for excused in (
             [SERVED, replace(later, sent_s=12.1)],
-            [SERVED, replace(later, node="node-1")],
             [replace(SERVED, status=0), later],
         ):
             assert not check_leaving(excused, [LEAVES], [arrival], [])
+        # Nodes may carry requests of other nodes' callers.
+        carried = [replace(SERVED, node="node-1"), later]
+        assert check_leaving(carried, [LEAVES], [arrival], [])
+        other_sender = replace(arrival, sender="node-1")
+        assert not check_leaving(calls, [LEAVES], [other_sender], [])
         restart = NodeDisturbance("node-0", False, 11.0, 12.0)
         assert not check_leaving(calls, [LEAVES], [arrival], [restart])
         new_life = replace(arrival, incarnation_id=1)
@@ -136,20 +155,33 @@
         assert not check_leaving(calls, [held_back], [arrival], [])
 
     def test_unwilling_server_gets_two_more_at_most(self) -> None:
-        calls = [replace(SERVED, body=f"book {n}") for n in range(1, 5)]
         arrivals = [
-            RequestArrival("server-0", 0, f"book {n}", 10.4 + n)
+            RequestArrival(
+                "server-0", 0, f"book {n}", 10.4 + n, sender="node-0"
+            )
             for n in (2, 3, 4)
         ]
         late = [replace(item, at_s=item.at_s - 1.0) for item in arrivals]
-        [found] = check_pauses(calls, [REFUSES], late, [], [])
+        [found] = check_pauses([REFUSES], late, [], [])
         assert found.promise is Promise.PAUSE
         # The last one of these comes after the time.
-        assert not check_pauses(calls, [REFUSES], arrivals, [], [])
+        assert not check_pauses([REFUSES], arrivals, [], [])
         trouble = LinkFault("server-0", 11.0, 11.5)
-        assert not check_pauses(calls, [REFUSES], late, [], [trouble])
+        assert not check_pauses([REFUSES], late, [], [trouble])
+        assert not check_pauses(
+            [REFUSES], late, [], [replace(trouble, node="node-0")]
+        )
+        assert check_pauses(
+            [REFUSES], late, [], [replace(trouble, node="node-1")]
+        )
+        assert not check_pauses(
+            [REFUSES],
+            [*late[:2], replace(late[2], sender="node-1")],
+            [],
+            [],
+        )
         pause = NodeDisturbance("node-0", False, 11.0, 12.0)
-        assert not check_pauses(calls, [REFUSES], late, [pause], [])
+        assert not check_pauses([REFUSES], late, [pause], [])
 
 
 class TestLimits:
@@ -158,13 +190,20 @@
     LIMIT = NamedLimit("server-0", 1.0, 10.0, 20.0)
 
     def test_requests_of_all_nodes_are_counted_together(self) -> None:
-        node_by_body = {f"read {n}": f"node-{n % 3}" for n in range(12)}
-        arrivals = [RequestArrival("server-0", 0, "read 0", 10.0)]
+        arrivals = [
+            RequestArrival("server-0", 0, "read 0", 10.0, sender="node-0")
+        ]
         arrivals += [
-            RequestArrival("server-0", 0, f"read {n}", 13.0 + n / 10)
+            RequestArrival(
+                "server-0",
+                0,
+                f"read {n}",
+                13.0 + n / 10,
+                sender=f"node-{n % 3}",
+            )
             for n in range(12)
         ]
-        [use] = limit_uses([self.LIMIT], arrivals, node_by_body, [])
+        [use] = limit_uses([self.LIMIT], arrivals, [])
         assert (use.worst, use.allowed) == (12, 11)
         assert use.used_share == pytest.approx(12 / 7)
         [found] = check_limits([use])
@@ -172,17 +211,15 @@
         # The time before the limit binds, another server, a restart of a
         # node, and a new start of the server.
         early = [replace(item, at_s=item.at_s - 2.0) for item in arrivals[1:]]
-        [use] = limit_uses(
-            [self.LIMIT], arrivals[:1] + early, node_by_body, []
-        )
+        [use] = limit_uses([self.LIMIT], arrivals[:1] + early, [])
         assert use.worst < 11
         other = [replace(item, server="server-1") for item in arrivals]
-        assert not limit_uses([self.LIMIT], other, node_by_body, [])
+        assert not limit_uses([self.LIMIT], other, [])
         restart = NodeDisturbance("node-1", False, 12.0, 12.5)
-        [use] = limit_uses([self.LIMIT], arrivals, node_by_body, [restart])
+        [use] = limit_uses([self.LIMIT], arrivals, [restart])
         assert not check_limits([use])
         anew = [*arrivals, replace(arrivals[0], incarnation_id=1)]
-        assert not limit_uses([self.LIMIT], anew, node_by_body, [])
+        assert not limit_uses([self.LIMIT], anew, [])
 
 
 class TestSchedule:
@@ -200,6 +237,10 @@
             FaultKind.PART_CRASHES
         }
         assert all(fault.ends_s <= 30.0 for fault in faults)
+        cuts = [
+            fault for fault in faults if fault.kind is FaultKind.NODES_CUT_OFF
+        ]
+        assert any(cut.duration_s > CONTACT_S for cut in cuts)
         # Faults come in series and overlap.
         assert any(
             later.at_s < earlier.ends_s
@@ -221,6 +262,7 @@
             FaultKind.SETTINGS_SIGNAL,
             FaultKind.CONFIGURATION_CHANGED,
             FaultKind.SERVER_FAILS,
+            FaultKind.SERVERS_SILENT,
             FaultKind.STORE_SILENT,
         }
         stops = [item for item in faults if item.kind is faults[0].kind]
@@ -362,6 +404,94 @@
         )
 
 
+class TestCutNodes:
+    """First tries at nodes that are cut from all servers."""
+
+    CUT = NodeCut(("node-0",), LinkCut.SILENT, 10.0, 16.0)
+    NODES = ("node-0", "node-1", "node-2")
+
+    def tries(self, served: int, at_s: float = 13.0) -> list[CallRecord]:
+        """Returns 60 tries in 3 s, of which a cut node serves some."""
+        return [
+            replace(
+                SERVED,
+                node=node,
+                sent_s=at_s + n * 0.15,
+                ended_s=at_s + n * 0.15 + 0.1,
+                status=503 if node == "node-0" and n >= served else 200,
+            )
+            for n in range(20)
+            for node in self.NODES
+        ]
+
+    def outcomes(
+        self,
+        tries: list[CallRecord],
+        absences: Sequence[NodeDisturbance] = (),
+        more_cuts: Sequence[NodeCut] = (),
+    ) -> tuple[CutOutcome, ...]:
+        """Returns the outcomes of ``CUT`` and others."""
+        cuts = [self.CUT, *more_cuts]
+        return cut_outcomes(tries, cuts, self.NODES, absences)
+
+    def test_callers_of_a_cut_node_are_served_as_others_are(self) -> None:
+        outcomes = self.outcomes(self.tries(7))
+        assert outcomes == (CutOutcome(self.CUT, 20, 7, 40, 40),)
+        [found] = check_cuts(outcomes)
+        assert found.promise is Promise.CUT_NODE
+        # A few may fail, and as many as at the others.
+        assert not check_cuts(self.outcomes(self.tries(10)))
+        others_fail = [
+            item if item.node == "node-0" else replace(item, status=503)
+            for item in self.tries(7)
+        ]
+        assert not check_cuts(self.outcomes(others_fail))
+        # Until nodes are in contact, nothing is promised.
+        [early] = self.outcomes(self.tries(0, at_s=10.0))
+        assert early.tries == 0
+
+    def test_cuts_overlap_and_come_with_other_faults(self) -> None:
+        faults = draw_cuts(1, 120.0)
+        assert faults == draw_cuts(1, 120.0)
+        assert faults != draw_cuts(2, 120.0)
+        assert all(fault.ends_s <= 120.0 for fault in faults)
+        cuts = [
+            fault for fault in faults if fault.kind is FaultKind.NODES_CUT_OFF
+        ]
+        assert all(cut.duration_s > CONTACT_S for cut in cuts)
+        assert any(
+            later.at_s < earlier.ends_s
+            for earlier, later in zip(cuts, cuts[1:], strict=False)
+        )
+        assert FaultKind.SERVERS_SILENT in {fault.kind for fault in faults}
+
+    def test_disturbed_nodes_are_not_judged(self) -> None:
+        for excuse in (
+            NodeDisturbance("node-0", False, 9.0, 12.9),
+            NodeDisturbance("node-0", True, 13.0, 16.0),
+        ):
+            assert not check_cuts(self.outcomes(self.tries(0), [excuse]))
+        for until_s, excused in ((15.5, True), (14.5, False)):
+            store_gone = NodeDisturbance("node-0", False, 13.0, until_s)
+            outcomes = cut_outcomes(
+                self.tries(0), [self.CUT], self.NODES, [], [store_gone]
+            )
+            assert bool(check_cuts(outcomes)) is not excused
+        # Neither one of two other nodes nor an earlier disturbance excuses.
+        for other in (
+            NodeDisturbance("node-1", False, 9.0, 16.0),
+            NodeDisturbance("node-0", False, 8.0, 9.5),
+        ):
+            assert check_cuts(self.outcomes(self.tries(0), [other]))
+
+    def test_one_node_must_have_its_links(self) -> None:
+        rest = NodeCut(("node-1", "node-2"), LinkCut.HALF, 9.0, 15.0)
+        none_left = self.outcomes(self.tries(0), more_cuts=[rest])
+        assert [item.tries for item in none_left] == [0, 0]
+        one_left = replace(rest, nodes=("node-1",))
+        assert check_cuts(self.outcomes(self.tries(0), more_cuts=[one_left]))
+
+
 class TestCrashingParts:
     """Checks of prompt parts that crash servers."""
 
@@ -595,6 +725,59 @@
     return await connect_tcp(host, int(port))
 
 
+async def echo_once(proxy: LoopbackProxy) -> None:
+    """Sends data over a new connection and waits for it to come back."""
+    while True:
+        try:
+            stream = await connect(proxy)
+        except OSError:
+            # The proxy does not listen again yet.
+            await sleep(POLL_S)
+            continue
+        async with stream:
+            await stream.send(b"again")
+            assert await stream.receive() == b"again"
+        return
+
+
+class TestSilentServer:
+    """A server that is as if suspended."""
+
+    async def test_a_silent_server_goes_on_later(self) -> None:
+        async with deployment() as found:
+            server = ServerStandIn("desk-0")
+            await found.add_server("desk", server)
+            client = HttpClient()
+            server.silent_until = current_time() + 0.5
+            began = current_time()
+            reply = await client.send(
+                "POST",
+                f"http://{found.address_by_server['desk-0']}/",
+                {},
+                b"order",
+                TEST_TIMEOUT_S,
+            )
+            assert reply.unwrap().status == 200
+            assert current_time() - began >= 0.5
+            [request] = server.received_requests
+            assert request.arrived_at >= server.silent_until
+            assert request.sender == HOST
+            await client.close()
+
+
+class TestPorts:
+    """Ports that are reserved for nodes."""
+
+    def test_the_port_after_an_inbox_is_free_for_its_node_only(self) -> None:
+        with ExitStack() as reserved:
+            ports = [reserve_adjacent_ports(reserved) for _ in range(50)]
+            taken = [port + offset for port in ports for offset in (0, 1)]
+            assert len(set(taken)) == 2 * len(ports)
+            for port in taken[:2]:
+                with bind_listener(HOST, port) as listener:
+                    listener.listen()
+
+
 class TestLoopbackProxy:
     """Faults of the network."""
 
@@ -634,6 +817,57 @@
                 with fail_after(TEST_TIMEOUT_S), pytest.raises(EndOfStream):
                     await stream.receive()
 
+    async def test_a_refusing_cut_resets_connections_and_refuses_new_ones(
+        self,
+    ) -> None:
+        async with (
+            echo_behind_proxy() as proxy,
+            await connect(proxy) as stream,
+        ):
+            with fail_after(TEST_TIMEOUT_S):
+                await stream.send(b"hello")
+                await stream.receive()
+                proxy.set_cut(LinkCut.REFUSE)
+                with pytest.raises(BrokenResourceError):
+                    await stream.receive()
+                with pytest.raises(OSError, match="connect"):
+                    await connect(proxy)
+                proxy.set_cut(None)
+                await echo_once(proxy)
+
+    async def test_a_half_cut_refuses_only_new_connections(self) -> None:
+        async with (
+            echo_behind_proxy() as proxy,
+            await connect(proxy) as stream,
+        ):
+            with fail_after(TEST_TIMEOUT_S):
+                proxy.set_cut(LinkCut.HALF)
+                await sleep(POLL_S)
+                with pytest.raises(OSError, match="connect"):
+                    await connect(proxy)
+                await stream.send(b"hello")
+                assert await stream.receive() == b"hello"
+                proxy.set_cut(None)
+                await echo_once(proxy)
+
+    async def test_a_silent_cut_answers_no_connection(self) -> None:
+        async with (
+            echo_behind_proxy() as proxy,
+            await connect(proxy) as stream,
+        ):
+            proxy.set_cut(LinkCut.SILENT)
+            await stream.send(b"hello")
+            with move_on_after(0.2) as receiving:
+                await stream.receive()
+            with move_on_after(0.2) as connecting:
+                await connect(proxy)
+            assert receiving.cancelled_caught
+            assert connecting.cancelled_caught
+            proxy.set_cut(None)
+            with fail_after(TEST_TIMEOUT_S):
+                assert await stream.receive() == b"hello"
+                await echo_once(proxy)
+
     async def test_reset_of_one_side_ends_the_other_as_whole(self) -> None:
         """Guards against a broken answer that the proxy ends with FIN."""
         server = RawServer(
--- a/wasabiwing_soak/__main__.py
+++ b/wasabiwing_soak/__main__.py
@@ -29,6 +29,7 @@
     other_build: str = "",
     stops: bool = False,
     parts: bool = False,
+    cuts: bool = False,
     output: str = "out/soak",
 ) -> None:
     """Runs ``count`` soaks with consecutive seeds from ``seed`` on.
@@ -38,7 +39,8 @@
     OUTPUT/SEED. With ``other_build``, the path of another checkout, each
     second start of a node runs that checkout's program. With ``stops``, the
     faults are series of planned stops and what may accompany them; with
-    ``parts``, they are prompt parts that crash servers. The exit status is 1
+    ``parts``, they are prompt parts that crash servers; with ``cuts``, nodes
+    are cut from all servers. The exit status is 1
     if a promise was broken.
     """
     first = randbelow(RANDOM_SEEDS) if seed is None else seed
@@ -54,6 +56,7 @@
             other_build,
             stops,
             parts,
+            cuts,
         )
         folder = Path(output) / str(number)
         result = run(run_soak, options, folder)
--- a/wasabiwing_soak/callers.py
+++ b/wasabiwing_soak/callers.py
@@ -5,6 +5,7 @@
 from dataclasses import field
 from random import Random
 
+from anyio import create_task_group
 from anyio import Event
 from anyio import sleep
 from msgspec import DecodeError
@@ -64,6 +65,11 @@
 SHARE_BY_ROUTE = {"read": 0.4, "book": 0.3, "chat": 0.3}
 STREAM_ROUTES = ("chat", "notes")
 
+# Routes of the requests that are sent to all nodes while some are cut off, and
+# their interval at each node in seconds.
+FIRST_TRY_ROUTES = ("read", "book", "chat", "notes")
+FIRST_TRY_INTERVAL_S = 0.2
+
 
 class _Problem(Struct, frozen=True):
     run: RunState | None = None
@@ -87,6 +93,8 @@
     prompts: PromptDraw | None = None
     stop_requested: Event = field(default_factory=Event)
     records: list[CallRecord] = field(default_factory=list)
+    # Bodies of the requests of ``send_first_tries``.
+    first_tries: set[str] = field(default_factory=set)
 
     async def run_caller(self, number: int) -> None:
         """Runs one caller, which sends one request after the other."""
@@ -114,6 +122,25 @@
             await sleep(random.expovariate(1 / MEAN_PAUSE_S))
         await client.close()
 
+    async def send_first_tries(self, number: int, seconds: float) -> None:
+        """Sends requests to all nodes in turn, whatever becomes of them."""
+        random = Random(f"{self.seed}/first/{number}")
+        client = HttpClient()
+        ends_s = self.clock() + seconds
+        count = 0
+        async with create_task_group() as tries:
+            while self.clock() < ends_s:
+                for node in self.address_by_node:
+                    count += 1
+                    route = random.choice(FIRST_TRY_ROUTES)
+                    body = f"{route} {self.seed}-first-{number}-{count}"
+                    self.first_tries.add(body)
+                    tries.start_soon(
+                        self.send_request, client, node, route, body
+                    )
+                await sleep(FIRST_TRY_INTERVAL_S)
+        await client.close()
+
     async def run_idle_caller(self, number: int) -> None:
         """Runs a caller that mostly keeps its connection open and idle."""
         random = Random(f"{self.seed}/idle/{number}")
--- a/wasabiwing_soak/crashing_parts.py
+++ b/wasabiwing_soak/crashing_parts.py
@@ -4,12 +4,14 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Mapping
 from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
 from random import Random
 
+from wasabiwing_soak.fault_schedule import draw_fault
 from wasabiwing_soak.fault_schedule import FaultKind
 from wasabiwing_soak.fault_schedule import PlannedFault
 from wasabiwing_soak.promises import CallRecord
@@ -126,21 +128,26 @@
         # Sometimes two parts at once.
         for _ in range(random.choice((1, 1, 2))):
             faults.append(
-                _fault(random, FaultKind.PART_CRASHES, at_s, period_s)
+                draw_fault(random, FaultKind.PART_CRASHES, at_s, period_s)
             )
         at_s += period_s + random.uniform(*PAUSE_S) + CONTACT_S
+    faults += draw_other_faults(random, duration_s, OTHER_KINDS)
+    return tuple(sorted(faults, key=lambda fault: fault.at_s))
+
+
+def draw_other_faults(
+    random: Random, duration_s: float, kinds: Sequence[FaultKind]
+) -> Iterator[PlannedFault]:
+    """Yields short faults that come beside those of a soak's subject."""
     at_s = random.expovariate(1 / MEAN_OTHER_GAP_S)
     while at_s + OTHER_DURATION_S[1] < duration_s:
-        faults.append(
-            _fault(
-                random,
-                random.choice(OTHER_KINDS),
-                at_s,
-                random.uniform(*OTHER_DURATION_S),
-            )
+        yield draw_fault(
+            random,
+            random.choice(kinds),
+            at_s,
+            random.uniform(*OTHER_DURATION_S),
         )
         at_s += random.expovariate(1 / MEAN_OTHER_GAP_S)
-    return tuple(sorted(faults, key=lambda fault: fault.at_s))
 
 
 def part_outcomes(
@@ -158,7 +165,7 @@
     calm = [
         call
         for call in call_by_body.values()
-        if _in_touch(call.node, call.sent_s, absences)
+        if in_touch(call.node, call.sent_s, absences)
     ]
     prompts = [
         (arrival, call_by_body[arrival.body])
@@ -193,7 +200,7 @@
             for arrival, call in hits
             if len(crashes) >= CRASHES_BEFORE_VERDICT
             and known < arrival.at_s
-            and _in_touch(call.node, arrival.at_s, absences)
+            and in_touch(call.node, arrival.at_s, absences)
         ]
         during = [
             call
@@ -261,27 +268,15 @@
     return absences
 
 
-def _in_touch(
+def in_touch(
     node: str, at_s: float, absences: Iterable[NodeDisturbance]
 ) -> bool:
-    """Returns whether a node was not disturbed for ``CONTACT_S``."""
+    """Returns whether a node was not absent for ``CONTACT_S``."""
     return not any(
         item.node == node and item.from_s <= at_s < item.until_s + CONTACT_S
         for item in absences
     )
 
 
-def _fault(
-    random: Random, kind: FaultKind, at_s: float, duration_s: float
-) -> PlannedFault:
-    return PlannedFault(
-        kind,
-        at_s,
-        duration_s,
-        random.randrange(1 << 16),
-        random.randrange(1 << 32),
-    )
-
-
 def _served(calls: Iterable[CallRecord]) -> int:
     return sum(call.status == SUCCESS for call in calls)
--- a/wasabiwing_soak/deployment.py
+++ b/wasabiwing_soak/deployment.py
@@ -4,6 +4,11 @@
 from contextlib import ExitStack
 from dataclasses import dataclass
 from pathlib import Path
+from socket import AF_INET
+from socket import SO_REUSEADDR
+from socket import SOCK_STREAM
+from socket import socket
+from socket import SOL_SOCKET
 
 from anyio import Event
 from anyio import move_on_after
@@ -30,6 +35,7 @@
 from wasabiwing_soak.loopback_proxy import LoopbackProxy
 from wasabiwing_soak.node_process import NodeProcess
 from wasabiwing_soak.node_process import OWN_BUILD
+from wasabiwing_soak.node_process import SERVER_HOST
 
 # Services of the servers, assigned in turn: a plain one and a streaming one.
 SERVICES = ("desk", "models")
@@ -54,11 +60,25 @@
 FIRST_START_MS = 1_000
 
 
+def link_host(node: int) -> str:
+    """Returns the IP address at which a node's links to servers listen."""
+    return f"127.0.1.{node + 1}"
+
+
+def sender_host(node: int) -> str:
+    """Returns the IP address from which a node's links reach servers."""
+    return f"127.0.2.{node + 1}"
+
+
 @dataclass(slots=True)
 class SoakNode:
     """A node process and how the soak reaches it."""
 
     process: NodeProcess
+    # IP addresses of its links to servers, as the node and the servers see
+    # them.
+    link_host: str
+    sender_host: str
     # Address of the readiness and metrics pages.
     readiness: str
     store_link: LoopbackProxy
@@ -66,11 +86,14 @@
 
 @dataclass(slots=True)
 class SoakServer:
-    """A backend server behind its proxy."""
+    """A backend server behind a proxy for each node."""
 
     server: ServerStandIn
     service: str
-    link: LoopbackProxy
+    # Address in the registry, which nodes replace by that of their link.
+    address: str
+    # Links by the IP address at which they listen; all have the same port.
+    link_by_host: dict[str, LoopbackProxy]
     sequence: int = 1
 
 
@@ -108,7 +131,7 @@
         cloud = await self._serve_application(self.cloud.application())
         self.configure(1)
         for number in range(servers):
-            await self._add_server(number)
+            await self._add_server(number, nodes)
         for number in range(nodes):
             await self._add_node(number, store, cloud)
         with move_on_after(START_TIMEOUT_S) as scope:
@@ -150,7 +173,7 @@
         """Writes a server's registry entry, as the server does."""
         document = server_document(
             item.service,
-            item.link.address,
+            item.address,
             seq=item.sequence,
             born=FIRST_START_MS + item.server.incarnation_id,
         )
@@ -186,10 +209,12 @@
 
     async def _crash_server(self, item: SoakServer) -> None:
         """Ends a server's connections; it starts again after a while."""
-        item.link.closed = True
-        item.link.reset()
+        for link in item.link_by_host.values():
+            link.closed = True
+            link.reset()
         await sleep(CRASHED_S)
-        item.link.closed = False
+        for link in item.link_by_host.values():
+            link.closed = False
         self._register_new_incarnation(item)
 
     async def is_ready(self, node: SoakNode) -> bool:
@@ -215,7 +240,7 @@
         self._tasks.start_soon(serve_http, application, listener, Event())
         return listener_address(listener)
 
-    async def _add_server(self, number: int) -> None:
+    async def _add_server(self, number: int, nodes: int) -> None:
         service = SERVICES[number % len(SERVICES)]
         server = ServerStandIn(
             f"server-{number}",
@@ -223,11 +248,22 @@
             work_s=WORK_S,
             run_s=self._run_s,
         )
-        link = LoopbackProxy(
-            await self._serve_application(server.application())
-        )
-        await self._tasks.start(link.run)
-        item = SoakServer(server, service, link)
+        target = await self._serve_application(server.application())
+        # Nothing listens there: a node must use its own link.
+        address = self._reserve_address(SERVER_HOST)
+        port = int(address.rpartition(":")[2])
+        links = {
+            link_host(node): LoopbackProxy(
+                target,
+                host=link_host(node),
+                port=port,
+                source_host=sender_host(node),
+            )
+            for node in range(nodes)
+        }
+        for link in links.values():
+            await self._tasks.start(link.run)
+        item = SoakServer(server, service, address, links)
         if self.prompts is not None:
             server.crashes_on = self.prompts.crashes
             server.crash = lambda: self._start_crash(item)
@@ -238,8 +274,8 @@
         name = f"node-{number}"
         link = LoopbackProxy(store)
         await self._tasks.start(link.run)
-        callers, readiness, inbox = (self._reserve_address() for _ in range(3))
-        inbox_port = inbox.rpartition(":")[2]
+        callers, readiness = (self._reserve_address() for _ in range(2))
+        inbox_port = reserve_adjacent_ports(self._resources)
         path = self._folder / f"{name}.conf"
         path.write_text(
             settings_text(
@@ -249,7 +285,7 @@
                     "zone": f"zone-{'ab'[number % 2]}",
                     "listen.front": callers,
                     "listen.ready": readiness,
-                    "portRange": f"{inbox_port},{inbox_port}",
+                    "portRange": f"{inbox_port},{inbox_port + 1}",
                     "platform.address": link.address,
                     "cloudApi.address": cloud,
                 }
@@ -258,8 +294,11 @@
         log = self._resources.enter_context(
             (self._folder / f"{name}.jsonl").open("wb")
         )
-        process = NodeProcess(name, path, log, self._builds_of(number))
-        self.nodes.append(SoakNode(process, readiness, link))
+        host = link_host(number)
+        process = NodeProcess(name, path, log, host, self._builds_of(number))
+        self.nodes.append(
+            SoakNode(process, host, sender_host(number), readiness, link)
+        )
         self.address_by_node[name] = callers
         self.balancer.readiness_by_node[name] = readiness
         await process.start()
@@ -272,13 +311,32 @@
         builds = (OWN_BUILD, self._other_build)
         return builds if number % 2 else builds[::-1]
 
-    def _reserve_address(self) -> str:
-        """Reserves and returns an address for a node to listen on."""
+    def _reserve_address(self, host: str = HOST) -> str:
+        """Reserves and returns an address at which nothing listens yet."""
         return listener_address(
-            self._resources.enter_context(bind_listener(HOST, 0))
+            self._resources.enter_context(bind_listener(host, 0))
         )
 
     async def _poll_readiness(self, node: str) -> None:
         while True:
             await self.balancer.check_readiness(self._client, node)
             await sleep(READINESS_POLL_S)
+
+
+def reserve_adjacent_ports(reserved: ExitStack) -> int:
+    """Reserves two consecutive ports; returns the first.
+
+    They refuse connections until a program listens.
+    """
+    while True:
+        listener = reserved.enter_context(bind_listener(HOST, 0))
+        port: int = listener.getsockname()[1]
+        # With SO_REUSEADDR, it could get a port that others have reserved.
+        following = reserved.enter_context(socket(AF_INET, SOCK_STREAM))
+        try:
+            following.bind((HOST, port + 1))
+        except (OSError, OverflowError):
+            continue
+        # A program may still listen at the port.
+        following.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
+        return port
--- a/wasabiwing_soak/fault_player.py
+++ b/wasabiwing_soak/fault_player.py
@@ -1,8 +1,10 @@
 """Plays the faults of a schedule on a soak's deployment."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
 from random import Random
 
+from anyio import current_time
 from anyio import move_on_after
 from anyio import sleep
 
@@ -11,9 +13,11 @@
 from wasabiwing_platform_standins.store import StoreFault
 from wasabiwing_soak.crashing_parts import CRASHING_SHARES
 from wasabiwing_soak.crashing_parts import PartPeriod
+from wasabiwing_soak.cut_nodes import NodeCut
 from wasabiwing_soak.deployment import SoakDeployment
 from wasabiwing_soak.fault_schedule import FaultKind
 from wasabiwing_soak.fault_schedule import PlannedFault
+from wasabiwing_soak.loopback_proxy import LinkCut
 from wasabiwing_soak.loopback_proxy import LoopbackProxy
 from wasabiwing_soak.planned_stops import NodeStop
 from wasabiwing_soak.promises import LinkFault
@@ -96,6 +100,9 @@
         self.part_periods: list[PartPeriod] = []
         self.link_faults: list[LinkFault] = []
         self.named_limits: list[NamedLimit] = []
+        self.cuts: list[NodeCut] = []
+        # IP addresses of the links that are cut now.
+        self._cut_hosts: set[str] = set()
         # Begin of the limits that servers name now, by server id.
         self._limit_since: dict[str, float] = {}
 
@@ -175,20 +182,69 @@
             return self._crash_on_part(fault, random)
         elif kind is FaultKind.SERVER_NAMES_LIMIT:
             return self._name_limit(item.server, random)
+        elif kind is FaultKind.NODES_CUT_OFF:
+            return self._cut_nodes_off(fault, random)
+        elif kind is FaultKind.SERVERS_SILENT:
+            self._silence_servers(fault, random)
         elif kind is FaultKind.SERVER_TURNS_AWAY:
             return _request_pause(item.server, fault.duration_s)
         else:
-            link = item.link
+            links = list(item.link_by_host.values())
             if kind in STORE_LINK_KINDS:
-                link = node.store_link
+                links = [node.store_link]
             else:
                 until_s = self._clock() + fault.duration_s
                 self.link_faults.append(
                     LinkFault(item.server.id, self._clock(), until_s)
                 )
-            return _disturb_link(link, kind, random)
+            return _disturb_links(links, kind, random)
         return _revert_nothing
 
+    def _cut_nodes_off(
+        self, fault: PlannedFault, random: Random
+    ) -> Callable[[], None]:
+        """Cuts the links of some nodes to all servers."""
+        until_s = self._clock() + fault.duration_s
+        count = random.randint(1, max(len(self._deployment.nodes) - 1, 1))
+        way = random.choice(list(LinkCut))
+        nodes = [
+            node
+            for node in random.sample(self._deployment.nodes, count)
+            if node.link_host not in self._cut_hosts
+        ]
+        if not nodes:
+            return _revert_nothing
+        hosts = {node.link_host for node in nodes}
+        links = [
+            item.link_by_host[host]
+            for item in self._deployment.servers
+            for host in hosts
+        ]
+        names = tuple(node.process.name for node in nodes)
+        self.cuts.append(NodeCut(names, way, self._clock(), until_s))
+        self.link_faults += [
+            LinkFault(item.server.id, self._clock(), until_s, name)
+            for item in self._deployment.servers
+            for name in names
+        ]
+        self._cut_hosts |= hosts
+        for link in links:
+            link.set_cut(way)
+
+        def revert() -> None:
+            self._cut_hosts -= hosts
+            for link in links:
+                link.set_cut(None)
+
+        return revert
+
+    def _silence_servers(self, fault: PlannedFault, random: Random) -> None:
+        """Lets some servers neither read nor send, as if suspended."""
+        servers = self._deployment.servers
+        until = current_time() + fault.duration_s
+        for item in random.sample(servers, random.randint(1, len(servers))):
+            item.server.silent_until = max(item.server.silent_until, until)
+
     def _crash_on_part(
         self, fault: PlannedFault, random: Random
     ) -> Callable[[], None]:
@@ -262,22 +318,23 @@
     return revert
 
 
-def _disturb_link(
-    link: LoopbackProxy, kind: FaultKind, random: Random
+def _disturb_links(
+    links: Sequence[LoopbackProxy], kind: FaultKind, random: Random
 ) -> Callable[[], None]:
-    if kind in RESETTING_KINDS:
-        link.reset()
-        return _revert_nothing
-    if kind in SLOWING_KINDS:
-        link.delay_s = SLOW_LINK_S
-    elif kind in ONE_WAY_KINDS:
-        to_target = random.random() < 0.5
-        link.set_silence(to_target, not to_target)
-    else:
-        link.set_silence(True, True)
+    to_target = random.random() < 0.5
+    for link in links:
+        if kind in RESETTING_KINDS:
+            link.reset()
+        elif kind in SLOWING_KINDS:
+            link.delay_s = SLOW_LINK_S
+        elif kind in ONE_WAY_KINDS:
+            link.set_silence(to_target, not to_target)
+        else:
+            link.set_silence(True, True)
 
     def revert() -> None:
-        link.delay_s = 0.0
-        link.set_silence(False, False)
+        for link in links:
+            link.delay_s = 0.0
+            link.set_silence(False, False)
 
-    return revert
+    return _revert_nothing if kind in RESETTING_KINDS else revert
--- a/wasabiwing_soak/fault_schedule.py
+++ b/wasabiwing_soak/fault_schedule.py
@@ -12,10 +12,6 @@
 MIN_DURATION_S = 0.3
 MAX_DURATION_S = 5.0
 
-# Longest duration of a named limit, in seconds. It binds only after a time,
-# and requests are counted over several seconds.
-MAX_LIMIT_DURATION_S = 15.0
-
 
 class FaultKind(StrEnum):
     """The effect of a fault and the part that it affects."""
@@ -52,6 +48,10 @@
     SERVER_TURNS_AWAY = "server_turns_away"
     # A backend server names a limit of requests in its answers.
     SERVER_NAMES_LIMIT = "server_names_limit"
+    # Some backend servers read and send nothing for a while, then go on.
+    SERVERS_SILENT = "servers_silent"
+    # The links of some nodes to all backend servers are cut.
+    NODES_CUT_OFF = "nodes_cut_off"
     CONFIGURATION_CHANGED = "configuration_changed"
     # A part of prompts crashes the servers that run them; only in a soak of
     # its own.
@@ -63,6 +63,16 @@
 )
 
 
+# Shortest and longest duration of kinds with bounds of their own, in seconds.
+# A named limit binds only after a time, and requests are counted over several
+# seconds. A server that is silent for longer counts as stalled.
+DURATION_S_BY_KIND = {
+    FaultKind.SERVER_NAMES_LIMIT: (MIN_DURATION_S, 15.0),
+    FaultKind.SERVERS_SILENT: (0.5, 2.0),
+    FaultKind.NODES_CUT_OFF: (1.0, 8.0),
+}
+
+
 @dataclass(frozen=True, slots=True)
 class PlannedFault:
     """A fault of a schedule; times are seconds from the start of traffic."""
@@ -81,6 +91,19 @@
         return self.at_s + self.duration_s
 
 
+def draw_fault(
+    random: Random, kind: FaultKind, at_s: float, duration_s: float
+) -> PlannedFault:
+    """Returns a fault with a random target."""
+    return PlannedFault(
+        kind,
+        at_s,
+        duration_s,
+        random.randrange(1 << 16),
+        random.randrange(1 << 32),
+    )
+
+
 def draw_schedule(seed: int, duration_s: float) -> tuple[PlannedFault, ...]:
     """Returns the faults of a soak, ordered by start; all end within it."""
     random = Random(seed)
@@ -88,18 +111,13 @@
     at_s = random.expovariate(1 / MEAN_GAP_S)
     while at_s + MIN_DURATION_S < duration_s:
         kind = random.choice(MIXED_KINDS)
-        longest_s = MAX_DURATION_S
-        if kind is FaultKind.SERVER_NAMES_LIMIT:
-            longest_s = MAX_LIMIT_DURATION_S
-        max_duration_s = min(longest_s, duration_s - at_s)
-        faults.append(
-            PlannedFault(
-                kind,
-                at_s,
-                random.uniform(MIN_DURATION_S, max_duration_s),
-                random.randrange(1 << 16),
-                random.randrange(1 << 32),
-            )
+        shortest_s, longest_s = DURATION_S_BY_KIND.get(
+            kind, (MIN_DURATION_S, MAX_DURATION_S)
+        )
+        left_s = duration_s - at_s
+        fault_s = random.uniform(
+            min(shortest_s, left_s), min(longest_s, left_s)
         )
+        faults.append(draw_fault(random, kind, at_s, fault_s))
         at_s += random.expovariate(1 / MEAN_GAP_S)
     return tuple(faults)
--- a/wasabiwing_soak/loopback_proxy.py
+++ b/wasabiwing_soak/loopback_proxy.py
@@ -72,6 +72,8 @@
     # Address at which the proxy listens; port 0 stands for a free port.
     host: str = HOST
     port: int = 0
+    # IP address from which it connects to the target.
+    source_host: str = HOST
     address: str = ""
     _cut: LinkCut | None = None
     _connections: set[_Connection] = field(default_factory=set)
@@ -95,7 +97,7 @@
     def set_cut(self, cut: LinkCut | None) -> None:
         """Cuts the link, or restores it with ``None``."""
         self._cut = cut
-        self.set_silence(cut is LinkCut.SILENT, cut is LinkCut.SILENT)
+        self._notify()
         if cut is LinkCut.REFUSE:
             self.reset()
         self._cut_changed.set()
@@ -108,8 +110,7 @@
         """
         self.silent_to_target = to_target
         self.silent_from_target = from_target
-        self._changed.set()
-        self._changed = Event()
+        self._notify()
 
     def reset(self) -> int:
         """Resets all connections; returns their number."""
@@ -167,7 +168,9 @@
         try:
             if self.closed:
                 raise ConnectionRefusedError
-            target = await connect_tcp(host, int(port))
+            target = await connect_tcp(
+                host, int(port), local_host=self.source_host
+            )
         except OSError:
             # The target is unreachable: close the caller's connection.
             await caller.aclose()
@@ -208,9 +211,18 @@
     async def _delay(self, to_target: bool) -> None:
         if self.delay_s:
             await sleep(self.delay_s)
-        while self.silent_to_target if to_target else self.silent_from_target:
+        while self._is_silent(to_target):
             await self._changed.wait()
 
+    def _is_silent(self, to_target: bool) -> bool:
+        if self._cut is LinkCut.SILENT:
+            return True
+        return self.silent_to_target if to_target else self.silent_from_target
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = Event()
+
 
 def _reset_on_close(side: SocketStream) -> None:
     """Lets a close of a connection send a reset, unless it is closed."""
--- a/wasabiwing_soak/node_process.py
+++ b/wasabiwing_soak/node_process.py
@@ -19,6 +19,12 @@
 
 OWN_BUILD = Path(__file__).resolve().parent.parent
 
+# Starts a node program with links of its own to the servers.
+LAUNCHER = Path(__file__).resolve().parent / "linked_node.py"
+
+# IP address of all servers in the registry.
+SERVER_HOST = "127.0.1.0"
+
 # Time in seconds after which the platform kills a process that was asked to
 # stop, as in the example settings.
 STOP_GRACE_S = 8.0
@@ -31,6 +37,8 @@
     name: str
     settings_path: Path
     log: BinaryIO
+    # IP address of its links to servers.
+    link_host: str
     # Checkouts whose programs are started in turn.
     builds: tuple[Path, ...] = (OWN_BUILD,)
     starts: int = 0
@@ -54,7 +62,15 @@
         build = self.builds[self.starts % len(self.builds)]
         self.starts += 1
         self.process = await open_process(
-            [executable, str(build / "platform" / "run_node.py")],
+            [
+                executable,
+                # Keeps the modules of the soak out of the node's path.
+                "-P",
+                str(LAUNCHER),
+                SERVER_HOST,
+                self.link_host,
+                str(build / "platform" / "run_node.py"),
+            ],
             stdin=None,
             stdout=self.log,
             stderr=self.log,
--- a/wasabiwing_soak/planned_stops.py
+++ b/wasabiwing_soak/planned_stops.py
@@ -10,6 +10,7 @@
 from random import Random
 
 from wasabiwing.codes import RunState
+from wasabiwing_soak.fault_schedule import DURATION_S_BY_KIND
 from wasabiwing_soak.fault_schedule import FaultKind
 from wasabiwing_soak.fault_schedule import PlannedFault
 from wasabiwing_soak.node_process import STOP_GRACE_S
@@ -255,6 +256,7 @@
         FaultKind.SETTINGS_SIGNAL,
         FaultKind.CONFIGURATION_CHANGED,
         FaultKind.SERVER_FAILS,
+        FaultKind.SERVERS_SILENT,
         FaultKind.STORE_SILENT,
     ):
         if random.random() < COMPANION_PROBABILITY:
@@ -267,11 +269,13 @@
 def _fault(
     random: Random, kind: FaultKind, at_s: float, target: int
 ) -> PlannedFault:
-    longest_s = MAX_SILENCE_S if kind is FaultKind.STORE_SILENT else DOWN_S[1]
+    shortest_s, longest_s = DURATION_S_BY_KIND.get(kind, DOWN_S)
+    if kind is FaultKind.STORE_SILENT:
+        longest_s = MAX_SILENCE_S
     return PlannedFault(
         kind,
         at_s,
-        random.uniform(DOWN_S[0], longest_s),
+        random.uniform(shortest_s, longest_s),
         target,
         random.randrange(1 << 32),
     )
--- a/wasabiwing_soak/promises.py
+++ b/wasabiwing_soak/promises.py
@@ -40,6 +40,9 @@
     STAYS_UP = "no node ends by itself"
     LEAVING = "a server that said it leaves gets nothing more from a node"
     PAUSE = "a server that wants no requests gets two more at most"
+    CUT_NODE = (
+        "callers of a node cut from all servers are served as others are"
+    )
     LIMIT = "a server gets what it named as its limit from all nodes together"
     CRASHING_PART = (
         "a part that crashes servers is refused after a few crashes"
@@ -107,6 +110,8 @@
     server: str
     from_s: float
     until_s: float
+    # Node whose link it was; ``None`` for all nodes.
+    node: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,6 +125,8 @@
     at_s: float
     leaving: bool
     pause_s: float | None
+    # Node that sent the request.
+    sender: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,6 +145,8 @@
     crashed: bool = False
     # Whether the server gave a whole answer without length and chunks.
     unframed: bool = False
+    # Node that sent the request to the server, perhaps for another node.
+    sender: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -303,16 +312,18 @@
                 (arrival.server, arrival.incarnation_id)
                 == (statement.server, statement.incarnation_id)
                 and call is not None
-                and call.node == forwarded_call.node
+                and arrival.sender == statement.sender
                 and call.sent_s > forwarded_call.ended_s + DRAIN_S
                 and not _node_disturbed(
-                    forwarded_call.node,
+                    statement.sender,
                     forwarded_call.ended_s,
                     arrival.at_s,
                     disturbances,
                 )
             ):
-                detail = f"{call.body} from {call.node} at {statement.server}"
+                detail = (
+                    f"{call.body} from {arrival.sender} at {statement.server}"
+                )
                 violations.append(
                     Violation(Promise.LEAVING, arrival.at_s, detail)
                 )
@@ -320,7 +331,6 @@
 
 
 def check_pauses(
-    calls: Iterable[CallRecord],
     statements: Iterable[ServerStatement],
     arrivals: Sequence[RequestArrival],
     disturbances: Sequence[NodeDisturbance],
@@ -328,10 +338,9 @@
 ) -> list[Violation]:
     """Checks that servers that ask for a pause get hardly any requests."""
     violations: list[Violation] = []
-    node_by_body = {call.body: call.node for call in calls}
     for statement in statements:
-        node = node_by_body.get(statement.body)
-        if statement.pause_s is None or node is None:
+        node = statement.sender
+        if statement.pause_s is None:
             continue
         until_s = statement.at_s + statement.pause_s
         bodies_in_pause = [
@@ -339,11 +348,12 @@
             for arrival in arrivals
             if arrival.server == statement.server
             and arrival.incarnation_id == statement.incarnation_id
-            and node_by_body.get(arrival.body) == node
+            and arrival.sender == node
             and statement.at_s + IN_FLIGHT_GRACE_S < arrival.at_s < until_s
         ]
         cut = any(
             link_fault.server == statement.server
+            and link_fault.node in (None, node)
             and link_fault.from_s < until_s
             and statement.at_s < link_fault.until_s + IN_FLIGHT_GRACE_S
             for link_fault in link_faults
--- a/wasabiwing_soak/report.py
+++ b/wasabiwing_soak/report.py
@@ -57,6 +57,13 @@
             f" {part.sound_served} of {part.sound} served, at other times"
             f" {part.other_served} of {part.other}"
         )
+    for cut in result.cut_outcomes:
+        lines.append(
+            f"  {', '.join(cut.cut.nodes)} cut off ({cut.cut.way}) from"
+            f" {cut.cut.from_s:.1f} to {cut.cut.until_s:.1f} s: {cut.served}"
+            f" of {cut.tries} first tries served, others {cut.other_served}"
+            f" of {cut.other_tries}"
+        )
     for violation in result.violations[:MAX_SHOWN_VIOLATIONS]:
         lines.append(
             f"  {violation.at_s:7.3f} s  {violation.promise}:"
@@ -73,6 +80,7 @@
         "violations": result.violations,
         "limits": result.limit_uses,
         "stops": result.stop_outcomes,
+        "cuts": result.cut_outcomes,
         "parts": result.part_outcomes,
         "unframed": result.unframed_outcome,
         "disturbances": result.disturbances,
--- a/wasabiwing_soak/server_limits.py
+++ b/wasabiwing_soak/server_limits.py
@@ -4,7 +4,6 @@
 """
 
 from collections.abc import Iterable
-from collections.abc import Mapping
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -48,7 +47,6 @@
 def limit_uses(
     limits: Iterable[NamedLimit],
     arrivals: Sequence[RequestArrival],
-    node_by_body: Mapping[str, str],
     disturbances: Sequence[NodeDisturbance],
 ) -> list[LimitUse]:
     """Returns how each limit was used after it began to bind.
@@ -74,7 +72,7 @@
             arrival.at_s
             for arrival in bound
             if not any(
-                item.node == node_by_body.get(arrival.body)
+                item.node == arrival.sender
                 and item.from_s <= arrival.at_s < item.until_s + CONTACT_S
                 for item in disturbances
             )
--- a/wasabiwing_soak/soak.py
+++ b/wasabiwing_soak/soak.py
@@ -21,12 +21,17 @@
 from wasabiwing_soak.crashing_parts import PartOutcome
 from wasabiwing_soak.crashing_parts import PromptDraw
 from wasabiwing_soak.crashing_parts import store_absences
+from wasabiwing_soak.cut_nodes import check_cuts
+from wasabiwing_soak.cut_nodes import cut_outcomes
+from wasabiwing_soak.cut_nodes import CutOutcome
+from wasabiwing_soak.cut_nodes import draw_cuts
 from wasabiwing_soak.deployment import SoakDeployment
 from wasabiwing_soak.deployment import SoakNode
 from wasabiwing_soak.fault_player import FaultPlayer
 from wasabiwing_soak.fault_player import RECOVERY_POLL_S
 from wasabiwing_soak.fault_player import RECOVERY_TIMEOUT_S
 from wasabiwing_soak.fault_schedule import draw_schedule
+from wasabiwing_soak.fault_schedule import FaultKind
 from wasabiwing_soak.fault_schedule import PlannedFault
 from wasabiwing_soak.planned_stops import check_stopping_nodes
 from wasabiwing_soak.planned_stops import draw_stop_series
@@ -91,6 +96,8 @@
     stops: bool = False
     # Plays parts of prompts that crash servers instead.
     parts: bool = False
+    # Plays cuts of nodes from all servers instead.
+    cuts: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +113,7 @@
     stop_outcomes: tuple[StopOutcome, ...]
     part_outcomes: tuple[PartOutcome, ...]
     unframed_outcome: UnframedOutcome
+    cut_outcomes: tuple[CutOutcome, ...]
 
 
 class Soak:
@@ -163,13 +171,21 @@
                 self._tasks.start_soon(self._callers.run_idle_caller, number)
         elif options.parts:
             schedule = draw_part_crashes(options.seed, options.seconds)
+        elif options.cuts:
+            schedule = draw_cuts(options.seed, options.seconds)
         for number in range(options.callers):
             self._tasks.start_soon(self._callers.run_caller, number)
         self._tasks.start_soon(self._watch)
         async with create_task_group() as faults:
-            for fault in schedule:
+            for number, fault in enumerate(schedule):
                 await sleep(max(fault.at_s - self.clock(), 0.0))
                 faults.start_soon(self._player.play, fault)
+                if fault.kind is FaultKind.NODES_CUT_OFF:
+                    faults.start_soon(
+                        self._callers.send_first_tries,
+                        number,
+                        fault.duration_s,
+                    )
         await self._check_recovery()
         self._callers.stop_requested.set()
         await self.deployment.stop()
@@ -262,6 +278,10 @@
         # The server stand-ins run in this process and record times on the
         # event loop's clock.
         offset_s = self.clock() - current_time()
+        node_by_host = {
+            node.sender_host: node.process.name
+            for node in self.deployment.nodes
+        }
         statements: list[ServerStatement] = []
         arrivals: list[RequestArrival] = []
         for item in self.deployment.servers:
@@ -274,6 +294,7 @@
                     statement.sent_at + offset_s,
                     statement.leaving,
                     statement.pause_s,
+                    node_by_host.get(statement.sender, ""),
                 )
                 for statement in server.sent_statements
             ]
@@ -287,6 +308,7 @@
                     request.crashed or request.fault not in SOUND_RUNS,
                     request.crashed,
                     request.fault is ServerFault.UNFRAMED,
+                    node_by_host.get(request.sender, ""),
                 )
                 for request in server.received_requests
             ]
@@ -315,7 +337,6 @@
         ]
         violations += check_leaving(calls, statements, arrivals, disturbances)
         violations += check_pauses(
-            calls,
             statements,
             arrivals,
             disturbances,
@@ -326,20 +347,25 @@
             violations += check_stopping_nodes(
                 calls, arrivals, stops, self._options.check_times
             )
+        nodes = list(self._callers.address_by_node)
+        absences = store_absences(schedule, nodes)
         parts = part_outcomes(
             calls,
             arrivals,
             self._player.part_periods,
-            [
-                *disturbances,
-                *store_absences(schedule, list(self._callers.address_by_node)),
-            ],
+            [*disturbances, *absences],
         )
         violations += check_parts(parts)
+        first_tries = [
+            call for call in calls if call.body in self._callers.first_tries
+        ]
+        cuts = cut_outcomes(
+            first_tries, self._player.cuts, nodes, disturbances, absences
+        )
+        violations += check_cuts(cuts)
         uses = limit_uses(
             self._player.named_limits,
             arrivals,
-            {call.body: call.node for call in calls},
             disturbances,
         )
         violations += check_limits(uses)
@@ -357,6 +383,7 @@
             else (),
             parts,
             unframed_outcome(calls, arrivals, disturbances),
+            cuts,
         )
 
 
