Have other gateways carry requests of a gateway that reaches no server

Three entry VMs on loopback; one or two of them lose their links to all engines and desks for 6 s; callers, controllers and the other gateways are still reached. Plain requests that may be repeated or not, whole model answers and streams, time limit 1.5 s.

As at the node: a gateway has no other way to a server than its own links, and does not notice that it is cut. Each request takes connects that time out after 1 s, one server after the other. And its failed attempts go to the home controllers as outcomes of the servers, which pause the grants of their slots for all gateways: that is what the others' callers got.

`server_reachability` and `relay_peers` decide for the gateway, too. `RelayDecisions` asks them, `GatewayRelay` sends the request to the other gateway's HTTP interface, with the caller's own token, key and remaining time. - Relayed are requests that have not run, and repeatable ones without a byte of an answer that would be tried again here. Claims keep a key to one run, as the other gateway takes one of its own after this one has released its. - Requests that wait for a slot are relayed once the cut is noticed. A request that all decline is tried here as before. - An answer that breaks off is not ended. After a run that may have begun here no "not run" of another gateway is passed on. - A relayed request is not relayed again, whoever sets the header. The header counts against `MAX_RELAYED_REQUESTS` only if the connection comes from the host of a listed gateway. A gateway that stops, has no configuration or is itself cut declines; one of an earlier build serves the request as a caller's own, and its refusal as not run makes the next one be asked. - Outcomes at servers that a gateway cannot reach are not reported, and other servers are preferred to these. - Jobs: a cut gateway takes no offer of a pool that it cannot reach.

`RelayPeers` gets two additions: `any_available`, and how an address follows from a peer's entry.

--- a/wasabiwing/admission.py
+++ b/wasabiwing/admission.py
@@ -7,6 +7,7 @@
 """
 
 from collections import defaultdict
+from collections.abc import Collection
 from contextlib import AbstractContextManager
 from dataclasses import dataclass
 from dataclasses import replace
@@ -33,6 +34,7 @@
 from wasabiwing.fair_queue import Waiter
 from wasabiwing.fair_queue import WaiterKind
 from wasabiwing.gateway_credits import GatewayCredits
+from wasabiwing.gateway_relay import RelayDecisions
 from wasabiwing.routing import is_long_prompt
 from wasabiwing.routing import Router
 from wasabiwing.run_durations import TrackedRun
@@ -83,8 +85,11 @@
         credits: GatewayCredits,
         decisions: DecisionLog,
         stop_admission: StopAdmission,
+        relay_decisions: RelayDecisions | None = None,
     ) -> None:
         self._timer = timer
+        # ``None`` in programs without other gateways, such as benchmarks.
+        self._relay_decisions = relay_decisions
         self._stop_admission = stop_admission
         self._router = router
         self._credits = credits
@@ -120,6 +125,8 @@
         if stop_refusal is not None:
             self._write(call, attempt, Event.ADMISSION_REFUSED, stop_refusal)
             return Err(stop_refusal)
+        if not answer_begun and self._is_left_to_peers(call.pool):
+            return Err(_left_to_peers())
         queue = self._queue_by_pool[call.pool.id]
         kind = self._kind(call, excluded)
         if not queue.has_precedence(call, kind):
@@ -165,7 +172,8 @@
     ) -> None:
         """Frees the slot of a finished attempt for a waiting request."""
         self._credits.release_slot(assignment.server.id)
-        self._credits.note_outcome(assignment.server.id, outcome)
+        if not self._note_connect(assignment.server.id, outcome):
+            self._credits.note_outcome(assignment.server.id, outcome)
         self._router.records.note_ended(assignment, outcome)
         self._router.isolation.note_ended(
             assignment.server.id, assignment.suspect_digest
@@ -213,9 +221,38 @@
             reason = WaitReason.NO_SERVER
         return reason
 
+    def ends_attempts(
+        self, call: Call, failed_connects: int, tried_ids: Collection[str]
+    ) -> bool:
+        """Whether another gateway carries a call after failed connects."""
+        return (
+            self._relay_decisions is not None
+            and self._relay_decisions.ends_attempts(
+                call.pool, failed_connects, tried_ids
+            )
+        )
+
+    def _is_left_to_peers(self, pool: Pool) -> bool:
+        return (
+            self._relay_decisions is not None
+            and self._relay_decisions.leaves_to_peers(pool)
+        )
+
+    def _note_connect(self, server_id: str, outcome: AttemptOutcome) -> bool:
+        """Records a failed connect.
+
+        Returns whether the outcome may tell of this gateway's links alone, so
+        that the home controller must not lower the server's limit for it.
+        """
+        if self._relay_decisions is None or outcome.failure is None:
+            return False
+        if outcome.failure.code is ResultCode.CONNECT_FAILED:
+            self._relay_decisions.note_connect_failed(server_id)
+        return self._relay_decisions.is_unreachable(server_id)
+
     def has_idle_slot(self, pool: Pool) -> bool:
         """Whether a slot of a pool is free and no request waits for one."""
-        if len(self._queue_by_pool[pool.id]):
+        if len(self._queue_by_pool[pool.id]) or self._is_left_to_peers(pool):
             return False
         return any(
             self._credits.available_slots(server.id) > 0
@@ -226,6 +263,7 @@
         """Refuses requests past their deadline and assigns free slots."""
         self._expire()
         self._refuse_at_stop()
+        self._leave_waiting_to_peers()
         if self._credits.controller_lost:
             self._refuse_all(self._credits.controller_lost_failure())
         for pool_id, queue in tuple(self._queue_by_pool.items()):
@@ -343,6 +381,16 @@
                     refusal,
                 )
 
+    def _leave_waiting_to_peers(self) -> None:
+        """Ends the waits of requests that other gateways can carry."""
+        for queue in self._queue_by_pool.values():
+            for waiter in tuple(queue.heads_in_order()):
+                if waiter.refusable and self._is_left_to_peers(
+                    waiter.call.pool
+                ):
+                    queue.remove(waiter)
+                    waiter.resolve(Err(_left_to_peers()))
+
     def _refuse_all(self, failure: Failure) -> None:
         for queue in self._queue_by_pool.values():
             for waiter in tuple(queue.heads_in_order()):
@@ -409,3 +457,10 @@
             wait_s=round(self._wait_s(call), 3),
             code=int(failure.code) if failure else 0,
         )
+
+
+def _left_to_peers() -> Failure:
+    """Returns the failure of a request that other gateways can carry."""
+    return Failure(
+        ResultCode.CONNECT_FAILED, "this gateway reaches no server of the pool"
+    )
--- a/wasabiwing/asgi.py
+++ b/wasabiwing/asgi.py
@@ -71,6 +71,8 @@
     # Values of the pattern's segments in braces, by their names.
     path_parameters: Mapping[str, str]
     query: str = ""
+    # Host from which the connection comes; empty if unknown.
+    client_host: str = ""
 
 
 class BodyProblem(Enum):
@@ -246,6 +248,7 @@
             body,
             parameters,
             scope.get("query_string", b"").decode("latin-1"),
+            (scope.get("client") or ("",))[0],
         )
         await handler(request, responder)
 
--- a/wasabiwing/attempt_reader.py
+++ b/wasabiwing/attempt_reader.py
@@ -41,12 +41,15 @@
         view: ClusterView,
         engine: ModelEngine,
         note_answer_began: Callable[[Call], None],
+        note_heard: Callable[[str], None],
     ) -> None:
         self._node_id = node_id
         self._timer = timer
         self._view = view
         self._engine = engine
         self._note_answer_began = note_answer_began
+        # Called with the id of a server that sends a part of an answer.
+        self._note_heard = note_heard
 
     async def run_attempt(
         self, request: RunningRequest, choice: ServerAssignment
@@ -141,6 +144,8 @@
         async for chunk in stream.chunks():
             if isinstance(chunk, Err):
                 return chunk.err_value
+            if request.server is not None:
+                self._note_heard(request.server.id)
             payloads = parser.feed(chunk.ok_value)
             if parser.is_event_too_long:
                 return Failure(
--- a/wasabiwing/cluster_view.py
+++ b/wasabiwing/cluster_view.py
@@ -79,6 +79,15 @@
         """The configuration generation in force; 0 for none."""
         return self.index.generation if self.index else 0
 
+    def address_by_server(self) -> dict[str, str]:
+        """Returns the addresses of all servers by id."""
+        if self.index is None:
+            return {}
+        return {
+            server_id: server.address
+            for server_id, server in self.index.server_by_id.items()
+        }
+
     def put_in_force(
         self, generation: int, configuration: Configuration
     ) -> bool:
--- a/wasabiwing/gateway.py
+++ b/wasabiwing/gateway.py
@@ -33,6 +33,9 @@
 from wasabiwing.gateway_limits import AnswerHeads
 from wasabiwing.gateway_limits import live_inboxes
 from wasabiwing.gateway_limits import live_share
+from wasabiwing.gateway_relay import GatewayRelay
+from wasabiwing.gateway_relay import relay_addresses
+from wasabiwing.gateway_relay import RelayDecisions
 from wasabiwing.handover import Handover
 from wasabiwing.header_timeout import PipelineProtocol
 from wasabiwing.http_client import HttpClient
@@ -59,6 +62,7 @@
 from wasabiwing.ports import Transport
 from wasabiwing.program import run_program
 from wasabiwing.quarantine import Quarantine
+from wasabiwing.relay_peers import RelayPeers
 from wasabiwing.request_forwarding import RequestForwarder
 from wasabiwing.request_table import RequestTable
 from wasabiwing.retry_policy import RetryPolicy
@@ -66,10 +70,13 @@
 from wasabiwing.running_request import Interrupt
 from wasabiwing.send_permits import SendPermits
 from wasabiwing.server_limits import ServerLimits
+from wasabiwing.server_probe import accepts_any_connection
 from wasabiwing.server_probe import CrashProbe
 from wasabiwing.server_probe import server_answers
 from wasabiwing.server_probe import server_listens
+from wasabiwing.server_reachability import ServerReachability
 from wasabiwing.server_records import LoadReport
+from wasabiwing.server_silence import ServerSilence
 from wasabiwing.settings import GatewaySettings
 from wasabiwing.settings import settings_or_exit
 from wasabiwing.stop_admission import StopAdmission
@@ -92,9 +99,13 @@
 CLOSE_PORT_S = 1.0
 END_UNANSWERED_S = 0.3
 
-# Added to the seed for routing, so that its random numbers are independent of
-# those of request ids.
+# Added to the seed for routing and for relays, so that their random numbers
+# are independent of those of request ids.
 ROUTING_SEED_OFFSET = 1
+RELAY_SEED_OFFSET = 2
+
+# Number of connections to other gateways for relayed requests.
+RELAY_CONNECTIONS = 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -176,12 +187,31 @@
             partial(live_share, self.directory),
             self._assign_permits,
         )
+        self.silence = ServerSilence(timer, self.credits.in_flight_by_server)
+        self.reachability = ServerReachability(
+            node_id,
+            timer,
+            self.view.address_by_server,
+            self.silence.silence_by_id,
+            accepts_any_connection,
+        )
+        self.relay_peers = RelayPeers(
+            timer,
+            partial(relay_addresses, self.directory, node_id),
+            Random(seed + RELAY_SEED_OFFSET),
+            lambda address: address,
+        )
+        self.relay_client = HttpClient(RELAY_CONNECTIONS)
+        self.relay_decisions = RelayDecisions(
+            timer, self.reachability, self.relay_peers
+        )
         self.answer_heads = AnswerHeads(
             node_id,
             timer,
             self.view,
             self.limits,
             self.metrics.count_unknown_header,
+            self._note_heard,
         )
         self.routing = Router(
             node_id,
@@ -195,6 +225,7 @@
             self.versions,
             SuspectIsolation(self.quarantine),
             self.permits,
+            self.reachability.is_unreachable,
         )
         self.admission = Admission(
             timer,
@@ -202,6 +233,7 @@
             self.credits,
             self.decisions,
             self.stop_admission,
+            self.relay_decisions,
         )
         self.cache_poller = CachePoller(
             timer,
@@ -226,6 +258,7 @@
             self.metrics,
             retries,
             self.quarantine,
+            self._note_heard,
         )
         self.requests = RequestTable(
             timer, model_dispatcher, tasks, settings.caller_grace_s
@@ -291,6 +324,8 @@
             self.jobs,
             self.stop_admission,
             self.handover.has_holder,
+            GatewayRelay(node_id, timer, self.relay_peers, self.relay_client),
+            self.relay_decisions,
         )
         self.messages = MessageRouter(node_id, transport)
         self.configuration = ConfigurationFollower(
@@ -314,6 +349,10 @@
             self.renew_credits,
         )
 
+    def _note_heard(self, server_id: str) -> None:
+        self.silence.note_heard(server_id)
+        self.reachability.note_heard(server_id)
+
     async def send_heartbeat(self) -> None:
         """Sends a heartbeat to the controller on the same VM."""
         self._transport.send(
@@ -548,6 +587,7 @@
     await engine.close()
     await service.close()
     await client.close()
+    await gateway.relay_client.close()
     log_event(LogEvent.PROGRAM_STOPPED, settings.node_id)
 
 
--- a/wasabiwing/gateway_directory.py
+++ b/wasabiwing/gateway_directory.py
@@ -60,6 +60,13 @@
         """Number of gateways that were heard within ``LIVE_S``."""
         return sum(entry.age_s < LIVE_S for entry in self.entries())
 
+    @property
+    def hosts(self) -> frozenset[str]:
+        """Hosts at which the listed gateways serve callers."""
+        return frozenset(
+            entry.http_address.rpartition(":")[0] for entry in self.entries()
+        )
+
     def get(self, node_id: str) -> GatewayEntry | None:
         """Returns the entry of a gateway by node id, live or not."""
         heard = self._heard_by_node.get(node_id)
--- a/wasabiwing/gateway_http.py
+++ b/wasabiwing/gateway_http.py
@@ -40,6 +40,11 @@
 from wasabiwing.events import Event as LogEvent
 from wasabiwing.events import log_event
 from wasabiwing.gateway_credits import GatewayCredits
+from wasabiwing.gateway_relay import DECLINED_HEADER
+from wasabiwing.gateway_relay import GatewayRelay
+from wasabiwing.gateway_relay import is_relayed
+from wasabiwing.gateway_relay import RelayDecisions
+from wasabiwing.gateway_relay import Relayed
 from wasabiwing.header_timeout import has_next_request
 from wasabiwing.http_client import find_header
 from wasabiwing.job_client import JobClient
@@ -50,6 +55,7 @@
 from wasabiwing.metrics import GatewayMetrics
 from wasabiwing.plain_dispatch import PlainDispatcher
 from wasabiwing.ports import HttpReply
+from wasabiwing.relay_peers import decline_reason
 from wasabiwing.request_forwarding import RequestForwarder
 from wasabiwing.request_parsing import bearer_token
 from wasabiwing.request_parsing import parse_request
@@ -116,6 +122,8 @@
         jobs: JobClient,
         stop_admission: StopAdmission,
         has_holder: Callable[[str], bool],
+        relay: GatewayRelay,
+        relay_decisions: RelayDecisions,
     ) -> None:
         self._node_id = node_id
         self._timer = timer
@@ -132,6 +140,10 @@
         self._stop_admission = stop_admission
         # Whether a peer gateway can continue a model request.
         self._has_holder = has_holder
+        self._relay = relay
+        self._relay_decisions = relay_decisions
+        # Number of requests that other gateways relay here.
+        self._relayed_count = 0
         self._service_call_scopes: set[CancelScope] = set()
         # Set when the VM is reclaimed and peer gateways hold the records that
         # they need to continue its requests.
@@ -225,8 +237,32 @@
 
     async def _handle_call(
         self, request: HttpRequest, responder: Responder
+    ) -> None:
+        # Others can send the header as well, but gain nothing by it.
+        relayed = (
+            is_relayed(request.headers)
+            and request.client_host in self._forwarder.gateway_hosts
+        )
+        self._relayed_count += relayed
+        try:
+            await self._admit_call(request, responder, relayed)
+        finally:
+            self._relayed_count -= relayed
+
+    async def _admit_call(
+        self, request: HttpRequest, responder: Responder, relayed: bool
     ) -> None:
         refusal = self._find_refusal()
+        if relayed:
+            reason = decline_reason(
+                self._stop_admission.stopping,
+                self._view.index is not None,
+                # This request is counted already.
+                self._relayed_count - 1,
+            )
+            if reason or refusal is not None:
+                await self._decline(reason or str(refusal), responder)
+                return
         if refusal is not None and not self._still_serves(refusal):
             await self._refuse(request.path, refusal, responder)
             return
@@ -241,6 +277,9 @@
             await self._refuse(request.path, parsed.err_value, responder)
             return
         call = parsed.ok_value
+        if relayed and self._relay_decisions.is_cut_off_from(call.pool):
+            await self._decline("reaches no server", responder)
+            return
         if self._stop_admission.stopping:
             log_event(
                 LogEvent.REQUEST_TAKEN_STOPPING,
@@ -252,10 +291,94 @@
             )
         if call.pool.kind is PoolKind.MODEL and wants_job(request, call):
             await self._submit_job(call, responder)
-        elif call.pool.kind is PoolKind.MODEL:
-            await self._handle_model_call(call, responder)
         else:
-            await self._handle_service_call(call, responder)
+            await self._serve_call(request, call, responder)
+
+    async def _serve_call(
+        self, request: HttpRequest, call: Call, responder: Responder
+    ) -> None:
+        """Serves a call here, or by another gateway if servers are cut off.
+
+        A call that no other gateway takes, and that has not run, is tried here
+        again; the others are not asked again for a while.
+        """
+        handle = self._handle_service_call
+        if call.pool.kind is PoolKind.MODEL:
+            handle = self._handle_model_call
+        decisions = self._relay_decisions
+        may_relay = not is_relayed(request.headers)
+        failure: Failure | None = None
+        while True:
+            if may_relay and decisions.leaves_to_peers(call.pool):
+                if await self._relay_call(
+                    request, call, RunState.NOT_RUN, responder
+                ):
+                    return
+            failure = await handle(call, responder)
+            if failure is None:
+                return
+            if not may_relay or not decisions.may_follow(call, failure):
+                break
+            if await self._relay_call(
+                request, call, failure.run_state, responder
+            ):
+                return
+            if failure.run_state is not RunState.NOT_RUN:
+                break
+        await self._send_failure(call.request_id, failure, responder)
+
+    async def _relay_call(
+        self,
+        request: HttpRequest,
+        call: Call,
+        earlier: RunState,
+        responder: Responder,
+    ) -> bool:
+        """Has another gateway carry a call; returns whether one took it.
+
+        ``earlier`` says whether the call may have run here.
+        """
+        if self._stop_admission.refusal(
+            call.route.id, call.received_at, call.deadline, call.max_tokens
+        ):
+            return False
+        relayed = Relayed(True, _leaving_failure(RunState.MAY_HAVE_RUN))
+        durations = self._stop_admission.durations
+        with (
+            durations.track(call.route.id, call.max_tokens) as tracked,
+            self._ended_at_stop(),
+        ):
+            async with create_task_group() as tasks:
+
+                async def cancel_on_disconnect() -> None:
+                    await responder.wait_disconnected()
+                    tasks.cancel_scope.cancel()
+
+                if call.pool.kind is PoolKind.MODEL:
+                    tasks.start_soon(cancel_on_disconnect)
+                relayed = await self._relay.relay(
+                    request, call, earlier, responder
+                )
+                tasks.cancel_scope.cancel()
+            if not relayed.taken:
+                tracked.end = RunEnd.NOT_RUN
+            elif relayed.failure is None:
+                tracked.end = RunEnd.ENDED
+        if relayed.failure is not None and not responder.started:
+            await self._send_failure("", relayed.failure, responder)
+        return relayed.taken
+
+    async def _decline(self, reason: str, responder: Responder) -> None:
+        """Tells another gateway that this one does not carry a request."""
+        failure = Failure(ResultCode.NO_BACKEND_SERVER, reason)
+        await responder.send_json(
+            DEFAULT_ERROR_STATUS,
+            failure_document(failure),
+            {
+                "X-Run-State": failure.run_state.value,
+                DECLINED_HEADER: reason,
+            },
+        )
 
     async def _submit_job(self, call: Call, responder: Responder) -> None:
         refusal = self._stop_admission.refusal(
@@ -328,8 +451,13 @@
 
     async def _handle_model_call(
         self, call: Call, responder: Responder
-    ) -> None:
+    ) -> Failure | None:
+        """Runs a model request here and sends its answer.
+
+        Returns the failure of a request without any event, which is not sent.
+        """
         request = self._requests.start(call)
+        failure: Failure | None = None
         async with create_task_group() as tasks:
 
             async def cancel_when_moved() -> None:
@@ -338,10 +466,12 @@
                     tasks.cancel_scope.cancel()
 
             tasks.start_soon(cancel_when_moved)
-            await self._send_answer(request, 0, responder)
+            failure = await self._send_answer(
+                request, 0, responder, returns_failure=True
+            )
             tasks.cancel_scope.cancel()
         if not self._requests_moved.is_set() or responder.started:
-            return
+            return failure
         if self._stop_admission.stopping and not self._has_holder(
             call.request_id
         ):
@@ -350,9 +480,9 @@
                 if request.server is None
                 else RunState.MAY_HAVE_RUN
             )
-            await self._send_failure(call.request_id, failure, responder)
-            return
+            return failure
         await self._redirect(call.request_id, responder)
+        return None
 
     async def _redirect(self, request_id: str, responder: Responder) -> None:
         """Redirects a caller to the URL of its request.
@@ -369,9 +499,18 @@
         )
 
     async def _send_answer(
-        self, request: RunningRequest, after: int, responder: Responder
-    ) -> None:
-        """Sends the answer until it ends or the caller disconnects."""
+        self,
+        request: RunningRequest,
+        after: int,
+        responder: Responder,
+        returns_failure: bool = False,
+    ) -> Failure | None:
+        """Sends the answer until it ends or the caller disconnects.
+
+        With ``returns_failure``, the failure of an answer without any event
+        is returned and not sent.
+        """
+        failure: Failure | None = None
         async with create_task_group() as tasks:
 
             async def cancel_on_disconnect() -> None:
@@ -380,12 +519,19 @@
 
             tasks.start_soon(cancel_on_disconnect)
             with self._requests.track_reader(request):
+                answer = request.answer
                 if request.call.streamed:
-                    await self._send_stream(request.answer, after, responder)
+                    await answer.wait_started()
                 else:
-                    await request.answer.wait_ended()
+                    await answer.wait_ended()
+                if returns_failure and answer.offset == 0:
+                    failure = answer.failure
+                if failure is None and request.call.streamed:
+                    await self._send_stream(answer, after, responder)
+                elif failure is None:
                     await self._send_whole_answer(request, responder)
             tasks.cancel_scope.cancel()
+        return failure
 
     async def _send_stream(
         self, answer: AnswerLog, after: int, responder: Responder
@@ -434,7 +580,11 @@
 
     async def _handle_service_call(
         self, call: Call, responder: Responder
-    ) -> None:
+    ) -> Failure | None:
+        """Runs a plain request here and sends its answer.
+
+        Returns the failure of a request without an answer, which is not sent.
+        """
         reply: Result[HttpReply, Failure] = Err(
             _leaving_failure(
                 RunState.MAY_HAVE_RUN,
@@ -443,7 +593,10 @@
         )
         with self._ended_at_stop():
             reply = await self._services.run(call)
+        if isinstance(reply, Err):
+            return reply.err_value
         await self._send_reply(call.request_id, reply, responder)
+        return None
 
     @contextmanager
     def _ended_at_stop(self) -> Iterator[None]:
--- a/wasabiwing/gateway_limits.py
+++ b/wasabiwing/gateway_limits.py
@@ -39,11 +39,13 @@
         view: ClusterView,
         limits: ServerLimits,
         count_unknown: Callable[[str], None],
+        note_heard: Callable[[str], None] = lambda server_id: None,
     ) -> None:
         self._node_id = node_id
         self._timer = timer
         self._view = view
         self._limits = limits
+        self._note_heard = note_heard
         self._unknown = UnknownHeaders(node_id, count_unknown)
         self._index: ConfigurationIndex | None = None
         self._server_id_by_address: dict[str, str] = {}
@@ -58,6 +60,7 @@
 
         def read(headers: Headers) -> None:
             if server_id is not None:
+                self._note_heard(server_id)
                 self._read(server_id, headers, sent_at)
 
         return read
--- a/wasabiwing/model_dispatch.py
+++ b/wasabiwing/model_dispatch.py
@@ -6,6 +6,8 @@
 continue an answer that was cut off.
 """
 
+from collections.abc import Callable
+
 from anyio import create_task_group
 from anyio import move_on_after
 from result import Err
@@ -34,6 +36,7 @@
 from wasabiwing.ports import ModelEngine
 from wasabiwing.quarantine import Quarantine
 from wasabiwing.retry_policy import final_failure
+from wasabiwing.retry_policy import LEFT_TO_PEERS
 from wasabiwing.retry_policy import MAX_ATTEMPTS
 from wasabiwing.retry_policy import RetryDecision
 from wasabiwing.retry_policy import RetryPolicy
@@ -68,6 +71,7 @@
         metrics: GatewayMetrics,
         retries: RetryPolicy,
         quarantine: Quarantine[BackendServer],
+        note_heard: Callable[[str], None] = lambda server_id: None,
     ) -> None:
         self._node_id = node_id
         self._timer = timer
@@ -75,7 +79,7 @@
         self._admission = admission
         self._engine = engine
         self._reader = AttemptReader(
-            node_id, timer, view, engine, self._note_answer_began
+            node_id, timer, view, engine, self._note_answer_began, note_heard
         )
         self._metrics = metrics
         self._retries = retries
@@ -192,9 +196,20 @@
         request.tried_server_ids.add(assignment.server.id)
         request.failures += 1
         call = request.call
-        decision = self._retries.decide(
-            call.pool, failure, True, request.failures
-        )
+        connect_failed = failure.code is ResultCode.CONNECT_FAILED
+        request.failed_connects += connect_failed
+        if (
+            connect_failed
+            and request.answer.offset == 0
+            and self._admission.ends_attempts(
+                call, request.failed_connects, request.tried_server_ids
+            )
+        ):
+            decision = LEFT_TO_PEERS
+        else:
+            decision = self._retries.decide(
+                call.pool, failure, True, request.failures
+            )
         self._admission.decisions.write(
             Event.RETRY_DECISION,
             call.request_id,
--- a/wasabiwing/plain_dispatch.py
+++ b/wasabiwing/plain_dispatch.py
@@ -27,6 +27,7 @@
 from wasabiwing.ports import PlainService
 from wasabiwing.quarantine import Quarantine
 from wasabiwing.retry_policy import final_failure
+from wasabiwing.retry_policy import LEFT_TO_PEERS
 from wasabiwing.retry_policy import RetryPolicy
 from wasabiwing.run_durations import end_of_run
 from wasabiwing.timers import TimerService
@@ -158,6 +159,7 @@
         self._retries.note_first_attempt(call.pool)
         tried_server_ids: set[str] = set()
         run_state = RunState.NOT_RUN
+        failed_connects = 0
         while True:
             reply = await self._attempt(call, assignment, may_send)
             if isinstance(reply, Ok):
@@ -166,9 +168,19 @@
             if failure.run_state is not RunState.NOT_RUN:
                 run_state = RunState.MAY_HAVE_RUN
             tried_server_ids.add(assignment.server.id)
-            decision = self._retries.decide(
-                call.pool, failure, call.route.idempotent, assignment.attempt
-            )
+            connect_failed = failure.code is ResultCode.CONNECT_FAILED
+            failed_connects += connect_failed
+            if connect_failed and self._admission.ends_attempts(
+                call, failed_connects, tried_server_ids
+            ):
+                decision = LEFT_TO_PEERS
+            else:
+                decision = self._retries.decide(
+                    call.pool,
+                    failure,
+                    call.route.idempotent,
+                    assignment.attempt,
+                )
             self._admission.decisions.write(
                 Event.RETRY_DECISION,
                 call.request_id,
--- a/wasabiwing/relay_peers.py
+++ b/wasabiwing/relay_peers.py
@@ -135,7 +135,8 @@
 class RelayPeers:
     """The nodes that may carry requests of this one.
 
-    ``inbox_by_node`` returns the inboxes of the other nodes that are alive.
+    ``inbox_by_node`` returns the inboxes of the other nodes that are alive,
+    ``address_of`` the address for relayed requests that belongs to an inbox.
     """
 
     def __init__(
@@ -143,10 +144,12 @@
         timer: TimerService,
         inbox_by_node: Callable[[], Mapping[str, str]],
         random: Random,
+        address_of: Callable[[str], str] = relay_address,
     ) -> None:
         self._timer = timer
         self._inbox_by_node = inbox_by_node
         self._random = random
+        self._address_of = address_of
         # Monotonic time until which a node is not asked, by its id.
         self._left_out_until_by_id: dict[str, float] = {}
 
@@ -155,16 +158,8 @@
 
         If all are left out, those are asked that are so for the shortest time.
         """
-        now = self._timer.now()
         inbox_by_node = self._inbox_by_node()
-        for node_id, until in list(self._left_out_until_by_id.items()):
-            if until <= now or node_id not in inbox_by_node:
-                del self._left_out_until_by_id[node_id]
-        asked_ids = [
-            node_id
-            for node_id in sorted(inbox_by_node)
-            if node_id not in self._left_out_until_by_id
-        ]
+        asked_ids = self._available_ids(inbox_by_node)
         count = min(len(asked_ids), MAX_ASKED_NODES)
         chosen_ids = self._random.sample(asked_ids, count)
         if not chosen_ids:
@@ -173,10 +168,14 @@
                 key=self._left_out_until_by_id.__getitem__,
             )[:MAX_ASKED_AGAIN]
         return [
-            RelayPeer(node_id, relay_address(inbox_by_node[node_id]))
+            RelayPeer(node_id, self._address_of(inbox_by_node[node_id]))
             for node_id in chosen_ids
         ]
 
+    def any_available(self) -> bool:
+        """Whether there is any node to ask."""
+        return bool(self._available_ids(self._inbox_by_node()))
+
     def note_declined(self, node_id: str) -> None:
         """Records that a node declined a request."""
         self._leave_out(node_id, DECLINED_S)
@@ -185,5 +184,16 @@
         """Records that a node accepted no connection."""
         self._leave_out(node_id, UNREACHABLE_S)
 
+    def _available_ids(self, inbox_by_node: Mapping[str, str]) -> list[str]:
+        now = self._timer.now()
+        for node_id, until in list(self._left_out_until_by_id.items()):
+            if until <= now or node_id not in inbox_by_node:
+                del self._left_out_until_by_id[node_id]
+        return [
+            node_id
+            for node_id in sorted(inbox_by_node)
+            if node_id not in self._left_out_until_by_id
+        ]
+
     def _leave_out(self, node_id: str, seconds: float) -> None:
         self._left_out_until_by_id[node_id] = self._timer.now() + seconds
--- a/wasabiwing/request_forwarding.py
+++ b/wasabiwing/request_forwarding.py
@@ -60,6 +60,11 @@
         """Number of live gateways, including this one."""
         return self._directory.live_count
 
+    @property
+    def gateway_hosts(self) -> frozenset[str]:
+        """Hosts of the listed gateways."""
+        return self._directory.hosts
+
     async def find_or_forward(
         self, request: HttpRequest, request_id: str, responder: Responder
     ) -> RunningRequest | None:
--- a/wasabiwing/retry_policy.py
+++ b/wasabiwing/retry_policy.py
@@ -58,6 +58,11 @@
     over_budget: bool = False
 
 
+# The decision on an attempt that no other one here may follow, because this
+# gateway reaches no server.
+LEFT_TO_PEERS = RetryDecision(False, "another gateway carries the request")
+
+
 class RetryPolicy:
     """Decides on the retries of one gateway's requests."""
 
--- a/wasabiwing/routing.py
+++ b/wasabiwing/routing.py
@@ -5,6 +5,7 @@
 scores and the reasons why other servers were filtered out.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
@@ -82,6 +83,8 @@
     ramping: list[BackendServer] = field(default_factory=list)
     # Servers on which a request runs that is suspected of crashes.
     with_suspect: list[BackendServer] = field(default_factory=list)
+    # Servers that accepted no connection of this gateway.
+    unreachable: list[BackendServer] = field(default_factory=list)
     reason_by_server: dict[str, str] = field(default_factory=dict)
 
 
@@ -101,8 +104,10 @@
         gate: VersionGate | None = None,
         isolation: SuspectIsolation | None = None,
         permits: SendPermits | None = None,
+        is_unreachable: Callable[[str], bool] = lambda server_id: False,
     ) -> None:
         self._timer = timer
+        self._is_unreachable = is_unreachable
         self._view = view
         self._credits = credits
         self._random = random
@@ -226,9 +231,11 @@
                 self._prefer_version(call, survey)
                 self._keep_least_loaded(call, survey)
                 return survey
-        # A server of a zone that ramps up, or one that runs a suspect, is
-        # better than a refusal.
-        survey.candidates = survey.ramping or survey.with_suspect
+        # A server of a zone that ramps up, one that runs a suspect, or one
+        # that may be reached again is better than a refusal.
+        survey.candidates = (
+            survey.ramping or survey.with_suspect or survey.unreachable
+        )
         for server in survey.candidates:
             survey.reason_by_server.pop(server.id, None)
         self._keep_least_loaded(call, survey)
@@ -319,6 +326,9 @@
         if not reason and self.isolation.has_suspect(server.id):
             reason = "suspect running"
             survey.with_suspect.append(server)
+        if not reason and self._is_unreachable(server.id):
+            reason = "unreachable"
+            survey.unreachable.append(server)
         if reason:
             survey.reason_by_server[server.id] = reason
         else:
--- a/wasabiwing/running_request.py
+++ b/wasabiwing/running_request.py
@@ -58,6 +58,7 @@
         # Server of the attempt that is running; ``None`` between attempts.
         self.server: BackendServer | None = None
         self.failures = 0
+        self.failed_connects = 0
         # Whether the server cut the connection of the last attempt.
         self.last_attempt_cut = False
         # Monotonic time of the first event of the last attempt, in seconds;
--- a/wasabiwing/server_slots.py
+++ b/wasabiwing/server_slots.py
@@ -42,8 +42,8 @@
 # one that takes its place.
 TOLD_ISSUERS = 2
 
-# Number of requests without an answer after which an issuer is passed over. Two
-# issuers at once know only late what the other one lends.
+# Number of requests without an answer after which an issuer is passed over.
+# Two issuers at once know only late what the other one lends.
 MAX_UNANSWERED = 3
 
 # Share of the slots that a process issues while a better choice is live but
