Answer late requests of a stopping node until half a second before the kill

What callers saw: a node that still had requests closed its connections 0.96 s before the kill (0.88 of the grace time), without a word to requests that were on their way; their callers can't know whether they were read.

Change: such a node answers until CLOSING_S (0.5 s) before the kill, mostly by refusals that say "not run". Answers that run go on until the kill as before.

Test: one request per route kind 7.35 s after the stop, 0.65 s before the kill, beside a long run: before, 4 of 4 connections closed; now 4 of 4 answered.

Not changed: a node without requests leaves 3.2 s after the stop and closes the idle connections, as before; its kept connections are the larger part of what is closed without a word.

--- a/tests/test_node_stops.py
+++ b/tests/test_node_stops.py
@@ -285,6 +285,24 @@
         assert any(item.at_s > SERVED_WITHIN_S for item in late)
         assert all(item.ending is Ending.SERVED for item in late), late
 
+    async def test_a_node_with_a_long_run_answers_until_the_kill(self) -> None:
+        """Guards against connections that are closed without a word."""
+        async with stopping_node(0.1, warm_up=True) as kept:
+            for server in kept.servers:
+                server.work_s_by_body[LONG_BODY] = 7.6
+            long = await kept.open()
+            async with create_task_group() as tasks:
+                tasks.start_soon(kept.ask, long, "read", 0.0, LONG_BODY)
+                await wait_for_request(kept)
+                await stop_and_ask(kept)
+        late = [
+            item
+            for item in kept.sent
+            if item.at_s <= BOUNDS.stop_grace_s - CLOSING_S - 0.1
+        ]
+        closed = [item for item in late if item.ending is Ending.CLOSED]
+        assert not closed, closed
+
     async def test_a_run_that_outlasts_its_estimate_gets_an_answer(
         self,
     ) -> None:
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -79,6 +79,7 @@
 from wasabiwing.service_configuration import RequestLimits
 from wasabiwing.service_configuration import ServiceConfiguration
 from wasabiwing.statement_listener import StatementListener
+from wasabiwing.stop_admission import CLOSING_S
 from wasabiwing.stop_admission import LENIENT_S
 from wasabiwing.stop_admission import StopAdmission
 from wasabiwing.store_progress import StoreProgress
@@ -100,10 +101,6 @@
 # sends new connections at first, and requests are on their way.
 STAY_S = LENIENT_S + 0.3
 
-# Share of the stop grace time in which running requests may end. The rest is
-# for closing the remaining connections before the process is killed.
-DRAIN_SHARE = 0.88
-
 # How often a stopping node checks whether its requests have ended, in seconds.
 STOP_POLL_S = 0.05
 
@@ -454,9 +451,10 @@
         """Gives up the duties and waits until all requests have ended.
 
         The process is killed after ``grace_s`` seconds. The wait lasts at
-        least for ``STAY_S`` seconds, and at most for ``DRAIN_SHARE`` of that
-        time. Duties and the store's entry are given up meanwhile: a store
-        that does not answer delays nothing.
+        least for ``STAY_S`` seconds, and at most until ``CLOSING_S`` seconds
+        before the kill, so that late requests are refused and not closed
+        without a word. Duties and the store's entry are given up meanwhile: a
+        store that does not answer delays nothing.
         """
         # A process that was suspended has not seen the request to stop.
         since_tick_s = self._timer.now() - self._last_tick_at
@@ -472,7 +470,7 @@
 
         async with create_task_group() as tasks:
             tasks.start_soon(leave)
-            while self.stop_admission.stopped_for_s < grace_s * DRAIN_SHARE:
+            while self.stop_admission.time_left_s > CLOSING_S:
                 callers_gone = self.stop_admission.stopped_for_s > STAY_S
                 if (
                     callers_gone
