Lend no slot of a server that bears no refusal beside a better issuer

With N=0 a single refusal is a fall. A process that issues because the better choice does not answer may lend the same slots as that one.

--- a/tests/test_server_slots.py
+++ b/tests/test_server_slots.py
@@ -161,6 +161,22 @@
             assert await served_share(fleet, 1.5) >= 0.3
             check_falls(fleet)
 
+    @pytest.mark.parametrize("seed", SEEDS)
+    async def test_silent_issuer_of_servers_that_bear_no_refusal(
+        self, seed: int
+    ) -> None:
+        """Guards against two issuers that lend the same slots."""
+        async with brittle_fleet(7, [0] * 4, seed) as fleet:
+            await fleet.send(CONTACT_S, 1.5)
+            silent = issuer_id(fleet)
+            fleet.network.blocked.update(
+                (other.address, f"tcp://{silent}")
+                for other in fleet.senders
+                if other.id != silent
+            )
+            await fleet.send(COUNTED_S, 1.5)
+            check_falls(fleet)
+
     @pytest.mark.parametrize("seed", SEEDS)
     @pytest.mark.parametrize(("size", "cut"), [(3, 1), (7, 1), (7, 3)])
     async def test_processes_that_are_cut_from_the_others(
--- a/wasabiwing/server_slots.py
+++ b/wasabiwing/server_slots.py
@@ -107,7 +107,12 @@
         # Returns the ids of all processes, whether or not they are heard.
         self._registered_ids = registered_ids
         self._issuer = SlotIssuer(
-            node_id, timer, self._issued_share, self._issuable_slots, random
+            node_id,
+            timer,
+            self._issued_share,
+            permits.is_first_issuer,
+            self._issuable_slots,
+            random,
         )
         # Number of slots by server and its slots, and the processes that it
         # was made from: those that are heard, and all.
--- a/wasabiwing/slot_issuer.py
+++ b/wasabiwing/slot_issuer.py
@@ -124,6 +124,7 @@
         node_id: str,
         timer: TimerService,
         share: Callable[[str], float],
+        is_first: Callable[[str], bool],
         issuable: Callable[[str, int], int],
         random: Random,
     ) -> None:
@@ -132,6 +133,9 @@
         # Returns the share of the slots that this process may issue for a
         # service.
         self._share = share
+        # Returns whether no other live process is a better choice for issuing
+        # the slots of a service.
+        self._is_first = is_first
         # Returns how many of a server's slots belong to this process and
         # those that it hears.
         self._issuable = issuable
@@ -280,9 +284,14 @@
             server_id: self._taken(server_id)
             for server_id, _, _ in request.servers
         }
+        is_first = self._is_first(request.service)
         issuable_by_id = {
             server_id: self._issuable(server_id, slots)
-            for server_id, slots, _ in request.servers
+            # A better choice may lend the same slot, and a server that bears
+            # no refusal would crash.
+            if is_first or max_refusals > 0
+            else 0
+            for server_id, slots, max_refusals in request.servers
         }
         order = list(taken_by_id)
         if share < 1.0:
