Let a stopping node end the requests that it carries for others

What callers saw: a node that carries a request of a cut-off node and is stopped cut that request about a second before its kill, with a run of 7.5 s begun just before SIGTERM: book 502, notes cut; the same requests sent to it directly were served.

Cause: without a caller's own connection the listener for callers ended first, and the program ended with it, the other listener's answers included.

--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -10,8 +10,8 @@
 from anyio import sleep
 import pytest
 
-from tests.cut_nodes import LinkedNodes
 from tests.cut_nodes import linked_nodes
+from tests.cut_nodes import LinkedNodes
 from tests.node_deployment import BOUNDS
 from tests.node_deployment import POLL_S
 from wasabiwing.ports import HttpReply
@@ -19,6 +19,7 @@
 from wasabiwing_platform_standins.server import stream_answer
 from wasabiwing_platform_standins.server import STREAM_EVENTS
 from wasabiwing_soak.loopback_proxy import LinkCut
+from wasabiwing_soak.loopback_proxy import LoopbackProxy
 
 pytestmark = pytest.mark.anyio
 
@@ -98,15 +99,13 @@
             if relayed:
                 # Only the first node is cut; the second has no proxies.
                 links["node-2"] = {
-                    server_id: _Direct(address)
+                    server_id: LoopbackProxy(address, address=address)
                     for server_id, address in system.address_by_server.items()
                 }
             second = await other.start_another("node-2")
             if relayed:
                 nodes.set_cut(["node-1"], LinkCut.REFUSE)
-                while (
-                    await system.call("/read/1", body=BODY)
-                ).status != 200:
+                while (await system.call("/read/1", body=BODY)).status != 200:
                     await sleep(POLL_S)
                 for server in nodes.servers:
                     server.received_requests.clear()
--- a/wasabiwing/node_program.py
+++ b/wasabiwing/node_program.py
@@ -69,16 +69,6 @@
             readiness_listener,
             never_stopped,
         )
-        if relay_listener is not None:
-            tasks.start_soon(
-                serve_http,
-                node.caller_http.relay_application(),
-                relay_listener,
-                drained,
-                lambda: node.limits.idle_timeout_s,
-                PipelineProtocol,
-                lambda: max(node.stop_admission.time_left_s, 0.0),
-            )
         log_event(
             LogEvent.PROGRAM_STARTED,
             settings.node_id,
@@ -87,17 +77,30 @@
             inbox=str(settings.inbox),
             first_start=settings.first_start,
         )
-        await serve_http(
-            node.caller_http.application(),
-            listener,
-            drained,
-            lambda: node.limits.idle_timeout_s,
-            header_timeout_protocol(
-                lambda: node.limits.header_timeout_s, node.log_slow_headers
-            ),
-            # The time until the kill bounds the answers, and nothing before.
-            lambda: max(node.stop_admission.time_left_s, 0.0),
-        )
+        # Both end once their answers have ended.
+        async with create_task_group() as listening:
+            if relay_listener is not None:
+                listening.start_soon(
+                    serve_http,
+                    node.caller_http.relay_application(),
+                    relay_listener,
+                    drained,
+                    lambda: node.limits.idle_timeout_s,
+                    PipelineProtocol,
+                    lambda: max(node.stop_admission.time_left_s, 0.0),
+                )
+            await serve_http(
+                node.caller_http.application(),
+                listener,
+                drained,
+                lambda: node.limits.idle_timeout_s,
+                header_timeout_protocol(
+                    lambda: node.limits.header_timeout_s, node.log_slow_headers
+                ),
+                # The time until the kill bounds the answers, and nothing
+                # before.
+                lambda: max(node.stop_admission.time_left_s, 0.0),
+            )
         tasks.cancel_scope.cancel()
     log_event(LogEvent.PROGRAM_STOPPED, settings.node_id)
 
