Keep a sound run whose server refuses new connections

What callers saw: where open connections live on and new ones are refused, a repeatable run without an event for 0.4 s was given up for another node; with no node that could carry it, read got 504 and chat was cut, although the run went on.

Cause: a refused connect was taken for a verdict on open connections, and the run was ended before anything had taken its place.

Change: a run is given up sooner only if probes of its server get no answer at all, the node is cut off and another node can be asked.

--- a/wasabiwing/attempt_watch.py
+++ b/wasabiwing/attempt_watch.py
@@ -27,10 +27,14 @@
 # stalled, in seconds. A busy engine sends an event at least this often.
 SERVER_SILENCE_S = 0.9
 
-# Silence after which an attempt may be ended at a server that accepts no
-# connection, in seconds.
+# Silence after which an attempt may be ended at a server of which probes get
+# no answer, in seconds.
 UNREACHABLE_SILENCE_S = 0.4
 
+# Interval at which it is asked again whether a silent attempt may move, in
+# seconds. Each time another server is looked for.
+ASK_AGAIN_S = 0.5
+
 # Number of later requests that a server has started after which an earlier one
 # counts as forgotten.
 OVERTAKEN_LIMIT = 3
@@ -53,6 +57,8 @@
     # Time of the first event of the attempt; ``None`` before it.
     started_at: float | None = None
     overtaken_count: int = 0
+    # Time before which it is not asked again whether the attempt may move.
+    ask_after: float = 0.0
     # Whether the watch has cancelled the attempt.
     cancel_requested: bool = False
     scope: CancelScope = field(default_factory=CancelScope)
@@ -73,12 +79,12 @@
         self._timer = timer
         self._loads = loads
         self._running: list[WatchedAttempt] = []
-        # Whether a server accepts no connection.
-        self._is_unreachable: Callable[[str], bool] = lambda server_id: False
+        # Whether probes of a server get no answer.
+        self._gets_no_answer: Callable[[str], bool] = lambda server_id: False
 
-    def use_reachability(self, is_unreachable: Callable[[str], bool]) -> None:
-        """Sets what tells whether a server accepts no connection."""
-        self._is_unreachable = is_unreachable
+    def use_reachability(self, gets_no_answer: Callable[[str], bool]) -> None:
+        """Sets what tells whether probes of a server get no answer."""
+        self._gets_no_answer = gets_no_answer
 
     @contextmanager
     def watch(
@@ -154,7 +160,7 @@
             silence_s = now - attempt.heard_at
             if attempt.cancel_requested:
                 continue
-            unreachable = self._is_unreachable(attempt.server_id)
+            unreachable = self._gets_no_answer(attempt.server_id)
             if silence_s < attempt.silence_limit_s and not (
                 unreachable
                 and attempt.silence_limit_s < inf
@@ -169,6 +175,10 @@
             silent = (
                 server_silence_s > SERVER_SILENCE_S or overtaken or unreachable
             )
-            if silent and attempt.may_move():
+            if not silent or now < attempt.ask_after:
+                continue
+            if attempt.may_move():
                 attempt.cancel_requested = True
                 attempt.scope.cancel()
+            else:
+                attempt.ask_after = now + ASK_AGAIN_S
--- a/wasabiwing/call_forwarding.py
+++ b/wasabiwing/call_forwarding.py
@@ -387,8 +387,9 @@
         ``next_server``, or notes that another node gets the request.
         """
         budgets = self._retry_budgets
-        # A server that accepts no connection is more than silent.
-        is_silent = not self._reachability.is_unreachable(server_id)
+        # A server of which probes get no answer is more than silent. One that
+        # refuses new connections may go on with an open one.
+        is_silent = not self._reachability.gets_no_answer(server_id)
         reason = wait_reason(
             Prospects(
                 call.route.max_attempts - progress.possible_runs,
@@ -401,7 +402,12 @@
         if reason is not None:
             log_kept(reason, "")
             return False
-        if progress.may_relay and self._is_cut_off(call):
+        if (
+            not is_silent
+            and progress.may_relay
+            and self._is_cut_off(call)
+            and self._peer_relay.any_available()
+        ):
             progress.moves_to_node = budgets.take_token(call.service)
             return progress.moves_to_node
         excluded = progress.tried_server_ids | self._watch.silent_server_ids()
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -304,7 +304,7 @@
         self.stop_admission = StopAdmission(timer)
         end_judge = EndJudge(timer, quarantine.is_leaving, server_listens)
         self._loads.on_heard(self.reachability.note_heard)
-        watch.use_reachability(self.reachability.is_unreachable)
+        watch.use_reachability(self.reachability.gets_no_answer)
         self._peer_relay = PeerRelay(
             node_id,
             timer,
--- a/wasabiwing/peer_relay.py
+++ b/wasabiwing/peer_relay.py
@@ -96,6 +96,10 @@
                 return end
         return DECLINED_BY_ALL
 
+    def any_available(self) -> bool:
+        """Whether there is another node to ask."""
+        return self._peers.any_available()
+
     async def close_expired(self) -> None:
         """Closes connections to nodes that may no longer be used."""
         await self._connections.close_expired()
--- a/wasabiwing/server_probe.py
+++ b/wasabiwing/server_probe.py
@@ -106,10 +106,11 @@
     return None
 
 
-async def accepts_any_connection(address: str) -> bool:
+async def accepts_any_connection(address: str) -> bool | None:
     """Whether an address accepts a connection, also one that it closes.
 
-    Tells whether the network leads to a server; the probe sends no byte.
+    Returns ``None`` if there is no answer. Tells whether the network leads to
+    a server; the probe sends no byte.
     """
     host, _, port = address.rpartition(":")
     try:
@@ -118,7 +119,7 @@
                 return True
     except OSError:
         return False
-    return False
+    return None
 
 
 async def server_listens(address: str) -> bool:
--- a/wasabiwing/server_reachability.py
+++ b/wasabiwing/server_reachability.py
@@ -49,7 +49,8 @@
 
     ``address_by_id`` returns the addresses of the servers in use,
     ``silence_by_id`` for how many seconds each server that owes an answer has
-    sent nothing, and ``connects`` whether an address accepts a connection.
+    sent nothing, and ``connects`` whether an address accepts a connection, or
+    ``None`` if it gives no answer.
     ``note_unreachable`` is called for each failed probe.
     """
 
@@ -59,7 +60,7 @@
         timer: TimerService,
         address_by_id: Callable[[], Mapping[str, str]],
         silence_by_id: Callable[[], Mapping[str, float]],
-        connects: Callable[[str], Awaitable[bool]],
+        connects: Callable[[str], Awaitable[bool | None]],
         note_unreachable: Callable[[str], None] = lambda server_id: None,
     ) -> None:
         self._node_id = node_id
@@ -71,6 +72,8 @@
         # Monotonic times in seconds, by server id; those of failures last
         # until the server is heard.
         self._failed_at_by_id: dict[str, float] = {}
+        # Unreachable servers whose latest probe got no answer.
+        self._unanswering_ids: set[str] = set()
         self._probed_at_by_id: dict[str, float] = {}
         self._interval_s_by_id: dict[str, float] = {}
         # When any server was last heard.
@@ -95,6 +98,14 @@
         """Whether a server accepted no connection and was not heard since."""
         return server_id in self._failed_at_by_id
 
+    def gets_no_answer(self, server_id: str) -> bool:
+        """Whether probes of a server get no answer, neither good nor bad.
+
+        Open connections to it probably hang as well. After a refusal they may
+        live on.
+        """
+        return server_id in self._unanswering_ids
+
     def unreachable_share(self, server_ids: Collection[str]) -> float:
         """Returns the share of some servers that are unreachable."""
         if self.is_cut_off_from(server_ids):
@@ -111,6 +122,7 @@
         self._heard_at = self._timer.now()
         if server_id in self._failed_at_by_id:
             del self._failed_at_by_id[server_id]
+            self._unanswering_ids.discard(server_id)
             self._interval_s_by_id.pop(server_id, None)
         if self._cut_off_at is not None:
             self._end_cut(server_id)
@@ -125,6 +137,7 @@
     def remove_server(self, server_id: str) -> None:
         """Drops what is known of a server that is gone or has started anew."""
         self._failed_at_by_id.pop(server_id, None)
+        self._unanswering_ids.discard(server_id)
         self._probed_at_by_id.pop(server_id, None)
         self._interval_s_by_id.pop(server_id, None)
 
@@ -179,9 +192,14 @@
     async def _probe(self, server_id: str, address: str) -> None:
         began_at = self._timer.now()
         self._probed_at_by_id[server_id] = began_at
-        if await self._connects(address):
+        accepted = await self._connects(address)
+        if accepted:
             self.note_heard(server_id)
             return
+        if accepted is None:
+            self._unanswering_ids.add(server_id)
+        else:
+            self._unanswering_ids.discard(server_id)
         interval_s = self._interval_s_by_id.get(
             server_id, MIN_PROBE_INTERVAL_S
         )
