Give back the server of a move that is not needed

An attempt that ended by itself in the moment in which its move to another server was prepared left its request counted at that server for good, and a later failure of the request counted as a prepared retry.

Cause: the choice of a server has effects, which only an attempt undid.

The retry token of the move is not given back.

--- a/wasabiwing/call_forwarding.py
+++ b/wasabiwing/call_forwarding.py
@@ -227,6 +227,21 @@
         self, call: RoutedCall, progress: CallProgress, output: AnswerOutput
     ) -> Failure:
         next_server: list[SelectedServer] = []
+        try:
+            return await self._run_prepared_attempts(
+                call, progress, output, next_server
+            )
+        finally:
+            self._drop_move(call, progress, next_server)
+
+    async def _run_prepared_attempts(
+        self,
+        call: RoutedCall,
+        progress: CallProgress,
+        output: AnswerOutput,
+        next_server: list[SelectedServer],
+    ) -> Failure:
+        """Runs attempts; ``next_server`` has that of a prepared one."""
         while True:
             if not next_server and self._is_relay_due(call, progress):
                 failure = await self._relay_to_node(call, progress, output)
@@ -263,6 +278,17 @@
             if not self._may_retry(call, progress, failure, is_prepared):
                 return _final_failure(progress)
 
+    def _drop_move(
+        self,
+        call: RoutedCall,
+        progress: CallProgress,
+        next_server: list[SelectedServer],
+    ) -> None:
+        """Gives back the server of a prepared attempt that is not made."""
+        progress.moves_to_node = False
+        while next_server:
+            self._placement.note_ended(call, next_server.pop().server, False)
+
     async def _relay_to_node(
         self, call: RoutedCall, progress: CallProgress, output: AnswerOutput
     ) -> Failure | None:
@@ -528,7 +554,7 @@
                     call, placed, progress, output, watched
                 )
             if not watched.ended_early:
-                next_server.clear()
+                self._drop_move(call, progress, next_server)
             else:
                 progress.silent_server_ids.add(server.id)
                 progress.event_splitter.discard_incomplete_event()
