Do not take a slow caller for a silent server

What callers saw: a caller that reads nothing for some seconds got a stream that lacked an event and yet ended as complete (event 104 of 400), or its plain request ran twice.

Cause: while the node waits for its caller to read, the server's silence went on being counted, and the attempt was cancelled inside the write. The event had been counted as sent, so the resumed stream skipped it. Class of fault: a wait is charged to the wrong side.

--- a/tests/test_attempt_watch.py
+++ b/tests/test_attempt_watch.py
@@ -111,6 +111,16 @@
             assert found.watch.silent_server_ids() == {"mute"}
         assert not found.watch.silent_server_ids()
 
+    async def test_slow_caller_is_no_silent_server(self) -> None:
+        found = Watched()
+        with found.watch.watch("server", 0, SILENCE_LIMIT_S) as attempt:
+            with attempt.writing(found.timer.now):
+                await found.pass_time(10 * SILENCE_LIMIT_S, False)
+                assert not found.watch.silence_by_server()
+            assert not attempt.cancel_requested
+            await found.pass_time(SILENCE_LIMIT_S + 0.2, False)
+            assert attempt.cancel_requested
+
     async def test_attempt_without_answer_to_probes_ends_sooner(self) -> None:
         """Its silence is no sound server's."""
         found = Watched()
--- a/wasabiwing/answer_relay.py
+++ b/wasabiwing/answer_relay.py
@@ -209,6 +209,8 @@
         since a retry may succeed.
         """
         body = await answer.read()
+        # The server has done its part.
+        watched.held = True
         if isinstance(body, Err):
             return body.err_value
         framing = _framing(call, answer)
@@ -293,11 +295,15 @@
             if is_first_event and cutter.event_count > events_before:
                 is_first_event = False
                 self._note_first_event(call, placed, progress, watched)
-            if not output.started:
-                await output.start(
-                    answer.status, headers, framing is not Framing.CONNECTION
-                )
-            await output.write(events)
+            with watched.writing(self._timer.now):
+                if not output.started:
+                    await output.start(
+                        answer.status,
+                        headers,
+                        framing is not Framing.CONNECTION,
+                    )
+                await output.write(events)
+        watched.held = True
         event_count = cutter.event_count - events_before
         self._note_end(
             call,
--- a/wasabiwing/attempt_watch.py
+++ b/wasabiwing/attempt_watch.py
@@ -57,12 +57,24 @@
     # Time of the first event of the attempt; ``None`` before it.
     started_at: float | None = None
     overtaken_count: int = 0
+    # Whether the server owes nothing now, while the caller is written to.
+    held: bool = False
     # Time before which it is not asked again whether the attempt may move.
     ask_after: float = 0.0
     # Whether the watch has cancelled the attempt.
     cancel_requested: bool = False
     scope: CancelScope = field(default_factory=CancelScope)
 
+    @contextmanager
+    def writing(self, clock: Callable[[], float]) -> Iterator[None]:
+        """Leaves the server's silence out while the caller is written to."""
+        self.held = True
+        try:
+            yield
+        finally:
+            self.held = False
+            self.heard_at = clock()
+
     @property
     def ended_early(self) -> bool:
         """Whether the attempt was ended before it was complete.
@@ -134,6 +146,8 @@
         now = self._timer.now()
         silence_by_id: dict[str, float] = {}
         for attempt in self._running:
+            if attempt.held:
+                continue
             silence_by_id[attempt.server_id] = max(
                 self._server_silence_s(attempt, now),
                 silence_by_id.get(attempt.server_id, 0.0),
@@ -158,7 +172,7 @@
         now = self._timer.now()
         for attempt in list(self._running):
             silence_s = now - attempt.heard_at
-            if attempt.cancel_requested:
+            if attempt.cancel_requested or attempt.held:
                 continue
             unreachable = self._gets_no_answer(attempt.server_id)
             if silence_s < attempt.silence_limit_s and not (
--- a/wasabiwing/tcp_options.py
+++ b/wasabiwing/tcp_options.py
@@ -2,8 +2,9 @@
 
 They end a connection over a dead link. While the peer's kernel acknowledges
 data or keep-alive probes, a connection stays open, however long the peer's
-process is silent. ``TCP_USER_TIMEOUT`` bounds the wait for both, whatever
-``TCP_KEEPCNT`` says, so the numbers below have to fit together.
+process sends nothing. ``TCP_USER_TIMEOUT`` bounds the wait for both, whatever
+``TCP_KEEPCNT`` says, so the numbers below have to fit together. It also bounds
+the time for which a peer may leave a long body unread.
 """
 
 from socket import IPPROTO_TCP
