Keep the slots of servers with the requests that wait for them

An issuer dropped what it knew of an idle server every 50 ms, and took a waiting request's server for one of a single slot. Ids of a service's servers are only collected while one of them is brittle.

--- a/wasabiwing/server_selection.py
+++ b/wasabiwing/server_selection.py
@@ -158,7 +158,7 @@
             item for item in allowed_servers if item.id in allowed_ids
         ]
         evaluated = self._choose_within_slots(
-            call, allowed_servers, [server.id for server in servers]
+            call, allowed_servers, (server.id for server in servers)
         )
         if isinstance(evaluated, Err):
             return evaluated
@@ -236,7 +236,7 @@
         self,
         call: RoutedCall,
         allowed_servers: list[RegisteredServer],
-        service_ids: list[str],
+        service_ids: Iterable[str],
     ) -> Result[_Evaluation, Failure]:
         """Returns the best server, a brittle one only with a slot of it.
 
@@ -302,8 +302,9 @@
         """Returns brittle servers with slots and refusals, best first."""
         server_by_id = {server.id: server for server in brittle}
         scored = self._choose_from_sets(call, brittle).choice.score_by_server
-        order = [server_id for server_id, _ in scored]
-        order += [item for item in server_by_id if item not in set(order)]
+        # Those that were not scored come last.
+        order = dict.fromkeys([server_id for server_id, _ in scored])
+        order |= dict.fromkeys(server_by_id)
         return [
             (
                 server_id,
--- a/wasabiwing/slot_issuer.py
+++ b/wasabiwing/slot_issuer.py
@@ -147,9 +147,6 @@
     def ask(self, asker: str, request: SlotRequest) -> SlotGrant:
         """Answers a request for a slot."""
         now = self._timer.now()
-        for server_id, slots, max_refusals in request.servers:
-            server = self._server(server_id)
-            server.slots, server.max_refusals = slots, max_refusals
         service = self._service(request.service)
         key = (asker, request.request_id)
         known = service.waiter_by_key.pop(key, None)
@@ -279,6 +276,9 @@
 
     def _free_server(self, service: _Service, request: SlotRequest) -> str:
         """Returns the first server with a free slot, or an empty string."""
+        for server_id, slots, max_refusals in request.servers:
+            server = self._server(server_id)
+            server.slots, server.max_refusals = slots, max_refusals
         share = self._share(request.service)
         taken_by_id = {
             server_id: self._taken(server_id)
