Ask gateways of the own region first to carry requests

A gateway that reaches no server drew the gateways to ask from the whole deployment; with five regions most requests would cross regions. And whether it is cut from a pool was decided by comparing all servers of the pool, for each request and each head of a queue, also if nothing is wrong.

Other gateways of the region are asked if it has any, gateways of other regions otherwise. If the first server of a pool can be reached, the gateway is not cut from the pool, and the others are not compared.

Open: a repeatable request that was sent on a connection that hangs waits until its deadline, which is what the first 3 s of a silent cut show; an answer that has begun is not continued at another gateway; a controller that is cut lowers the limits of the servers whose home it is to the cold ones.

--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -22,6 +22,7 @@
 from tests.cut_gateways import linked_gateways
 from tests.cut_gateways import ROUTES
 from tests.cut_gateways import send_request
+from tests.examples import example_configuration
 from tests.examples import TEST_TIMEOUT_S
 from tests.policy_examples import policy_bench
 from tests.raw_server import Ending
@@ -39,17 +40,21 @@
 from wasabiwing.asgi import Responder
 from wasabiwing.calls import AttemptOutcome
 from wasabiwing.calls import Call
+from wasabiwing.cluster_view import ClusterView
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
 from wasabiwing.events import Event
 from wasabiwing.gateway_directory import GatewayDirectory
+from wasabiwing.gateway_directory import LIVE_S
 from wasabiwing.gateway_directory import node_id_of_request
 from wasabiwing.gateway_relay import DECLINED_HEADER
 from wasabiwing.gateway_relay import GatewayRelay
+from wasabiwing.gateway_relay import relay_addresses
 from wasabiwing.gateway_relay import RelayDecisions
 from wasabiwing.gateway_relay import RELAYED_BY_HEADER
 from wasabiwing.http_client import HttpClient
+from wasabiwing.messages import GatewayEntry
 from wasabiwing.relay_peers import MAX_RELAYED_REQUESTS
 from wasabiwing.relay_peers import RelayPeers
 from wasabiwing.server_reachability import ServerReachability
@@ -398,6 +403,42 @@
         assert not decisions.may_follow(late, failure)
 
 
+class TestPeers:
+    """Which gateways are asked to carry requests."""
+
+    async def test_gateways_of_the_own_region_are_asked_if_there_are_any(
+        self,
+    ) -> None:
+        example = example_configuration()
+        own, near, far = (
+            replace(zone, region=region)
+            for zone, region in zip(
+                example.availability_zones, ("r", "r", "other"), strict=True
+            )
+        )
+        view = ClusterView()
+        view.put_in_force(
+            1, replace(example, availability_zones=(own, near, far))
+        )
+        timer = FakeTimer()
+        directory = GatewayDirectory(timer)
+
+        def put(name: str, zone_id: str, leaving: bool = False) -> None:
+            directory.put(GatewayEntry(name, "", name, zone_id, leaving, 0.0))
+
+        def asked() -> set[str]:
+            return set(relay_addresses(directory, view, "own", own.id))
+
+        put("own", own.id)
+        put("far", far.id)
+        put("leaving", near.id, leaving=True)
+        assert asked() == {"far"}
+        put("near", near.id)
+        assert asked() == {"near"}
+        await timer.advance(LIVE_S)
+        assert not asked()
+
+
 class TestReportedOutcomes:
     """What a gateway tells home controllers of servers out of its reach."""
 
--- a/wasabiwing/cluster_view.py
+++ b/wasabiwing/cluster_view.py
@@ -159,6 +159,11 @@
         digest = sha256(token.encode()).hexdigest()
         return self.index.organisation_by_token.get(digest)
 
+    def region(self, zone_id: str) -> str:
+        """Returns an availability zone's region; empty if unknown."""
+        zone = self.index.zone_by_id.get(zone_id) if self.index else None
+        return zone.region if zone else ""
+
     def zone_takes_work(self, zone_id: str) -> bool:
         """Returns whether an availability zone may get new requests."""
         if self.index is None:
--- a/wasabiwing/gateway.py
+++ b/wasabiwing/gateway.py
@@ -197,7 +197,13 @@
         )
         self.relay_peers = RelayPeers(
             timer,
-            partial(relay_addresses, self.directory, node_id),
+            partial(
+                relay_addresses,
+                self.directory,
+                self.view,
+                node_id,
+                settings.availability_zone,
+            ),
             Random(seed + RELAY_SEED_OFFSET),
             lambda address: address,
         )
--- a/wasabiwing/gateway_relay.py
+++ b/wasabiwing/gateway_relay.py
@@ -20,6 +20,7 @@
 from wasabiwing.asgi import HttpRequest
 from wasabiwing.asgi import Responder
 from wasabiwing.calls import Call
+from wasabiwing.cluster_view import ClusterView
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
@@ -78,6 +79,12 @@
 
     def is_cut_off_from(self, pool: Pool) -> bool:
         """Whether this gateway probably reaches no server of a pool."""
+        if not self._reachability.is_cut_off and not any(
+            self._reachability.is_unreachable(server.id)
+            for server in pool.servers[:1]
+        ):
+            # Spares large pools the comparison of all servers.
+            return False
         return self._reachability.is_cut_off_from(_server_ids(pool))
 
     def ends_attempts(
@@ -279,16 +286,26 @@
 
 
 def relay_addresses(
-    directory: GatewayDirectory, node_id: str
+    directory: GatewayDirectory, view: ClusterView, node_id: str, zone_id: str
 ) -> dict[str, str]:
-    """Returns the HTTP addresses of the other live gateways by node id."""
-    return {
-        entry.node_id: entry.http_address
+    """Returns the HTTP addresses of other live gateways by node id.
+
+    They are those of the own region if it has any.
+    """
+    live = [
+        entry
         for entry in directory.entries()
         if entry.age_s < LIVE_S
         and not entry.leaving
         and entry.node_id != node_id
-    }
+    ]
+    region = view.region(zone_id)
+    near = [
+        entry
+        for entry in live
+        if view.region(entry.availability_zone) == region
+    ]
+    return {entry.node_id: entry.http_address for entry in near or live}
 
 
 def is_relayed(headers: Mapping[str, str]) -> bool:
