--- a/tests/test_configuration_changes.py
+++ b/tests/test_configuration_changes.py
@@ -104,12 +104,16 @@
     "target": {"routes": routes(service="elsewhere")},
     "no routes": {"routes": []},
     "weights": {
-        "routes": routes(
-            trafficSplit=[
-                {"service": "elsewhere", "weight": 0.9},
-                {"service": "desk", "weight": 0.1},
-            ]
-        )
+        "routes": [
+            {
+                **route,
+                "trafficSplit": [
+                    {"service": "elsewhere", "weight": 0.9},
+                    {"service": route["service"], "weight": 0.1},
+                ],
+            }
+            for route in routes()
+        ]
     },
     "zero weights": {
         "routes": routes(trafficSplit=[{"service": "desk", "weight": 0}])
