--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
 cd "$(dirname "$0")" || exit 2
-PYTHONPATH=../stand_ins exec python3 silent_store_connections.py
+PYTHONPATH=../stand_ins exec python3 late_stream.py
