--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 # checks that they compile. The scripts need the build of the deploy file too.
 set -euo pipefail
 cd "$(dirname "$0")"
-for file in stand_ins/*.py [1-5]/*.py; do
+for file in stand_ins/*.py further/*.py [1-5]/*.py; do
     python3 -c 'import sys; compile(open(sys.argv[1]).read(), sys.argv[1], "exec")' \
         "$file"
 done
