--- a/review/stand_ins/harness.py
+++ b/review/stand_ins/harness.py
@@ -8,7 +8,9 @@
 from asyncio import CancelledError
 from asyncio import create_subprocess_exec
 from asyncio import create_task
+from asyncio import current_task
 from asyncio import Event
+from asyncio import get_running_loop
 from asyncio import IncompleteReadError
 from asyncio import open_connection
 from asyncio import run
@@ -30,6 +32,7 @@
 import json
 from os import environ
 from pathlib import Path
+from signal import SIGINT
 from signal import SIGKILL
 from signal import SIGTERM
 from socket import AF_INET
@@ -65,6 +68,9 @@
 HEARTBEAT_S = 1.2
 START_TIMEOUT_S = 30.0
 
+# Longest time of a script, in seconds; what it started is ended after it.
+SCRIPT_TIMEOUT_S = 110.0
+
 CLOSED = (ConnectionError, IncompleteReadError, OSError)
 
 # Whether the disruption is played.
@@ -898,11 +904,17 @@
     record = Record(folder)
 
     async def run_site() -> int:
+        task = current_task()
+        assert task is not None
+        for number in (SIGINT, SIGTERM):
+            get_running_loop().add_signal_handler(number, task.cancel)
         with TemporaryDirectory() as temporary:
             site = Site(record, Path(temporary))
             try:
                 await site.begin()
-                return await play(site)
+                return await wait_for(play(site), SCRIPT_TIMEOUT_S)
+            except CancelledError:
+                return NOT_RUN
             except Exception:
                 print_exc()
                 return NOT_RUN
