--- a/review/stand_ins/harness.py
+++ b/review/stand_ins/harness.py
@@ -32,6 +32,7 @@
 import json
 from os import environ
 from pathlib import Path
+from random import randrange
 from signal import SIGINT
 from signal import SIGKILL
 from signal import SIGTERM
@@ -53,6 +54,9 @@
 HOST_NAME = "desk.example"
 ROOT = Path(__file__).resolve().parent.parent.parent
 
+# First ports of nodes, below those that Linux gives to outgoing connections.
+NODE_PORTS = (15_000, 30_000)
+
 # Exit statuses of a script.
 HELD = 0
 BROKEN = 1
@@ -658,18 +662,21 @@
 
 
 def reserve_ports(count: int) -> int:
-    """Returns the first of some adjacent free ports."""
+    """Returns the first of some adjacent free ports.
+
+    Outgoing connections get none of them before the node listens.
+    """
     while True:
+        first = randrange(*NODE_PORTS)
         sockets: list[socket] = []
         try:
             for offset in range(count):
                 reserved = socket(AF_INET, SOCK_STREAM)
                 reserved.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
                 sockets.append(reserved)
-                first = sockets[0].getsockname()[1] if offset else 0
-                reserved.bind((HOST, first + offset if offset else 0))
-            return int(sockets[0].getsockname()[1])
-        except (OSError, OverflowError):
+                reserved.bind((HOST, first + offset))
+            return first
+        except OSError:
             continue
         finally:
             for reserved in sockets:
