Contain errors of foreign bytes in the value that they belong to

Cause: msgspec raises RecursionError for nested content, which none of 28 decoders named. It ended the application of a listing whose revision the cache had noted as known, so that nothing loaded it again, while the watch went on.

All decoders of foreign bytes use one list of errors now; any other error of a value stays with that value and one of a listener with the listener; a listing that was applied in part is read again, at most once a second. A nested message between nodes ended the process; it is dropped. An unusable entry of an unknown server is no change that other nodes need. A problem is logged once for a key.

--- a/tests/network.py
+++ b/tests/network.py
@@ -8,6 +8,7 @@
 from anyio import create_task_group
 from anyio import Event
 from anyio.abc import TaskGroup
+from result import Ok
 
 from wasabiwing.message_router import MessageRouter
 from wasabiwing.messages import decode_envelope
@@ -109,10 +110,13 @@
         self.wake()
 
     async def receive(self) -> Envelope:
-        while not self._inbox or self.paused:
-            self._inbox_changed = Event()
-            await self._inbox_changed.wait()
-        return decode_envelope(self._inbox.pop(0)).unwrap()
+        while True:
+            while not self._inbox or self.paused:
+                self._inbox_changed = Event()
+                await self._inbox_changed.wait()
+            decoded = decode_envelope(self._inbox.pop(0))
+            if isinstance(decoded, Ok):
+                return decoded.ok_value
 
 
 @dataclass(slots=True)
--- a/wasabiwing/answer_log.py
+++ b/wasabiwing/answer_log.py
@@ -8,7 +8,6 @@
 from collections.abc import AsyncIterator
 
 from anyio import Event
-from msgspec import DecodeError
 from msgspec.json import decode
 from msgspec.json import encode
 from result import Err
@@ -18,6 +17,7 @@
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
+from wasabiwing.decoding import UNDECODABLE
 from wasabiwing.event_splitter import EventSplitter
 
 TERMINAL_PAYLOAD = b"[DONE]"
@@ -176,7 +176,7 @@
         )
     try:
         last = decode(log.payloads[-1], type=dict[str, object])
-    except DecodeError as error:
+    except UNDECODABLE as error:
         return Err(Failure(ResultCode.SERVER_ERROR, str(error), RunState.RAN))
     text = generated_text(log.payloads)
     choice: dict[str, object] = {"index": 0, "finish_reason": "stop"}
@@ -203,7 +203,7 @@
 def _event_text(payload: bytes) -> str:
     try:
         event = decode(payload)
-    except DecodeError:
+    except UNDECODABLE:
         return ""
     for choice in event.get("choices", ()):
         if "delta" in choice:
--- a/wasabiwing/claim_journal.py
+++ b/wasabiwing/claim_journal.py
@@ -13,7 +13,6 @@
 from dataclasses import dataclass
 
 from anyio import Lock
-from msgspec import DecodeError
 from msgspec.msgpack import encode
 from msgspec.structs import replace
 from result import Err
@@ -30,6 +29,7 @@
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
+from wasabiwing.decoding import UNDECODABLE
 from wasabiwing.events import Event
 from wasabiwing.events import log_event
 from wasabiwing.messages import ClaimState
@@ -434,7 +434,7 @@
             return listed
         try:
             segments = [read_segment(value) for value in listed.ok_value]
-        except (DecodeError, ValueError) as error:
+        except UNDECODABLE as error:
             return Err(Failure(ResultCode.STORE_UNAVAILABLE, str(error)))
         for key in list(self._claim_by_key):
             self._uncache_key(key)
--- a/wasabiwing/cluster_status.py
+++ b/wasabiwing/cluster_status.py
@@ -12,14 +12,13 @@
 
 from anyio import CapacityLimiter
 from anyio import create_task_group
-from msgspec import DecodeError
-from msgspec import ValidationError
 from msgspec.json import decode
 from result import Err
 from result import Ok
 from result import Result
 
 from wasabiwing.configuration import Configuration
+from wasabiwing.decoding import UNDECODABLE
 from wasabiwing.http_client import HttpClient
 from wasabiwing.status import RolloutState
 from wasabiwing.status import RolloutStatus
@@ -243,5 +242,5 @@
         return Err(str(reply.err_value))
     try:
         return Ok(decode(reply.ok_value.body, type=StatusDocument))
-    except (DecodeError, ValidationError) as error:
+    except UNDECODABLE as error:
         return Err(str(error))
--- a/wasabiwing/configuration_store.py
+++ b/wasabiwing/configuration_store.py
@@ -15,8 +15,6 @@
 from zlib import decompress
 from zlib import error as ZlibError
 
-from msgspec import DecodeError
-from msgspec import ValidationError
 from msgspec.json import decode
 from msgspec.json import encode
 from result import Err
@@ -30,6 +28,7 @@
 from wasabiwing.configuration import BackendServer
 from wasabiwing.configuration import Configuration
 from wasabiwing.configuration import encode_configuration
+from wasabiwing.decoding import UNDECODABLE
 from wasabiwing.ports import ConfigStore
 from wasabiwing.ports import SwapResult
 
@@ -172,7 +171,7 @@
     """Parses the root record."""
     try:
         return Ok(decode(value, type=Root))
-    except (DecodeError, ValidationError) as error:
+    except UNDECODABLE as error:
         return Err(Failure(ResultCode.CONFIGURATION_UNREADABLE, str(error)))
 
 
@@ -329,7 +328,7 @@
         return Err(f"chunk {digest}: the content does not match the digest")
     try:
         return Ok(decode(document, type=kind))
-    except (DecodeError, ValidationError) as error:
+    except UNDECODABLE as error:
         return Err(f"chunk {digest}: {error}")
 
 
--- a/wasabiwing/error_containment.py
+++ b/wasabiwing/error_containment.py
@@ -22,13 +22,30 @@
     try:
         await action()
     except Exception as error:
-        trace = "".join(format_exception(error)).splitlines()
-        log_event(
-            Event.TASK_FAILED,
-            node_id,
-            part=part,
-            error=repr(error),
-            trace=trace[-TRACE_LINES:],
-        )
+        log_error(node_id, part, error)
         return False
     return True
+
+
+def call_logging_errors(
+    node_id: str, part: str, action: Callable[[], None]
+) -> bool:
+    """Does the same as ``run_logging_errors`` for a plain function."""
+    try:
+        action()
+    except Exception as error:
+        log_error(node_id, part, error)
+        return False
+    return True
+
+
+def log_error(node_id: str, part: str, error: Exception) -> None:
+    """Logs an unexpected error of a part of the program."""
+    trace = "".join(format_exception(error)).splitlines()
+    log_event(
+        Event.TASK_FAILED,
+        node_id,
+        part=part,
+        error=repr(error),
+        trace=trace[-TRACE_LINES:],
+    )
--- a/wasabiwing/etcd_store.py
+++ b/wasabiwing/etcd_store.py
@@ -11,7 +11,6 @@
 from contextlib import asynccontextmanager
 from typing import Any
 
-from msgspec import DecodeError
 from msgspec.json import decode
 from msgspec.json import encode
 from result import Err
@@ -21,6 +20,7 @@
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
+from wasabiwing.decoding import UNDECODABLE
 from wasabiwing.http_client import HttpClient
 from wasabiwing.http_client import HttpStream
 from wasabiwing.ports import Lease
@@ -200,7 +200,7 @@
             )
         try:
             return Ok(decode(answer.body, type=dict[str, Any]))
-        except DecodeError as error:
+        except UNDECODABLE as error:
             return Err(Failure(ResultCode.STORE_REPLY_LOST, str(error)))
 
     async def _transact(
@@ -252,7 +252,13 @@
             return
         *lines, pending = (pending + chunk.ok_value).split(b"\n")
         for line in lines:
-            for event in _parse_watch_line(line):
+            try:
+                events = _parse_watch_line(line)
+            except (*UNDECODABLE, KeyError) as error:
+                detail = f"unreadable change: {error!r}"
+                yield Err(Failure(ResultCode.STORE_UNAVAILABLE, detail))
+                return
+            for event in events:
                 yield Ok(event)
     yield Err(Failure(ResultCode.STORE_UNAVAILABLE, "the watch ended"))
 
--- a/wasabiwing/explain.py
+++ b/wasabiwing/explain.py
@@ -5,16 +5,15 @@
 from datetime import UTC
 
 from anyio import create_task_group
-from msgspec import DecodeError
 from msgspec import field
 from msgspec import Struct
-from msgspec import ValidationError
 from msgspec.json import decode
 from msgspec.json import encode
 from result import Err
 from result import Ok
 from result import Result
 
+from wasabiwing.decoding import UNDECODABLE
 from wasabiwing.http_client import HttpClient
 
 # Time in which a gateway has to answer, in seconds.
@@ -85,7 +84,7 @@
     try:
         answer = decode(reply.ok_value.body, type=_ExplainReply)
         return Ok([_timed_line(record) for record in answer.records])
-    except (DecodeError, ValidationError) as error:
+    except UNDECODABLE as error:
         return Err(str(error))
 
 
--- a/wasabiwing/explain_log.py
+++ b/wasabiwing/explain_log.py
@@ -9,10 +9,10 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from msgspec import DecodeError
 from msgspec.json import decode
 from msgspec.json import encode
 
+from wasabiwing.decoding import UNDECODABLE
 from wasabiwing.events import Event
 
 # Time before the request's first line from which context lines are shown, in
@@ -83,7 +83,7 @@
             continue
         try:
             found = decode(text[start:])
-        except DecodeError:
+        except UNDECODABLE:
             unreadable_count += 1
             continue
         if isinstance(found, dict) and "event" in found:
--- a/wasabiwing/fleet_follower.py
+++ b/wasabiwing/fleet_follower.py
@@ -10,7 +10,10 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from dataclasses import dataclass
+from dataclasses import field
 from dataclasses import replace
+from functools import partial
 from math import inf
 from random import Random
 
@@ -20,6 +23,8 @@
 
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
+from wasabiwing.error_containment import call_logging_errors
+from wasabiwing.error_containment import log_error
 from wasabiwing.error_containment import run_logging_errors
 from wasabiwing.events import Event
 from wasabiwing.events import log_event
@@ -27,6 +32,7 @@
 from wasabiwing.fleet_changes import EvacuationChange
 from wasabiwing.fleet_changes import FleetChange
 from wasabiwing.fleet_changes import ServerChange
+from wasabiwing.known_problems import KnownProblems
 from wasabiwing.leases import LEASE_PREFIX
 from wasabiwing.node_registry import NodeRegistry
 from wasabiwing.ports import LongPollStore
@@ -77,6 +83,10 @@
 # does not hold.
 RESTORE_HOLD_S = 10.0
 
+# Longest description of a problem that is logged, in characters. It may quote
+# the value, which has up to a megabyte.
+MAX_PROBLEM_LENGTH = 200
+
 # Called with a key and its value; the value of a removed key is ``None``.
 KeyListener = Callable[[str, bytes | None], None]
 
@@ -95,6 +105,7 @@
             Callable[[ServiceConfiguration], None]
         ] = []
         self._server_listeners: list[Callable[[str], None]] = []
+        self._problem_by_server = KnownProblems()
 
     @property
     def loaded(self) -> bool:
@@ -143,7 +154,11 @@
             routes=len(configuration.routes),
         )
         for listener in self._configuration_listeners:
-            listener(configuration)
+            call_logging_errors(
+                self._node_id,
+                "configuration listener",
+                partial(listener, configuration),
+            )
 
     def _apply_evacuation(self, change: EvacuationChange) -> None:
         zones = set(self.evacuated_zones)
@@ -161,18 +176,26 @@
             )
 
     def is_more_than_heartbeat(self, change: FleetChange) -> bool:
-        """Returns whether a change is more than a server's heartbeat."""
-        if not isinstance(change, ServerChange) or change.entry is None:
+        """Returns whether a change is more than a server's heartbeat.
+
+        An unusable entry is none if its server is unknown anyway.
+        """
+        if not isinstance(change, ServerChange):
             return True
+        if change.entry is None:
+            is_known = self.directory.get(change.server_id) is not None
+            return is_known or not change.problem
         return self.directory.is_more_than_heartbeat(change.entry)
 
     def _apply_server_change(self, change: ServerChange) -> None:
-        if change.problem:
+        if not change.problem:
+            self._problem_by_server.forget(change.server_id)
+        elif self._problem_by_server.is_new(change.server_id, change.problem):
             log_event(
                 Event.SERVER_ENTRY_UNUSABLE,
                 self._node_id,
                 server=change.server_id,
-                problem=change.problem,
+                problem=change.problem[:MAX_PROBLEM_LENGTH],
             )
         before = self.directory.get(change.server_id)
         if change.entry is None:
@@ -197,7 +220,19 @@
 
     def _notify_server_listeners(self, server_id: str) -> None:
         for listener in self._server_listeners:
-            listener(server_id)
+            call_logging_errors(
+                self._node_id, "server listener", partial(listener, server_id)
+            )
+
+
+@dataclass(eq=False, slots=True)
+class _Listing:
+    """What was found so far in a complete listing of the store."""
+
+    evacuated_zones: set[str] = field(default_factory=set)
+    entry_by_id: dict[str, RegisteredServer] = field(default_factory=dict)
+    # Servers that have left after the copy that the store was restored from.
+    left_ids: list[str] = field(default_factory=list)
 
 
 class FleetFollower:
@@ -224,6 +259,10 @@
         self._random = random
         self._connected = True
         self._failure_count = 0
+        self._failed_step_count = 0
+        self._problem_by_key = KnownProblems()
+        # Called for each stored value that cannot be used, with its kind.
+        self.count_unusable: Callable[[str], None] = lambda kind: None
         self._listener_by_prefix: dict[str, KeyListener] = {}
         self.store_cache = StoreCache()
         # Zones whose evacuation the store holds, and the monotonic time at
@@ -245,10 +284,14 @@
     async def run(self) -> None:
         """Follows the store until cancelled."""
         while True:
-            if not await run_logging_errors(
-                self._node_id, "follower", self._step
-            ):
-                await self._timer.sleep(RETRY_PAUSE_S)
+            if await run_logging_errors(self._node_id, "follower", self._step):
+                self._failed_step_count = 0
+                continue
+            self._failed_step_count += 1
+            pause_s = min(
+                RETRY_PAUSE_S * self._failed_step_count, MAX_RETRY_PAUSE_S
+            )
+            await self._timer.sleep(pause_s * (1.0 + self._random.random()))
 
     async def _step(self) -> None:
         """Makes one call to the store, or sleeps while none is needed."""
@@ -283,7 +326,7 @@
             return
         for event in self.store_cache.note_changes(events, revision):
             self._progress.note_own_revision(event.revision)
-            if self._apply(event.key, event.value):
+            if self._apply_or_log(event.key, event.value):
                 self.store_cache.retain_change(event)
         self.synced_at = max(self.synced_at, synced_at)
 
@@ -293,7 +336,10 @@
         revision: int,
         synced_at: float,
     ) -> None:
-        """Applies a complete listing unless the cache is newer."""
+        """Applies a complete listing unless the cache is newer.
+
+        The listing is read again if it was applied in part only.
+        """
         known = self.store_cache.revision
         if not self.store_cache.replace_all(values, revision):
             log_event(
@@ -309,7 +355,11 @@
         if is_restored:
             # Servers that registered after the copy write again soon.
             self._view.directory.note_store_recovery(self._timer.now())
-        self._apply_listing(values, is_restored)
+        try:
+            self._apply_listing(values, is_restored)
+        except Exception:
+            self.store_cache.forget()
+            raise
         self.synced_at = max(self.synced_at, synced_at)
 
     async def _follow(self, revision: int) -> None:
@@ -383,37 +433,53 @@
             for stored in values
             if stored.key.startswith(LEASE_PREFIX)
         )
-        evacuated = set()
-        left_ids: list[str] = []
-        entry_by_id: dict[str, RegisteredServer] = {}
+        listing = _Listing()
         for stored in values:
-            self._notify_listeners(stored.key, stored.value)
-            change = self._decode_change(stored.key, stored.value)
-            if isinstance(change, EvacuationChange):
-                evacuated.add(change.availability_zone)
-            elif isinstance(change, ServerChange) and change.entry is not None:
-                entry: RegisteredServer | None = change.entry
-                copied = self._copied_position_by_key.get(stored.key)
-                if copied == stored.revision:
-                    entry = self._view.directory.entry_after_restore(
-                        change.entry
-                    )
-                if entry is None:
-                    left_ids.append(change.server_id)
-                    continue
-                change = replace(change, entry=entry)
-                entry_by_id[change.server_id] = entry
-            if change is not None:
-                self._view.apply(change)
-        self._zones_in_store = evacuated
-        held_zones = self._view.evacuated_zones - evacuated
+            self._contain(
+                stored.key, partial(self._apply_listed, stored, listing)
+            )
+        self._zones_in_store = listing.evacuated_zones
+        held_zones = self._view.evacuated_zones - listing.evacuated_zones
         if is_restored and held_zones:
             self._hold_until = self._timer.now() + RESTORE_HOLD_S
         elif self._hold_until == inf:
             self._end_evacuations()
-        self._view.directory.replace_all(entry_by_id)
+        self._view.directory.replace_all(listing.entry_by_id)
         if is_restored:
-            self._log_kept(held_zones, left_ids)
+            self._log_kept(held_zones, listing.left_ids)
+
+    def _apply_listed(self, stored: StoredValue, listing: _Listing) -> None:
+        """Applies a value of a complete listing and notes it there."""
+        self._notify_listeners(stored.key, stored.value)
+        change = self._decode_change(stored.key, stored.value)
+        if isinstance(change, EvacuationChange):
+            listing.evacuated_zones.add(change.availability_zone)
+        elif isinstance(change, ServerChange) and change.entry is not None:
+            entry: RegisteredServer | None = change.entry
+            copied = self._copied_position_by_key.get(stored.key)
+            if copied == stored.revision:
+                entry = self._view.directory.entry_after_restore(change.entry)
+            if entry is None:
+                listing.left_ids.append(change.server_id)
+                return
+            change = replace(change, entry=entry)
+            listing.entry_by_id[change.server_id] = entry
+        if change is not None:
+            self._view.apply(change)
+
+    def _contain(self, key: str, action: Callable[[], None]) -> bool:
+        """Applies a stored value; logs an error and returns false for one.
+
+        The error of one value ends neither the task nor hides the others.
+        """
+        try:
+            action()
+        except Exception as error:
+            self.count_unusable("failed")
+            if self._problem_by_key.is_new(key, repr(error)):
+                log_error(self._node_id, f"follower, {key}", error)
+            return False
+        return True
 
     def _end_evacuations(self) -> None:
         """Ends the evacuations that the store does not hold."""
@@ -434,6 +500,17 @@
             servers_left=sorted(left_ids),
         )
 
+    def _apply_or_log(self, key: str, value: bytes | None) -> bool:
+        """Applies a change; returns whether other nodes need to get it."""
+        is_relayed = False
+
+        def apply() -> None:
+            nonlocal is_relayed
+            is_relayed = self._apply(key, value)
+
+        # What this node could not apply, another may.
+        return not self._contain(key, apply) or is_relayed
+
     def _apply(self, key: str, value: bytes | None) -> bool:
         """Applies a change; returns whether other nodes need to get it."""
         if key.startswith(LEASE_PREFIX):
@@ -470,13 +547,20 @@
     ) -> FleetChange | None:
         decoded = self._decode(key, value)
         if isinstance(decoded, Ok):
-            return decoded.ok_value
-        log_event(
-            Event.CONFIGURATION_REJECTED,
-            self._node_id,
-            key=key,
-            problem=decoded.err_value,
-        )
+            change = decoded.ok_value
+            if isinstance(change, ServerChange) and change.problem:
+                self.count_unusable("server")
+            else:
+                self._problem_by_key.forget(key)
+            return change
+        self.count_unusable("configuration")
+        if self._problem_by_key.is_new(key, decoded.err_value):
+            log_event(
+                Event.CONFIGURATION_REJECTED,
+                self._node_id,
+                key=key,
+                problem=decoded.err_value[:MAX_PROBLEM_LENGTH],
+            )
         return None
 
     async def _pause_after(self, failure: Failure) -> None:
--- a/wasabiwing/gateway_relay.py
+++ b/wasabiwing/gateway_relay.py
@@ -10,8 +10,6 @@
 from dataclasses import dataclass
 
 from anyio import move_on_after
-from msgspec import DecodeError
-from msgspec import ValidationError
 from msgspec.json import decode
 from result import Err
 
@@ -26,6 +24,7 @@
 from wasabiwing.codes import RunState
 from wasabiwing.configuration import Pool
 from wasabiwing.configuration import PoolKind
+from wasabiwing.decoding import UNDECODABLE
 from wasabiwing.events import Event
 from wasabiwing.events import log_event
 from wasabiwing.gateway_directory import GatewayDirectory
@@ -369,7 +368,7 @@
             RunState(_header_text(stream, b"x-run-state")),
             1.0 if stream.header(b"retry-after") is not None else None,
         )
-    except (DecodeError, ValidationError, KeyError, ValueError):
+    except (*UNDECODABLE, KeyError):
         return None
 
 
--- a/wasabiwing/job_partition.py
+++ b/wasabiwing/job_partition.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 
 from anyio import Lock
-from msgspec import DecodeError
 from msgspec.msgpack import decode
 from msgspec.msgpack import encode
 from msgspec.structs import replace
@@ -19,6 +18,7 @@
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
+from wasabiwing.decoding import UNDECODABLE
 from wasabiwing.job_records import Job
 from wasabiwing.job_records import JOB_STORE_PREFIX
 from wasabiwing.job_records import JobGroup
@@ -315,7 +315,7 @@
 def _decode_group(value: StoredValue) -> Result[JobGroup, Failure]:
     try:
         return Ok(decode(value.value, type=JobGroup))
-    except DecodeError as error:
+    except UNDECODABLE as error:
         return Err(
             Failure(ResultCode.STORE_UNAVAILABLE, f"{value.key}: {error}")
         )
--- a/wasabiwing/json_call.py
+++ b/wasabiwing/json_call.py
@@ -3,8 +3,6 @@
 from typing import Any
 from typing import TypeVar
 
-from msgspec import DecodeError
-from msgspec import ValidationError
 from msgspec.json import decode
 from msgspec.json import encode
 from result import Err
@@ -13,6 +11,7 @@
 
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
+from wasabiwing.decoding import UNDECODABLE
 from wasabiwing.http_client import HttpClient
 
 T = TypeVar("T")
@@ -50,5 +49,5 @@
         return Err(Failure(code, f"status {answer.status} {detail}"))
     try:
         return Ok(decode(answer.body, type=kind))
-    except (DecodeError, ValidationError) as error:
+    except UNDECODABLE as error:
         return Err(Failure(unavailable, str(error)))
--- a/wasabiwing/load_poller.py
+++ b/wasabiwing/load_poller.py
@@ -1,14 +1,13 @@
 """Polls the load of backend servers for their home controller."""
 
 from anyio import create_task_group
-from msgspec import DecodeError
 from msgspec import Struct
-from msgspec import ValidationError
 from msgspec.json import decode
 from result import Err
 
 from wasabiwing.codes import ResultCode
 from wasabiwing.concurrency_limit import LoadSample
+from wasabiwing.decoding import UNDECODABLE
 from wasabiwing.home_slots import HomeSlotAllocator
 from wasabiwing.http_client import HttpClient
 from wasabiwing.timers import TimerService
@@ -56,7 +55,7 @@
             return
         try:
             load = decode(reply.ok_value.body, type=_LoadDocument)
-        except (DecodeError, ValidationError):
+        except UNDECODABLE:
             return
         self._slots.note_load(
             server_id,
--- a/wasabiwing/messages.py
+++ b/wasabiwing/messages.py
@@ -11,16 +11,16 @@
 from enum import unique
 from typing import TypeVar
 
-from msgspec import DecodeError
 from msgspec import Raw
 from msgspec import Struct
-from msgspec import ValidationError
 from msgspec.msgpack import Decoder
 from msgspec.msgpack import Encoder
 from result import Err
 from result import Ok
 from result import Result
 
+from wasabiwing.decoding import UNDECODABLE
+
 
 class MemberUpdate(Struct, frozen=True, array_like=True):
     """The state of a member as one node knows it.
@@ -796,12 +796,12 @@
     """Decodes an envelope; the error says why it must be dropped."""
     try:
         return Ok(_DECODER.decode(data))
-    except (DecodeError, ValidationError) as error:
+    except UNDECODABLE as error:
         return Err(f"{_decode_sender(data)}: {error}")
 
 
 def _decode_sender(data: bytes) -> str:
     try:
         return _RAW_DECODER.decode(data).sender
-    except (DecodeError, ValidationError):
+    except UNDECODABLE:
         return "unknown sender"
--- a/wasabiwing/metrics.py
+++ b/wasabiwing/metrics.py
@@ -158,6 +158,17 @@
             registry=self.registry,
         )
 
+        self.unusable_values = Counter(
+            "wasabiwing_unusable_store_values",
+            "Values of the store that could not be used, by kind.",
+            ("kind",),
+            registry=self.registry,
+        )
+
+    def count_unusable_value(self, kind: str) -> None:
+        """Counts a value of the store that could not be used."""
+        self.unusable_values.labels(kind).inc()
+
     def set_store_position(self, position: int) -> None:
         """Shows the newest state of the store that the node knows."""
         self.store_era.set(era_of(position))
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -166,6 +166,7 @@
             progress,
             random,
         )
+        self.follower.count_unusable = metrics.count_unusable_value
         record = NodeRecord(
             node_id,
             str(settings.inbox),
--- a/wasabiwing/openai_engine.py
+++ b/wasabiwing/openai_engine.py
@@ -12,8 +12,6 @@
 from typing import TypeVar
 
 from msgspec import convert
-from msgspec import DecodeError
-from msgspec import ValidationError
 from msgspec.json import decode
 from msgspec.json import encode
 from result import Err
@@ -23,6 +21,7 @@
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
+from wasabiwing.decoding import UNDECODABLE
 from wasabiwing.http_client import AnswerObserver
 from wasabiwing.http_client import HttpClient
 from wasabiwing.http_client import HttpStream
@@ -192,7 +191,7 @@
 ) -> Result[tuple[CacheEvent, ...], Failure]:
     try:
         return Ok(decode(reply.body, type=tuple[CacheEvent, ...]))
-    except (DecodeError, ValidationError) as error:
+    except UNDECODABLE as error:
         return Err(Failure(ResultCode.SERVER_ERROR, str(error)))
 
 
@@ -213,7 +212,7 @@
 def _decode_field(body: bytes, name: str, kind: type[T]) -> Result[T, Failure]:
     try:
         return Ok(convert(decode(body, type=dict[str, Any])[name], kind))
-    except (DecodeError, ValidationError, KeyError) as error:
+    except (*UNDECODABLE, KeyError) as error:
         return Err(
             Failure(
                 ResultCode.SERVER_ERROR,
--- a/wasabiwing/pool_servers.py
+++ b/wasabiwing/pool_servers.py
@@ -8,13 +8,12 @@
 from dataclasses import dataclass
 from dataclasses import replace
 
-from msgspec import DecodeError
-from msgspec import ValidationError
 from msgspec.json import decode
 from msgspec.json import encode
 
 from wasabiwing.configuration import BackendServer
 from wasabiwing.configuration import Configuration
+from wasabiwing.decoding import UNDECODABLE
 from wasabiwing.facts import Facts
 from wasabiwing.messages import Fact
 from wasabiwing.timers import TimerService
@@ -54,7 +53,7 @@
         return None
     try:
         return decode(fact.value, type=VmServer)
-    except (DecodeError, ValidationError):
+    except UNDECODABLE:
         return None
 
 
--- a/wasabiwing/quarantine_records.py
+++ b/wasabiwing/quarantine_records.py
@@ -8,7 +8,6 @@
 
 from collections import deque
 
-from msgspec import DecodeError
 from msgspec import Struct
 from msgspec.json import decode
 from msgspec.json import encode
@@ -17,6 +16,7 @@
 from result import Result
 
 from wasabiwing.codes import Failure
+from wasabiwing.decoding import UNDECODABLE
 from wasabiwing.events import Event
 from wasabiwing.events import log_event
 from wasabiwing.facts import Facts
@@ -147,5 +147,5 @@
         return None
     try:
         return decode(value, type=_Record)
-    except DecodeError:
+    except UNDECODABLE:
         return None
--- a/wasabiwing/replay_caller.py
+++ b/wasabiwing/replay_caller.py
@@ -9,7 +9,6 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-from msgspec import DecodeError
 from msgspec.json import decode
 from result import Err
 from result import Ok
@@ -19,6 +18,7 @@
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
+from wasabiwing.decoding import UNDECODABLE
 from wasabiwing.http_client import HttpClient
 from wasabiwing.http_client import HttpStream
 from wasabiwing.replay_balancer import LoadBalancer
@@ -339,7 +339,7 @@
     progress.ending = Ending.FAILED
     try:
         document = decode(body)
-    except DecodeError:
+    except UNDECODABLE:
         progress.detail = body[:200].decode("latin-1")
         return
     error = document.get("error") if isinstance(document, dict) else None
@@ -359,7 +359,7 @@
     """
     try:
         document = decode(body)
-    except DecodeError:
+    except UNDECODABLE:
         return ""
     choices = document.get("choices") if isinstance(document, dict) else None
     if not choices:
--- a/wasabiwing/request_parsing.py
+++ b/wasabiwing/request_parsing.py
@@ -7,7 +7,6 @@
 from dataclasses import replace
 from random import Random
 
-from msgspec import DecodeError
 from msgspec.json import decode
 from result import Err
 from result import Ok
@@ -24,6 +23,7 @@
 from wasabiwing.codes import ResultCode
 from wasabiwing.configuration import Organisation
 from wasabiwing.configuration import Route
+from wasabiwing.decoding import UNDECODABLE
 from wasabiwing.prefix_index import block_digests
 
 CHAT_PATH = "/v1/chat/completions"
@@ -172,7 +172,7 @@
 def _parse_model_body(body: bytes) -> Result[dict[str, object], Failure]:
     try:
         document = decode(body)
-    except (DecodeError, UnicodeDecodeError) as error:
+    except UNDECODABLE as error:
         return Err(Failure(ResultCode.MALFORMED_REQUEST, str(error)))
     if not isinstance(document, dict):
         return Err(
--- a/wasabiwing/rollout_facts.py
+++ b/wasabiwing/rollout_facts.py
@@ -6,8 +6,6 @@
 phase, which only ever grows.
 """
 
-from msgspec import DecodeError
-from msgspec import ValidationError
 from msgspec.json import decode
 from msgspec.json import encode
 from result import Err
@@ -16,6 +14,7 @@
 
 from wasabiwing.configuration import Pool
 from wasabiwing.configuration import Rollout
+from wasabiwing.decoding import UNDECODABLE
 from wasabiwing.facts import Facts
 from wasabiwing.rollout_schedule import Phase
 
@@ -55,5 +54,5 @@
                 str(document["reason"]),
             )
         )
-    except (DecodeError, ValidationError, KeyError, ValueError) as error:
+    except (*UNDECODABLE, KeyError) as error:
         return Err(str(error))
--- a/wasabiwing/store_cache.py
+++ b/wasabiwing/store_cache.py
@@ -86,6 +86,11 @@
         self.revision = revision
         return True
 
+    def forget(self) -> None:
+        """Drops the contents, so that a complete listing is read."""
+        self.replace_all((), self.revision or 0)
+        self.revision = None
+
     def values(self) -> tuple[StoredValue, ...]:
         """Returns all keys with their values and revisions."""
         return tuple(self._value_by_key.values())
--- a/wasabiwing/trace_format.py
+++ b/wasabiwing/trace_format.py
@@ -10,13 +10,13 @@
 from typing import Any
 from typing import Literal
 
-from msgspec import DecodeError
 from msgspec import Meta
 from msgspec.json import decode
 from result import Err
 from result import Ok
 from result import Result
 
+from wasabiwing.decoding import UNDECODABLE
 from wasabiwing.validation import validate_value
 
 FORMAT_VERSION = 1
@@ -195,7 +195,7 @@
 def _parse_line(text: bytes) -> Result[TraceLine, list[str]]:
     try:
         value = decode(text)
-    except (DecodeError, UnicodeDecodeError) as error:
+    except UNDECODABLE as error:
         return Err([f"$: not valid JSON: {error}"])
     kind = value.get("kind") if isinstance(value, dict) else None
     line_type = TYPE_BY_KIND.get(kind) if isinstance(kind, str) else None
--- a/wasabiwing/usage_reporter.py
+++ b/wasabiwing/usage_reporter.py
@@ -13,8 +13,6 @@
 from collections.abc import Mapping
 from math import inf
 
-from msgspec import DecodeError
-from msgspec import ValidationError
 from msgspec.json import decode
 from msgspec.json import encode
 from result import Err
@@ -23,6 +21,7 @@
 
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
+from wasabiwing.decoding import UNDECODABLE
 from wasabiwing.duty_port import DutyCalls
 from wasabiwing.duty_port import DutyStamp
 from wasabiwing.events import Event
@@ -239,7 +238,7 @@
 def _decode_counts(stored: StoredValue) -> Result[dict[str, int], Failure]:
     try:
         return Ok(decode(stored.value, type=dict[str, int]))
-    except (DecodeError, ValidationError) as error:
+    except UNDECODABLE as error:
         return Err(
             Failure(ResultCode.STORE_CONFLICT, f"{stored.key}: {error}")
         )
--- a/wasabiwing/validation.py
+++ b/wasabiwing/validation.py
@@ -11,7 +11,6 @@
 from jsonschema import Draft202012Validator
 from jsonschema.exceptions import ValidationError
 from msgspec import convert
-from msgspec import DecodeError
 from msgspec import ValidationError as ConvertError
 from msgspec.json import decode
 from msgspec.json import schema
@@ -19,6 +18,8 @@
 from result import Ok
 from result import Result
 
+from wasabiwing.decoding import UNDECODABLE
+
 T = TypeVar("T")
 
 
@@ -29,7 +30,7 @@
     """
     try:
         value = decode(document)
-    except (DecodeError, UnicodeDecodeError) as error:
+    except UNDECODABLE as error:
         return Err([f"$: not valid JSON: {error}"])
     return validate_value(value, kind)
 
--- a/wasabiwing/vm_manager.py
+++ b/wasabiwing/vm_manager.py
@@ -8,15 +8,14 @@
 from functools import partial
 from random import Random
 
-from msgspec import DecodeError
 from msgspec import Struct
-from msgspec import ValidationError
 from msgspec.json import decode
 from result import Err
 
 from wasabiwing.codes import ResultCode
 from wasabiwing.configuration import Configuration
 from wasabiwing.configuration import Pool
+from wasabiwing.decoding import UNDECODABLE
 from wasabiwing.engine_control import HttpEngineControl
 from wasabiwing.engine_orders import EngineOrderSender
 from wasabiwing.facts import Facts
@@ -221,7 +220,7 @@
             return False
         try:
             load = decode(reply.ok_value.body, type=_Load)
-        except (DecodeError, ValidationError):
+        except UNDECODABLE:
             return False
         return load.running + load.waiting == 0
 
--- a/wasabiwing_soak/callers.py
+++ b/wasabiwing_soak/callers.py
@@ -8,12 +8,12 @@
 from anyio import create_task_group
 from anyio import Event
 from anyio import sleep
-from msgspec import DecodeError
 from msgspec import Struct
 from msgspec.json import decode
 from result import Err
 
 from wasabiwing.codes import RunState
+from wasabiwing.decoding import UNDECODABLE
 from wasabiwing.http_client import find_header
 from wasabiwing.http_client import HttpClient
 from wasabiwing_platform_standins.balancer import BalancerStandIn
@@ -292,5 +292,5 @@
     """
     try:
         return decode(body, type=_Refusal).error.run
-    except DecodeError:
+    except UNDECODABLE:
         return None
