--- a/tests/test_stop_admission.py
+++ b/tests/test_stop_admission.py
@@ -64,6 +64,9 @@
             (7.016, 1.2, 1.9, False),
             # That of the silent server: 3.18 s before the kill.
             (4.824, 1.4, 1.78, False),
+            # A request taken long after SIGTERM and given up, with runs so
+            # short before that one of 3.1 s was taken for impossible.
+            (4.824, 0.3, 0.6, False),
         ],
     )
     def test_runs_that_cannot_end_are_refused(
