Serve requests that offer an upgrade as plain HTTP/1.1 with their body

Cause: the HTTP parser ends such a message at its head. uvicorn starts the request then and takes what follows for a new message.

PipelineProtocol, which node and gateway share, starts nothing for such a head and parses the message again without the offer, which a server may ignore (RFC 9110, 7.8). CONNECT is refused with 400 and its connection closed; before it was refused for its target.

No request that was served before is refused.

--- a/wasabiwing/header_timeout.py
+++ b/wasabiwing/header_timeout.py
@@ -1,7 +1,8 @@
 """A uvicorn protocol that limits the time for request headers.
 
 It also tells the application whether a connection holds a further request, and
-gives it uvicorn's state of the request (see ``asgi_answer``).
+gives it uvicorn's state of the request (see ``asgi_answer``). A request that
+offers an upgrade is served as plain HTTP/1.1, with its whole body.
 ``asgi.serve_http`` takes it as ``protocol``. uvicorn has no such limit: a
 caller that sends its headers byte by byte would hold its connection for ever.
 """
@@ -11,9 +12,13 @@
 from collections.abc import Mapping
 from typing import Any
 
+from httptools import HttpParserError
+from httptools import HttpParserUpgrade
+from httptools import HttpRequestParser
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from wasabiwing.asgi_answer import CYCLE_EXTENSION
+from wasabiwing.offered_upgrade import head_without_upgrade
 
 # ASGI extension with a function ``has_next``, which tells whether a request
 # that was read on the same connection waits for its turn.
@@ -26,9 +31,58 @@
 )
 
 
+# Answer of uvicorn to bytes that are no request.
+INVALID_REQUEST = "Invalid HTTP request received."
+
+
 class PipelineProtocol(HttpToolsProtocol):
     """Tells the application whether further requests were read."""
 
+    # Whether the parser has ended a message at its head, because it offers an
+    # upgrade.
+    _is_upgrade_offered = False
+
+    def data_received(self, data: bytes) -> None:
+        """Parses received bytes.
+
+        The parser takes what follows an offered upgrade for another protocol.
+        The message is parsed again without the offer, which a server may
+        ignore (RFC 9110, section 7.8).
+        """
+        self._unset_keepalive_if_required()
+        while True:
+            try:
+                self.parser.feed_data(data)
+            except HttpParserError:
+                self.send_400_response(INVALID_REQUEST)
+                return
+            except HttpParserUpgrade as offer:
+                head = head_without_upgrade(
+                    self.parser.get_method(),
+                    self.url,
+                    self.parser.get_http_version(),
+                    self.headers,
+                )
+                if head is None:
+                    self.send_400_response(INVALID_REQUEST)
+                    return
+                data = head + data[offer.args[0] :]
+                self.parser = HttpRequestParser(self)
+                self.parser.set_dangerous_leniencies(
+                    lenient_data_after_close=True
+                )
+                self._is_upgrade_offered = False
+            else:
+                return
+
+    def on_body(self, body: bytes) -> None:
+        if not self._is_upgrade_offered:
+            super().on_body(body)
+
+    def on_message_complete(self) -> None:
+        if not self._is_upgrade_offered:
+            super().on_message_complete()
+
     def on_message_begin(self) -> None:
         super().on_message_begin()
         self.scope["extensions"] = {
@@ -36,6 +90,9 @@
         }
 
     def on_headers_complete(self) -> None:
+        self._is_upgrade_offered = self.parser.should_upgrade()
+        if self._is_upgrade_offered:
+            return
         super().on_headers_complete()
         # A later request on the connection replaces ``self.cycle``.
         self.scope["extensions"][CYCLE_EXTENSION] = {"cycle": self.cycle}
