Believe an answer without the request's id in nothing

Cause: a server's additional bytes that name no request, where the answer to the next one is expected, were taken for its answer. Only a foreign id was compared, and only a success needed an id.

All else is unknown: the connection is closed, a repeatable request is repeated, another gets 502, and no statement about the server counts. 421 alone is no refusal without the id; the row of test_only_these_answers_say_not_run that said so has the id or the header now, and the bare status is checked to state nothing.

--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -303,12 +303,18 @@
 
     @pytest.mark.parametrize(
         ("status", "headers"),
-        [(421, ()), (503, ((b"wasabiwing-not-executed", b"1"),))],
+        [
+            (421, ((b"wasabiwing-attempt-id", b"a1"),)),
+            (421, ((b"wasabiwing-not-executed", b"1"),)),
+            (503, ((b"wasabiwing-not-executed", b"1"),)),
+        ],
     )
     def test_only_these_answers_say_not_run(
         self, status: int, headers: tuple[tuple[bytes, bytes], ...]
     ) -> None:
         codec = PlatformHeaders()
         assert codec.read_answer(status, headers).not_run
+        # Bytes that name no request may be in the place of its answer.
+        assert not codec.read_answer(421, ()).not_run
         assert not codec.read_answer(503, ()).not_run
         assert not codec.read_answer(500, ()).not_run
--- a/wasabiwing/answer_relay.py
+++ b/wasabiwing/answer_relay.py
@@ -163,10 +163,11 @@
         head = self._codec.read_answer(answer.status, answer.headers)
         server_id = placed.server.id
         self._loads.note_heard(server_id)
-        if head.load is not None:
-            self._loads.note_statement(server_id, head.load)
-        if head.cold_s is not None:
-            self._note_cold(server_id, head.cold_s)
+        if head.belongs_to(call):
+            if head.load is not None:
+                self._loads.note_statement(server_id, head.load)
+            if head.cold_s is not None:
+                self._note_cold(server_id, head.cold_s)
         self._listener.note_answer(
             call, placed.server, answer.status, head, watched.sent_at
         )
@@ -415,15 +416,21 @@
     call: RoutedCall, status: int, head: AnswerHead
 ) -> Failure | None:
     """Returns the failure that an answer's status and headers show."""
-    if head.attempt_id and head.attempt_id != call.head.attempt_id:
+    if head.attempt_id and not head.belongs_to(call):
         return Failure(
             ResultCode.SERVER_CUT,
             f"answer of request {head.attempt_id}",
             RunState.MAY_HAVE_RUN,
         )
+    if not head.belongs_to(call):
+        return Failure(
+            ResultCode.SERVER_ERROR,
+            f"status {status} without a request's id",
+            RunState.MAY_HAVE_RUN,
+        )
     if head.not_run:
         return Failure(ResultCode.SERVER_REFUSED, f"status {status}")
-    if status in SUCCESS_STATUSES and not (head.stamped and head.attempt_id):
+    if status in SUCCESS_STATUSES and not head.stamped:
         return Failure(
             ResultCode.SERVER_ERROR,
             "success without proof of origin",
--- a/wasabiwing/routed_calls.py
+++ b/wasabiwing/routed_calls.py
@@ -167,6 +167,15 @@
     # Whether the server said so with a value that cannot be parsed.
     max_refusals_unreadable: bool = False
 
+    def belongs_to(self, call: RoutedCall) -> bool:
+        """Whether the answer is one to a request.
+
+        A server that refuses a request may leave out the request's id.
+        """
+        if not self.attempt_id:
+            return self.not_run
+        return self.attempt_id == call.head.attempt_id
+
 
 class CallCodec(Protocol):
     """Translates between HTTP headers and the records of this module."""
--- a/wasabiwing/statement_listener.py
+++ b/wasabiwing/statement_listener.py
@@ -95,8 +95,8 @@
         """Returns why an answer states nothing about a server, or ``""``."""
         if status == MISDIRECTED:
             return "answer of another server"
-        if head.attempt_id and head.attempt_id != call.head.attempt_id:
-            return "answer to another request"
+        if not head.belongs_to(call):
+            return "answer to another request, or to none"
         entry = self._directory.get(server.id)
         if entry is not None and entry.started_ms > server.started_ms:
             return "answer of an earlier start"
