--- /dev/null
+++ b/tests/test_odd_values.py
@@ -0,0 +1,135 @@
+"""Numbers and names of a size or form that nobody means."""
+
+from msgspec.json import encode
+import pytest
+from result import Err
+from result import Ok
+
+from tests.node_deployment import deployment
+from wasabiwing.fleet_changes import ServerChange
+from wasabiwing_platform.documents import decode_item
+from wasabiwing_platform.headers import PlatformHeaders
+from wasabiwing_platform_standins.examples import configuration_document
+from wasabiwing_platform_standins.examples import server_document
+from wasabiwing_platform_standins.server import ServerStandIn
+
+DIGITS = "9" * 5000
+
+ODD_ADDRESSES = (
+    "127.0.0.1:\u0663\u0664",
+    "127.0.0.1:99999",
+    "127.0.0.1:0",
+    "127.0.0.1:" + DIGITS,
+    "caf\u00e9:80",
+    "a b:80",
+    "a\r\nb:80",
+    "x" * 300 + ":80",
+    ":80",
+    "127.0.0.1",
+)
+
+
+@pytest.mark.anyio
+class TestRequests:
+    """Requests of callers and answers of servers at a whole node."""
+
+    @pytest.mark.parametrize(
+        ("header", "statuses"),
+        [
+            (("Wasabiwing-Token-Counts", f"{DIGITS},{DIGITS}"), {200}),
+            (("Wasabiwing-Prompt-Prefix", f"a:{DIGITS}"), {200}),
+            (("Wasabiwing-Deadline-Ms", DIGITS), {400}),
+            (("Wasabiwing-Deadline-Ms", "1" * 400), {400}),
+        ],
+    )
+    async def test_number_of_5000_digits_ends_in_a_500(
+        self, header: tuple[str, str], statuses: set[int]
+    ) -> None:
+        async with deployment() as system:
+            await system.add_server("models", ServerStandIn("models-0"))
+            await system.wait_ready()
+            reply = await system.call("/chat/1", headers=dict([header]))
+            assert reply.status in statuses
+
+    @pytest.mark.parametrize(
+        ("name", "value"),
+        [
+            ("wasabiwing-worker-load", f"{DIGITS},0,8"),
+            ("wasabiwing-cold-ms", DIGITS),
+            ("keep-alive", f"timeout={DIGITS}"),
+        ],
+    )
+    async def test_statement_of_5000_digits_ends_in_a_500(
+        self, name: str, value: str
+    ) -> None:
+        server = ServerStandIn("desk-0")
+        server.added_headers[name] = value
+        async with deployment() as system:
+            await system.add_server("desk", server)
+            await system.wait_ready()
+            for _ in range(3):
+                assert (await system.call("/read/1")).status == 200
+
+
+class TestDocuments:
+    """Documents in the store."""
+
+    @pytest.mark.parametrize("address", ODD_ADDRESSES)
+    def test_server_with_an_unusable_address_gets_requests(
+        self, address: str
+    ) -> None:
+        document = server_document("desk", address)
+        decoded = decode_item("servers/i-1", encode(document))
+        assert isinstance(decoded, Ok)
+        assert isinstance(decoded.ok_value, ServerChange)
+        assert decoded.ok_value.entry is None
+        assert "address" in decoded.ok_value.problem
+
+    @pytest.mark.parametrize(
+        "address", ["10.0.0.1:1", "[::1]:65535", "node-1.zone_a:8080"]
+    )
+    def test_usable_address_is_refused(self, address: str) -> None:
+        document = server_document("desk", address)
+        decoded = decode_item("servers/i-1", encode(document))
+        assert isinstance(decoded, Ok)
+        assert isinstance(decoded.ok_value, ServerChange)
+        assert decoded.ok_value.entry is not None
+
+    def test_weights_that_overflow_end_in_500s(self) -> None:
+        document = configuration_document()
+        routes = document["routes"]
+        assert isinstance(routes, list)
+        routes[0]["trafficSplit"] = [
+            {"service": "desk", "weight": 1e308},
+            {"service": "models", "weight": 1e308},
+        ]
+        assert isinstance(decode_item("op/config", encode(document)), Err)
+
+    @pytest.mark.parametrize("name", ["north\nwest", "north\r\nX: y", "\x00"])
+    def test_name_with_a_line_break_ends_in_502s(self, name: str) -> None:
+        """Its value would be a header of its own, or none."""
+        document = configuration_document()
+        tenants = document["tenants"]
+        assert isinstance(tenants, list)
+        tenants[0]["name"] = name
+        assert isinstance(decode_item("op/config", encode(document)), Err)
+
+    def test_name_of_other_letters_is_refused(self) -> None:
+        document = configuration_document()
+        tenants = document["tenants"]
+        assert isinstance(tenants, list)
+        tenants[0]["name"] = "Rück & Söhne"
+        assert isinstance(decode_item("op/config", encode(document)), Ok)
+
+
+class TestNumbers:
+    """Numbers in headers."""
+
+    @pytest.mark.parametrize("text", ["1", "1500.5", "0", "1.", ".5"])
+    def test_usual_number_is_refused(self, text: str) -> None:
+        headers = (
+            (b"host", b"desk"),
+            (b"wasabiwing-attempt-id", b"a"),
+            (b"wasabiwing-deadline-ms", text.encode()),
+        )
+        assert isinstance(PlatformHeaders().read_call(headers), Ok)
