--- a/tests/test_unreadable_values.py
+++ b/tests/test_unreadable_values.py
@@ -334,6 +334,29 @@
             node.follower.apply_snapshot((), 7, 0.0)
         assert node.follower.store_cache.revision is None
 
+    def test_error_of_a_value_is_logged_each_time(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """An error behind the decoder counts for each value, in one line."""
+        node = PartFailure()
+        parts: list[str] = []
+
+        def record(node_id: str, part: str, error: Exception) -> None:
+            parts.append(part)
+
+        def fail(entry: RegisteredServer) -> bool:
+            raise ZeroDivisionError("unexpected")
+
+        monkeypatch.setattr("wasabiwing.fleet_follower.log_error", record)
+        monkeypatch.setattr(node.view.directory, "put", fail)
+        node.follower.apply_snapshot((), 1, 0.0)
+        for revision in range(2, 12):
+            node.follower.apply_changes(
+                (WatchEvent("a", revision, b""),), revision, 0.0
+            )
+        assert parts == ["follower, a"]
+        assert node.unusable == ["failed"] * 10
+
     def test_error_of_a_listener_hides_the_others(self) -> None:
         node = PartFailure()
         told: list[int] = []
--- a/wasabiwing/fleet_follower.py
+++ b/wasabiwing/fleet_follower.py
@@ -188,14 +188,15 @@
         return self.directory.is_more_than_heartbeat(change.entry)
 
     def _apply_server_change(self, change: ServerChange) -> None:
-        if not change.problem:
+        problem = change.problem[:MAX_PROBLEM_LENGTH]
+        if not problem:
             self._problem_by_server.forget(change.server_id)
-        elif self._problem_by_server.is_new(change.server_id, change.problem):
+        elif self._problem_by_server.is_new(change.server_id, problem):
             log_event(
                 Event.SERVER_ENTRY_UNUSABLE,
                 self._node_id,
                 server=change.server_id,
-                problem=change.problem[:MAX_PROBLEM_LENGTH],
+                problem=problem,
             )
         before = self.directory.get(change.server_id)
         if change.entry is None:
@@ -260,7 +261,9 @@
         self._connected = True
         self._failure_count = 0
         self._failed_step_count = 0
+        # Why values could not be read, and errors of applying them.
         self._problem_by_key = KnownProblems()
+        self._error_by_key = KnownProblems()
         # Called for each stored value that cannot be used, with its kind.
         self.count_unusable: Callable[[str], None] = lambda kind: None
         self._listener_by_prefix: dict[str, KeyListener] = {}
@@ -476,9 +479,11 @@
             action()
         except Exception as error:
             self.count_unusable("failed")
-            if self._problem_by_key.is_new(key, repr(error)):
+            description = repr(error)[:MAX_PROBLEM_LENGTH]
+            if self._error_by_key.is_new(key, description):
                 log_error(self._node_id, f"follower, {key}", error)
             return False
+        self._error_by_key.forget(key)
         return True
 
     def _end_evacuations(self) -> None:
@@ -554,12 +559,13 @@
                 self._problem_by_key.forget(key)
             return change
         self.count_unusable("configuration")
-        if self._problem_by_key.is_new(key, decoded.err_value):
+        problem = decoded.err_value[:MAX_PROBLEM_LENGTH]
+        if self._problem_by_key.is_new(key, problem):
             log_event(
                 Event.CONFIGURATION_REJECTED,
                 self._node_id,
                 key=key,
-                problem=decoded.err_value[:MAX_PROBLEM_LENGTH],
+                problem=problem,
             )
         return None
 
