--- a/benchmarks/stop_curve.py
+++ b/benchmarks/stop_curve.py
@@ -3,8 +3,8 @@
 Load pattern: kept connections on which requests arrive from the request to
 stop up to the kill. A whole node with stand-ins of its servers runs on
 loopback. Runs before the stop are short; from ``LATE_S`` on, the requests of
-the column ``long`` run longer than all before, and those of
-the column ``1 s left`` have a deadline of one second::
+the column ``long`` run longer than all before. Those of the column
+``1 s left`` have a deadline of one second::
 
     PYTHONPATH=platform python -m benchmarks.stop_curve
 """
