Report ports and numbers of the settings that nobody means as problems

A node whose settings name a port of 5,000 digits, or of other digits, died of a ValueError in place of printing what is wrong; a share of 1e308 processors was an OverflowError. At SIGHUP the same would end a node that serves, with all its requests. Ports above 65,535 and port 0 were taken.

Usual settings, also with an IPv6 address and with one port for traffic between nodes, are read as before (test_usual_settings_are_refused).

--- a/tests/test_odd_values.py
+++ b/tests/test_odd_values.py
@@ -6,9 +6,12 @@
 from result import Ok
 
 from tests.node_deployment import deployment
+from tests.test_platform_adapter import SETTINGS
 from wasabiwing.fleet_changes import ServerChange
 from wasabiwing_platform.documents import decode_item
 from wasabiwing_platform.headers import PlatformHeaders
+from wasabiwing_platform.settings_file import MAX_QUOTED_LENGTH
+from wasabiwing_platform.settings_file import parse_settings
 from wasabiwing_platform_standins.examples import configuration_document
 from wasabiwing_platform_standins.examples import server_document
 from wasabiwing_platform_standins.server import ServerStandIn
@@ -122,6 +125,50 @@
         assert isinstance(decode_item("op/config", encode(document)), Ok)
 
 
+class TestSettings:
+    """Values in the platform's settings file."""
+
+    @pytest.mark.parametrize(
+        ("name", "value"),
+        [
+            ("listen.front", "10.0.0.1:" + DIGITS),
+            ("listen.ready", "10.0.0.1:\u00b2"),
+            ("platform.address", "10.0.0.1:\u0663\u0664"),
+            ("platform.address", "10.0.0.1:65536"),
+            ("portRange", "7600," + DIGITS),
+            ("portRange", "\u00b2,\u00b3"),
+            ("portRange", "0,7615"),
+            ("portRange", "65535,65536"),
+            ("limits.cpuShare", "1e308"),
+            ("bounds.graceS", DIGITS),
+            ("bounds.graceS", "1e999"),
+            ("bounds.drainMs", "nan"),
+        ],
+    )
+    def test_settings_with_a_port_of_5000_digits_raise(
+        self, name: str, value: str
+    ) -> None:
+        """Guards against settings that end a node at SIGHUP."""
+        kept = [
+            line
+            for line in f"{SETTINGS}limits.cpuCores=2".splitlines()
+            if not line.startswith(f"{name}=")
+        ]
+        parsed = parse_settings("\n".join([*kept, f"{name}={value}"]))
+        assert isinstance(parsed, Err)
+        (problem,) = parsed.err_value
+        assert problem.startswith(f"{name}: expected")
+        assert len(problem) < 2 * MAX_QUOTED_LENGTH
+
+    def test_usual_settings_are_refused(self) -> None:
+        usual = SETTINGS.replace("10.1.0.14:8221", "[::1]:65535")
+        usual = usual.replace("7600,7615", "7600,7600")
+        settings = parse_settings(f"{usual}limits.cpuShare=0.5").unwrap()
+        assert str(settings.caller_endpoint) == "[::1]:65535"
+        assert settings.relay_endpoint is None
+        assert settings.capacity == 5
+
+
 class TestNumbers:
     """Numbers in headers."""
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -9,10 +9,12 @@
 from signal import signal as set_handler
 from signal import SIGTERM
 
+from anyio import create_task_group
 from anyio import Event
 from anyio import sleep
 import pytest
 
+from wasabiwing.node_program import reload_on_signal
 from wasabiwing.program import run_program
 from wasabiwing.program import run_until_signal
 
@@ -58,3 +60,22 @@
             run_program(program, devnull)
         finally:
             set_handler(SIGHUP, earlier)
+
+    @pytest.mark.anyio
+    async def test_settings_that_raise_at_sighup_end_the_node(self) -> None:
+        """Guards against an error of a file that others write."""
+        reload_count = 0
+
+        async def reload() -> None:
+            nonlocal reload_count
+            reload_count += 1
+            raise ZeroDivisionError("unexpected")
+
+        async with create_task_group() as tasks:
+            tasks.start_soon(reload_on_signal, "node", reload)
+            await sleep(SIGNAL_S)
+            for _ in range(2):
+                kill(getpid(), SIGHUP)
+                await sleep(SIGNAL_S)
+            tasks.cancel_scope.cancel()
+        assert reload_count == 2
--- a/wasabiwing/node_program.py
+++ b/wasabiwing/node_program.py
@@ -1,5 +1,7 @@
 """Runs a node: opens its sockets, starts its tasks and handles signals."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 from signal import SIGHUP
 
 from anyio import create_task_group
@@ -8,6 +10,7 @@
 
 from wasabiwing.asgi import bind_listener
 from wasabiwing.asgi import serve_http
+from wasabiwing.error_containment import run_logging_errors
 from wasabiwing.events import Event as LogEvent
 from wasabiwing.events import log_event
 from wasabiwing.header_timeout import header_timeout_protocol
@@ -62,7 +65,9 @@
         tasks.start_soon(
             _drain_when_stopped, settings, timer, node, stop, drained
         )
-        tasks.start_soon(_reload_on_signal, platform)
+        tasks.start_soon(
+            reload_on_signal, settings.node_id, platform.reload_settings
+        )
         tasks.start_soon(
             serve_http,
             readiness_application(node.report_readiness, metrics.registry),
@@ -125,7 +130,10 @@
     node.forwarder.end_unanswered()
 
 
-async def _reload_on_signal(platform: NodePlatform) -> None:
+async def reload_on_signal(
+    node_id: str, reload_settings: Callable[[], Awaitable[None]]
+) -> None:
+    """Reads the settings again at each SIGHUP, until cancelled."""
     with open_signal_receiver(SIGHUP) as signals:
         async for _ in signals:
-            await platform.reload_settings()
+            await run_logging_errors(node_id, "settings", reload_settings)
