Take a malformed answer of etcd for a failed call

Cause: only the JSON itself was decoded with a list of errors; what was taken out of the document named none.

Reads fail as unavailable and writes as a lost reply, since the change may have been made; their callers retry or look it up. A key that is no text is escaped, so that it hides no other.

--- a/wasabiwing/etcd_store.py
+++ b/wasabiwing/etcd_store.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from contextlib import asynccontextmanager
 from typing import Any
+from typing import TypeVar
 
 from msgspec.json import decode
 from msgspec.json import encode
@@ -39,6 +40,11 @@
 
 HTTP_OK = 200
 
+# Errors of reading an answer that is JSON but has another form.
+MALFORMED = (*UNDECODABLE, LookupError, TypeError, AttributeError)
+
+T = TypeVar("T")
+
 
 class EtcdStore:
     """Client of the key-value service; addresses are tried in order."""
@@ -62,8 +68,10 @@
         reply = await self._read("/v3/kv/range", {"key": _b64(key)})
         if isinstance(reply, Err):
             return reply
-        values = _parse_values(reply.ok_value)
-        return Ok(values[0] if values else None)
+        parsed = _parse(
+            _parse_values, reply.ok_value, ResultCode.STORE_UNAVAILABLE
+        )
+        return parsed.map(lambda values: values[0] if values else None)
 
     async def list_prefix(
         self, prefix: str
@@ -74,7 +82,9 @@
         )
         if isinstance(reply, Err):
             return reply
-        return Ok(_parse_values(reply.ok_value))
+        return _parse(
+            _parse_values, reply.ok_value, ResultCode.STORE_UNAVAILABLE
+        )
 
     async def swap(
         self,
@@ -103,16 +113,16 @@
         reply = await self._write("/v3/lease/grant", {"TTL": str(int(ttl_s))})
         if isinstance(reply, Err):
             return reply
-        return Ok(_parse_lease(reply.ok_value))
+        return _parse(_parse_lease, reply.ok_value)
 
     async def keep_alive(self, lease_id: int) -> Result[Lease, Failure]:
         reply = await self._write("/v3/lease/keepalive", {"ID": str(lease_id)})
         if isinstance(reply, Err):
             return reply
-        lease = _parse_lease(reply.ok_value.get("result", {}))
-        if lease.ttl_s <= 0:
+        lease = _parse(_parse_lease, reply.ok_value.get("result", {}))
+        if isinstance(lease, Ok) and lease.ok_value.ttl_s <= 0:
             return Err(Failure(ResultCode.LEASE_LOST, f"lease {lease_id}"))
-        return Ok(lease)
+        return lease
 
     async def revoke_lease(self, lease_id: int) -> Result[None, Failure]:
         reply = await self._write("/v3/lease/revoke", {"ID": str(lease_id)})
@@ -221,16 +231,7 @@
         reply = await self._write("/v3/kv/txn", body)
         if isinstance(reply, Err):
             return reply
-        answer = reply.ok_value
-        if answer.get("succeeded"):
-            revision = int(answer["header"]["revision"])
-            return Ok(SwapResult(True, revision))
-        values = _parse_values(
-            answer["responses"][0].get("response_range", {})
-        )
-        if not values:
-            return Ok(SwapResult(False, 0))
-        return Ok(SwapResult(False, values[0].revision, values[0]))
+        return _parse(_parse_swap, reply.ok_value)
 
 
 async def _read_watch_events(
@@ -254,7 +255,7 @@
         for line in lines:
             try:
                 events = _parse_watch_line(line)
-            except (*UNDECODABLE, KeyError) as error:
+            except MALFORMED as error:
                 detail = f"unreadable change: {error!r}"
                 yield Err(Failure(ResultCode.STORE_UNAVAILABLE, detail))
                 return
@@ -273,7 +274,7 @@
         deleted = event.get("type") == "DELETE"
         events.append(
             WatchEvent(
-                b64decode(pair["key"]).decode(),
+                _parse_key(pair["key"]),
                 int(pair.get("mod_revision", 0)),
                 None if deleted else b64decode(pair.get("value", "")),
             )
@@ -281,6 +282,27 @@
     return events
 
 
+def _parse(
+    parse: Callable[[dict[str, Any]], T],
+    answer: dict[str, Any],
+    code: ResultCode = ResultCode.STORE_REPLY_LOST,
+) -> Result[T, Failure]:
+    """Parses an answer; a malformed one is a failure with the code."""
+    try:
+        return Ok(parse(answer))
+    except MALFORMED as error:
+        return Err(Failure(code, f"unreadable answer: {error!r}"))
+
+
+def _parse_swap(answer: dict[str, Any]) -> SwapResult:
+    if answer.get("succeeded"):
+        return SwapResult(True, int(answer["header"]["revision"]))
+    values = _parse_values(answer["responses"][0].get("response_range", {}))
+    if not values:
+        return SwapResult(False, 0)
+    return SwapResult(False, values[0].revision, values[0])
+
+
 def _parse_lease(answer: dict[str, Any]) -> Lease:
     return Lease(int(answer.get("ID", 0)), float(answer.get("TTL", 0)))
 
@@ -288,7 +310,7 @@
 def _parse_values(answer: dict[str, Any]) -> tuple[StoredValue, ...]:
     return tuple(
         StoredValue(
-            b64decode(pair["key"]).decode(),
+            _parse_key(pair["key"]),
             b64decode(pair.get("value", "")),
             int(pair["mod_revision"]),
         )
@@ -296,6 +318,11 @@
     )
 
 
+def _parse_key(encoded: str) -> str:
+    """Returns a key; bytes of others that are no text are escaped."""
+    return b64decode(encoded).decode(errors="backslashreplace")
+
+
 def _b64(text: str) -> str:
     return b64encode(text.encode()).decode()
 
