Get the configuration from another node while the store's cannot be read

Callers of a node that started while op/config held bytes that cannot be read got 503 until the operator had written it again, though the other nodes served on with the configuration in force. A node that had missed the last readable version went on with an older one for as long.

Cause: a configuration reaches a node as the value of its key only, which is what nobody can read; the decoded one stays with the nodes that saw it.

While the store's is unreadable, a node asks one other node a second for a version after its own; a node that has one answers with the document as the operator wrote it. Two new messages (104, 105), which an earlier build drops. Not done: a whole deployment that starts beside an unreadable key; nobody knows a configuration then, and 503 is the true answer.

--- a/tests/test_unreadable_values.py
+++ b/tests/test_unreadable_values.py
@@ -33,8 +33,11 @@
 from wasabiwing.known_problems import KnownProblems
 from wasabiwing.known_problems import MAX_KNOWN_PROBLEMS
 from wasabiwing.messages import decode_envelope
+from wasabiwing.messages import encode_envelope
 from wasabiwing.messages import Envelope
+from wasabiwing.messages import NewerConfiguration
 from wasabiwing.messages import Ping
+from wasabiwing.newer_configurations import NewerConfigurations
 from wasabiwing.node_registry import NodeRegistry
 from wasabiwing.ports import StoredValue
 from wasabiwing.ports import WatchEvent
@@ -44,6 +47,7 @@
 from wasabiwing.server_directory import ServerDirectory
 from wasabiwing.service_configuration import RequestLimits
 from wasabiwing.service_configuration import ServiceConfiguration
+from wasabiwing.store_cache import compress_value
 from wasabiwing.store_progress import StoreProgress
 from wasabiwing.timers import FakeTimer
 from wasabiwing.validation import parse_document
@@ -225,6 +229,120 @@
             assert self.versions(fleet) == [2, 2, 2, 2]
             assert fleet.nodes[3].ready
 
+    @pytest.mark.anyio
+    @pytest.mark.parametrize("count", [3, 20])
+    @unreadable_values
+    async def test_node_that_starts_beside_an_unreadable_key_serves_nothing(
+        self, value: bytes, count: int
+    ) -> None:
+        """Guards against a node that waits for the operator (RECOVER)."""
+        async with node_fleet(count) as fleet:
+            self.put_server(fleet, 1)
+            self.configure(fleet, 1)
+            await fleet.timer.advance(3.0)
+            fleet.store.put("op/config", value)
+            await fleet.timer.advance(1.0)
+            fleet.start(count)
+            await fleet.timer.advance(4.0)
+            assert fleet.nodes[count].ready
+            assert set(self.versions(fleet)) == {1}
+            self.configure(fleet, 2)
+            await fleet.timer.advance(3.0)
+            assert self.versions(fleet) == [2] * (count + 1)
+
+    @pytest.mark.anyio
+    async def test_node_that_missed_the_last_readable_version_keeps_an_older(
+        self,
+    ) -> None:
+        """Guards against a dropped route in use for as long (CONFIG)."""
+        async with node_fleet(3) as fleet:
+            self.put_server(fleet, 1)
+            self.configure(fleet, 1)
+            await fleet.timer.advance(3.0)
+            self.configure(fleet, 2)
+            await fleet.timer.advance(3.0)
+            older = encode(configuration_document(version=1))
+            node = fleet.nodes[0]
+            node.view.configuration = None
+            change = decode_item("op/config", older).unwrap()
+            assert change is not None
+            node.view.apply(change)
+            fleet.store.put("op/config", NESTED)
+            await fleet.timer.advance(3.0)
+            assert self.versions(fleet) == [2, 2, 2]
+
+    @pytest.mark.anyio
+    async def test_nodes_that_all_start_beside_an_unreadable_key_fill_the_log(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Nobody knows a configuration, so nobody answers."""
+        lines: list[Event] = []
+
+        def record(event: Event, node: str, **fields: object) -> None:
+            lines.append(event)
+
+        monkeypatch.setattr("wasabiwing.fleet_follower.log_event", record)
+        async with node_fleet(3) as fleet:
+            fleet.store.put("op/config", NESTED)
+            self.put_server(fleet, 1)
+            await fleet.timer.advance(10.0)
+            assert not self.versions(fleet)
+            assert lines.count(Event.CONFIGURATION_REJECTED) == 3
+            self.configure(fleet, 1)
+            await fleet.timer.advance(3.0)
+            assert all(node.ready for node in fleet.nodes)
+
+    @pytest.mark.anyio
+    async def test_readable_configuration_is_asked_for_at_other_nodes(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against messages while the store's can be read."""
+        asked: list[str] = []
+
+        async def answer(
+            self: NewerConfigurations, envelope: Envelope, request: object
+        ) -> None:
+            asked.append(envelope.sender)
+
+        monkeypatch.setattr(NewerConfigurations, "answer", answer)
+        async with node_fleet(3) as fleet:
+            self.put_server(fleet, 1)
+            await fleet.timer.advance(3.0)
+            self.configure(fleet, 1)
+            await fleet.timer.advance(3.0)
+            fleet.store.put("op/config", NESTED)
+            await fleet.timer.advance(1.0)
+            self.configure(fleet, 2)
+            await fleet.timer.advance(1.0)
+            asked.clear()
+            await fleet.timer.advance(9.0)
+        assert not asked
+
+    @pytest.mark.anyio
+    @pytest.mark.parametrize(
+        "content", [b"no zlib", compress_value(NESTED), compress_value(b"")]
+    )
+    async def test_unusable_configuration_of_a_node_is_put_in_force(
+        self, content: bytes
+    ) -> None:
+        async with node_fleet(2) as fleet:
+            self.configure(fleet, 1)
+            await fleet.timer.advance(3.0)
+            fleet.network.post(
+                "tcp://10.0.0.1:7000",
+                "tcp://10.0.0.0:7000",
+                encode_envelope(
+                    Envelope(
+                        "node-001",
+                        "tcp://10.0.0.1:7000",
+                        0,
+                        NewerConfiguration("op/config", content),
+                    )
+                ),
+            )
+            await fleet.timer.advance(1.0)
+            assert self.versions(fleet) == [1, 1]
+
     @pytest.mark.anyio
     @unreadable_values
     async def test_entry_under_another_prefix_ends_the_listing(
--- a/wasabiwing/events.py
+++ b/wasabiwing/events.py
@@ -63,6 +63,7 @@
     CONFIGURATION_REJECTED = 301
     CONFIGURATION_APPLIED = 302
     ZONE_EVACUATION = 303
+    CONFIGURATION_FROM_NODE = 304
     # 4xx: membership and messages.
     MEMBER_JOINED = 400
     MEMBER_SUSPECTED = 401
@@ -193,6 +194,9 @@
     Event.CONFIGURATION_IN_FORCE: "A node put a generation in force.",
     Event.CONFIGURATION_REJECTED: "A received configuration is unusable.",
     Event.CONFIGURATION_APPLIED: "An operator's file was accepted.",
+    Event.CONFIGURATION_FROM_NODE: (
+        "A node got a configuration from another, as the store's is unusable."
+    ),
     Event.ZONE_EVACUATION: "A zone is drained, or put back into service.",
     Event.MEMBER_JOINED: "A member was seen alive for the first time.",
     Event.MEMBER_SUSPECTED: "A member did not answer probes.",
--- a/wasabiwing/fleet_changes.py
+++ b/wasabiwing/fleet_changes.py
@@ -13,6 +13,14 @@
     configuration: ServiceConfiguration
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigurationDocument:
+    """A configuration as the operator wrote it, with its key in the store."""
+
+    key: str
+    value: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class EvacuationChange:
     """An availability zone's evacuation has begun or ended."""
--- a/wasabiwing/fleet_follower.py
+++ b/wasabiwing/fleet_follower.py
@@ -29,6 +29,7 @@
 from wasabiwing.events import Event
 from wasabiwing.events import log_event
 from wasabiwing.fleet_changes import ConfigurationChange
+from wasabiwing.fleet_changes import ConfigurationDocument
 from wasabiwing.fleet_changes import EvacuationChange
 from wasabiwing.fleet_changes import FleetChange
 from wasabiwing.fleet_changes import ServerChange
@@ -264,6 +265,10 @@
         # Why values could not be read, and errors of applying them.
         self._problem_by_key = KnownProblems()
         self._error_by_key = KnownProblems()
+        # Whether the store holds a configuration that cannot be read.
+        self.is_configuration_unreadable = False
+        # The document of the configuration in force.
+        self.configuration_document: ConfigurationDocument | None = None
         # Called for each stored value that cannot be used, with its kind.
         self.count_unusable: Callable[[str], None] = lambda kind: None
         self._listener_by_prefix: dict[str, KeyListener] = {}
@@ -312,6 +317,18 @@
         """Registers a listener for the keys that begin with a prefix."""
         self._listener_by_prefix[prefix] = listener
 
+    def apply_document(self, document: ConfigurationDocument) -> bool:
+        """Puts a newer configuration in force that another node has.
+
+        Returns whether it is in force now.
+        """
+        decoded = self._decode(document.key, document.value)
+        change = decoded.ok_value if isinstance(decoded, Ok) else None
+        if not isinstance(change, ConfigurationChange):
+            return False
+        self._apply_to_view(document.key, document.value, change)
+        return self.configuration_document == document
+
     def age_s(self) -> float:
         """Returns for how long changes may have been missed, in seconds."""
         return self._timer.now() - self.synced_at
@@ -431,6 +448,7 @@
             self._copied_position_by_key = {
                 stored.key: stored.revision for stored in values
             }
+        self.is_configuration_unreadable = False
         self._nodes.replace_all(
             stored.key.removeprefix(LEASE_PREFIX)
             for stored in values
@@ -468,7 +486,19 @@
             change = replace(change, entry=entry)
             listing.entry_by_id[change.server_id] = entry
         if change is not None:
-            self._view.apply(change)
+            self._apply_to_view(stored.key, stored.value, change)
+
+    def _apply_to_view(
+        self, key: str, value: bytes | None, change: FleetChange
+    ) -> None:
+        """Applies a change; keeps the document of a new configuration."""
+        self._view.apply(change)
+        if (
+            isinstance(change, ConfigurationChange)
+            and value is not None
+            and self._view.configuration is change.configuration
+        ):
+            self.configuration_document = ConfigurationDocument(key, value)
 
     def _contain(self, key: str, action: Callable[[], None]) -> bool:
         """Applies a stored value; logs an error and returns false for one.
@@ -529,7 +559,7 @@
         if isinstance(change, EvacuationChange):
             self._note_evacuation(change)
         is_relayed = self._view.is_more_than_heartbeat(change)
-        self._view.apply(change)
+        self._apply_to_view(key, value, change)
         return is_relayed
 
     def _note_evacuation(self, change: EvacuationChange) -> None:
@@ -557,7 +587,10 @@
                 self.count_unusable("server")
             else:
                 self._problem_by_key.forget(key)
+            if isinstance(change, ConfigurationChange):
+                self.is_configuration_unreadable = False
             return change
+        self.is_configuration_unreadable = True
         self.count_unusable("configuration")
         problem = decoded.err_value[:MAX_PROBLEM_LENGTH]
         if self._problem_by_key.is_new(key, problem):
--- a/wasabiwing/fleet_relay.py
+++ b/wasabiwing/fleet_relay.py
@@ -10,8 +10,6 @@
 
 from math import inf
 from random import Random
-from zlib import decompressobj
-from zlib import error as ZlibError
 
 from wasabiwing.events import Event
 from wasabiwing.events import log_event
@@ -30,6 +28,7 @@
 from wasabiwing.ports import Transport
 from wasabiwing.ports import WatchEvent
 from wasabiwing.server_directory import ServerDirectory
+from wasabiwing.store_cache import decompress_value
 from wasabiwing.store_cache import MAX_INLINE_VALUE_BYTES
 from wasabiwing.store_eras import era_of
 from wasabiwing.store_eras import revision_of
@@ -67,10 +66,6 @@
 # Shortest interval between two requests for missed changes, in seconds.
 MIN_REQUEST_INTERVAL_S = 0.7
 
-# Largest value that is accepted from another node, in bytes; the store holds
-# none that is larger.
-MAX_VALUE_BYTES = 4_194_304
-
 MILLISECONDS = 1000.0
 
 
@@ -224,7 +219,7 @@
         self._requested_at = -inf
         values: list[StoredValue] = []
         for received in reply.values:
-            value = _decompress(received.content)
+            value = decompress_value(received.content)
             if value is None:
                 log_event(
                     Event.MESSAGE_DROPPED,
@@ -356,12 +351,3 @@
     if event.value is not None and len(event.value) > MAX_INLINE_VALUE_BYTES:
         return RelayedChange(event.key, revision, omitted=True)
     return RelayedChange(event.key, revision, event.value)
-
-
-def _decompress(content: bytes) -> bytes | None:
-    decompressor = decompressobj()
-    try:
-        value = decompressor.decompress(content, MAX_VALUE_BYTES)
-    except ZlibError:
-        return None
-    return value if decompressor.eof else None
--- a/wasabiwing/messages.py
+++ b/wasabiwing/messages.py
@@ -634,6 +634,25 @@
     store_era: int = 0
 
 
+# Version in a request for any configuration.
+NO_VERSION = -1
+
+
+class NewerConfigurationRequest(Struct, frozen=True, array_like=True, tag=104):
+    """Asks for a configuration after a version; -1 for any."""
+
+    version: int
+
+
+class NewerConfiguration(Struct, frozen=True, array_like=True, tag=105):
+    """Carries the configuration that the sender has in force."""
+
+    # Key of the configuration in the store.
+    key: str
+    # The document, compressed with zlib.
+    content: bytes
+
+
 class PermitRequest(Struct, frozen=True, array_like=True, tag=110):
     """Asks for permits to send requests to servers that limit their rate."""
 
@@ -750,6 +769,8 @@
     | HeadPush
     | FleetRequest
     | FleetContent
+    | NewerConfigurationRequest
+    | NewerConfiguration
     | PermitRequest
     | PermitGrant
     | SlotRequest
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -42,8 +42,12 @@
 from wasabiwing.messages import FleetContent
 from wasabiwing.messages import FleetRequest
 from wasabiwing.messages import HeadPush
+from wasabiwing.messages import NewerConfiguration
+from wasabiwing.messages import NewerConfigurationRequest
 from wasabiwing.messages import NodeReport
 from wasabiwing.metrics import NodeMetrics
+from wasabiwing.newer_configurations import CONFIGURATION_REQUEST_PERIOD_S
+from wasabiwing.newer_configurations import NewerConfigurations
 from wasabiwing.node_quarantine import build_quarantine
 from wasabiwing.node_registry import node_lease_name
 from wasabiwing.node_registry import NodeRecord
@@ -207,6 +211,14 @@
             self._reported_state,
             random,
         )
+        self._newer_configurations = NewerConfigurations(
+            node_id,
+            transport,
+            self._reports.live_inboxes,
+            self.follower,
+            self.view,
+            random,
+        )
         self.facts = Facts(
             timer,
             transport,
@@ -384,6 +396,9 @@
         )
         timer.subscribe(REPORT_PERIOD_S, self._send_report)
         timer.subscribe(PUSH_PERIOD_S, self._fleet_relay.push)
+        timer.subscribe(
+            CONFIGURATION_REQUEST_PERIOD_S, self._newer_configurations.request
+        )
         timer.subscribe(PRESENCE_PERIOD_S, self._renew_presence)
         timer.subscribe(
             bounds.lease_s * LEASE_RENEWAL_SHARE, self.duty_runner.renew_lease
@@ -426,6 +441,12 @@
         messages.register(HeadPush, self._fleet_relay.receive_push)
         messages.register(FleetRequest, self._fleet_relay.answer_catch_up)
         messages.register(FleetContent, self._fleet_relay.receive_catch_up)
+        messages.register(
+            NewerConfigurationRequest, self._newer_configurations.answer
+        )
+        messages.register(
+            NewerConfiguration, self._newer_configurations.receive
+        )
         self.facts.register(messages)
         self._permits.register(messages)
         self._slots.register(messages)
--- a/wasabiwing/store_cache.py
+++ b/wasabiwing/store_cache.py
@@ -10,6 +10,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from zlib import compress
+from zlib import decompressobj
+from zlib import error as ZlibError
 
 from wasabiwing.ports import StoredValue
 from wasabiwing.ports import WatchEvent
@@ -23,6 +25,25 @@
 # Fastest level: a large document is compressed once for all nodes of a zone.
 COMPRESSION_LEVEL = 1
 
+# Largest value that is accepted from another node, in bytes; the store holds
+# none that is larger.
+MAX_VALUE_BYTES = 4_194_304
+
+
+def compress_value(value: bytes) -> bytes:
+    """Returns a value in the form that is sent to other nodes."""
+    return compress(value, COMPRESSION_LEVEL)
+
+
+def decompress_value(content: bytes) -> bytes | None:
+    """Returns a value that another node sent; ``None`` if it is unusable."""
+    decompressor = decompressobj()
+    try:
+        value = decompressor.decompress(content, MAX_VALUE_BYTES)
+    except ZlibError:
+        return None
+    return value if decompressor.eof else None
+
 
 @dataclass(frozen=True, slots=True)
 class CompressedValue:
@@ -130,7 +151,7 @@
     def _compress_value(self, stored: StoredValue) -> CompressedValue:
         known = self._compressed_by_key.get(stored.key)
         if known is None or known.revision != stored.revision:
-            content = compress(stored.value, COMPRESSION_LEVEL)
+            content = compress_value(stored.value)
             known = CompressedValue(stored.key, content, stored.revision)
             self._compressed_by_key[stored.key] = known
         return known
