Take a cut watch of the store for no outage

Cause: each failed call counted as an outage of the store and the next answer as its return, after which entries that are missing are kept for 2 s, because they may have lapsed.

A watch that ends without an answer before its time is an outage only if no call was answered for two heartbeats, in which no entry can lapse; renewals of this node's lease count as answers. A refused call, one that times out and a failed listing count as before.

What sound servers get stays: an entry that lapsed in an outage of 2.1 or 8 s that ends with a cut, or in a shorter one with a refused call, is kept (test_entry_that_lapsed_before_a_cut_is_gone).

--- a/tests/test_fleet_follower.py
+++ b/tests/test_fleet_follower.py
@@ -3,6 +3,7 @@
 from collections import deque
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from math import inf
 from random import Random
 
 from anyio import create_task_group
@@ -23,6 +24,7 @@
 from wasabiwing.fleet_follower import FleetFollower
 from wasabiwing.fleet_follower import FleetView
 from wasabiwing.fleet_follower import RETRY_PAUSE_S
+from wasabiwing.fleet_follower import WATCH_WAIT_S
 from wasabiwing.node_registry import NodeRegistry
 from wasabiwing.ports import StoreChanges
 from wasabiwing.ports import StoredValue
@@ -43,6 +45,9 @@
 
     def __init__(self, timer: FakeTimer) -> None:
         super().__init__(LeaseStoreFake(timer))
+        self._timer = timer
+        # Times until the next watches are answered, in seconds.
+        self.delays: deque[float] = deque()
         self.answers: deque[Answer] = deque()
         self.snapshots = 0
         self.watches = 0
@@ -61,6 +66,8 @@
         self.watches += 1
         self.waits.append(wait_s)
         answer = self.answers.popleft() if self.answers else None
+        if self.delays:
+            await self._timer.sleep(self.delays.popleft())
         if answer is None:
             await sleep_forever()
         assert answer is not None
@@ -117,9 +124,12 @@
 
 
 @asynccontextmanager
-async def follower(*answers: Answer) -> AsyncIterator[Followed]:
-    """Runs a follower on prepared answers."""
+async def follower(
+    *answers: Answer, delay_s: float = 0.0
+) -> AsyncIterator[Followed]:
+    """Runs a follower on prepared answers, the first after a delay."""
     found = Followed()
+    found.store.delays.append(delay_s)
     found.store.answers.extend(answers)
     found.store.values = (StoredValue("configuration", b"5", 9),)
     async with create_task_group() as tasks:
@@ -186,6 +196,34 @@
             await found.timer.advance(0.0)
             assert found.version == 7
 
+    @pytest.mark.parametrize(
+        ("code", "is_outage"),
+        [
+            (ResultCode.STORE_REPLY_LOST, False),
+            (ResultCode.STORE_UNAVAILABLE, True),
+        ],
+    )
+    async def test_cut_watch_keeps_a_removed_server_for_two_seconds(
+        self, code: ResultCode, is_outage: bool
+    ) -> None:
+        nothing: Answer = Ok(StoreChanges((), 10))
+        async with follower(nothing, Err(Failure(code)), nothing) as found:
+            await found.timer.advance(4 * RETRY_PAUSE_S)
+            recovered_at = found.view.directory.store_recovered_at
+            assert (recovered_at > -inf) == is_outage
+
+    async def test_watch_that_is_never_answered_counts_as_cut(self) -> None:
+        """Its store may have been away for as long as the watch waited."""
+        lost = Err(Failure(ResultCode.STORE_REPLY_LOST))
+        nothing: Answer = Ok(StoreChanges((), 10))
+        silent_s = WATCH_WAIT_S + 0.5
+        async with follower(lost, nothing, delay_s=silent_s) as found:
+            found.view.directory.note_store_alive()
+            await found.timer.advance(silent_s - 0.1)
+            found.view.directory.note_store_alive()
+            await found.timer.advance(3 * RETRY_PAUSE_S)
+            assert found.view.directory.store_recovered_at > -inf
+
     async def test_watch_after_a_failure_waits_a_short_time_only(
         self,
     ) -> None:
--- a/tests/test_server_directory.py
+++ b/tests/test_server_directory.py
@@ -97,6 +97,47 @@
         directory.remove("one")
         assert usable(directory) == []
 
+    @pytest.mark.anyio
+    async def test_cut_watch_counts_as_an_outage(self) -> None:
+        """Guards against requests to a server removed after a cut (DRAIN)."""
+        timer = FakeTimer()
+        directory = ServerDirectory(timer)
+        directory.put(entry("one"))
+        directory.note_store_answer()
+        await timer.advance(1.5)
+        directory.note_store_alive()
+        await timer.advance(0.8)
+        directory.note_store_failure(is_cut=True)
+        await timer.advance(0.6)
+        directory.note_store_failure(is_cut=True)
+        await timer.advance(0.3)
+        directory.note_store_answer()
+        directory.remove("one")
+        assert usable(directory) == []
+
+    @pytest.mark.anyio
+    @pytest.mark.parametrize(
+        ("silence_s", "refusals"), [(2.1, 0), (8.0, 0), (0.0, 1)]
+    )
+    async def test_entry_that_lapsed_before_a_cut_is_gone(
+        self, silence_s: float, refusals: int
+    ) -> None:
+        """Guards against an outage that ends with a cut, or begins with it."""
+        timer = FakeTimer()
+        directory = ServerDirectory(timer)
+        directory.put(entry("one"))
+        directory.note_store_answer()
+        await timer.advance(silence_s)
+        directory.note_store_failure(is_cut=True)
+        for _ in range(refusals):
+            directory.note_store_failure()
+        await timer.advance(0.4)
+        directory.note_store_answer()
+        directory.remove("one")
+        assert usable(directory) == ["one"]
+        await timer.advance(2.1)
+        assert usable(directory) == []
+
     def test_listing_takes_out_what_it_lacks(self) -> None:
         directory = ServerDirectory(FakeTimer())
         directory.put(entry("one"))
--- a/wasabiwing/fleet_follower.py
+++ b/wasabiwing/fleet_follower.py
@@ -384,14 +384,21 @@
 
     async def _follow(self, revision: int) -> None:
         """Waits for changes once and applies them."""
-        found = await self._watch(revision)
+        began_at = self._timer.now()
+        wait_s = self._watch_wait_s()
+        found = await self._watch(revision, wait_s)
         if found is None:
             return
         if isinstance(found, Err):
             if found.err_value.code is ResultCode.STORE_HISTORY_GONE:
                 await self._load()
             else:
-                await self._pause_after(found.err_value)
+                # A store that is away answers late, or refuses the call.
+                is_cut = (
+                    found.err_value.code is ResultCode.STORE_REPLY_LOST
+                    and self._timer.now() - began_at < wait_s
+                )
+                await self._pause_after(found.err_value, is_cut)
             return
         self._note_success()
         changes = found.ok_value
@@ -402,15 +409,15 @@
                 SHARED_BATCH_PAUSE_S if is_shared else BATCH_PAUSE_S
             )
 
+    def _watch_wait_s(self) -> float:
+        if not self._connected:
+            return WATCH_WAIT_AFTER_FAILURE_S
+        return SHARED_WATCH_WAIT_S if self.is_watch_shared() else WATCH_WAIT_S
+
     async def _watch(
-        self, revision: int
+        self, revision: int, wait_s: float
     ) -> Result[StoreChanges, Failure] | None:
         """Waits for changes; ``None`` if the call was cancelled for lag."""
-        wait_s = (
-            SHARED_WATCH_WAIT_S if self.is_watch_shared() else WATCH_WAIT_S
-        )
-        if not self._connected:
-            wait_s = WATCH_WAIT_AFTER_FAILURE_S
         with self._progress.begin_watch():
             return await self._store.changes("", revision, wait_s)
         log_event(
@@ -602,8 +609,10 @@
             )
         return None
 
-    async def _pause_after(self, failure: Failure) -> None:
-        self._view.directory.note_store_failure()
+    async def _pause_after(
+        self, failure: Failure, is_cut: bool = False
+    ) -> None:
+        self._view.directory.note_store_failure(is_cut)
         self._failure_count += 1
         if self._connected:
             self._connected = False
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -157,7 +157,8 @@
         incarnation_id = f"{node_id}/{random.getrandbits(SEED_BITS):016x}"
         self.metrics = metrics
         self.nodes = NodeRegistry(node_id)
-        directory = ServerDirectory(timer)
+        directory = ServerDirectory(timer, settings.server_heartbeat_s)
+        self._store.on_renewal = directory.note_store_alive
         self.view = FleetView(node_id, directory)
         progress = StoreProgress(timer)
         self.follower = FleetFollower(
--- a/wasabiwing/node_settings.py
+++ b/wasabiwing/node_settings.py
@@ -6,6 +6,8 @@
 
 from dataclasses import dataclass
 
+from wasabiwing.server_directory import HEARTBEAT_S
+
 
 @dataclass(frozen=True, slots=True)
 class NodeBounds:
@@ -84,3 +86,5 @@
     min_lease_s: float = 1.0
     # Processor time of the VM, in tenths of a core.
     capacity: int = 0
+    # Interval at which backend servers renew their entries, in seconds.
+    server_heartbeat_s: float = HEARTBEAT_S
--- a/wasabiwing/restorable_store.py
+++ b/wasabiwing/restorable_store.py
@@ -4,6 +4,8 @@
 same revision to another content.
 """
 
+from collections.abc import Callable
+
 from result import Err
 from result import Ok
 from result import Result
@@ -26,6 +28,8 @@
 
     def __init__(self, store: LongPollStore) -> None:
         self._store = store
+        # Called after each renewal of a lease.
+        self.on_renewal: Callable[[], None] = lambda: None
 
     @property
     def eras(self) -> StoreEras:
@@ -76,7 +80,10 @@
         return await self._store.grant_lease(ttl_s)
 
     async def keep_alive(self, lease_id: int) -> Result[Lease, Failure]:
-        return await self._store.keep_alive(lease_id)
+        renewed = await self._store.keep_alive(lease_id)
+        if isinstance(renewed, Ok):
+            self.on_renewal()
+        return renewed
 
     def _is_past(self, expected_revision: int) -> bool:
         """Whether a revision was read before the latest restore."""
--- a/wasabiwing/server_directory.py
+++ b/wasabiwing/server_directory.py
@@ -17,6 +17,13 @@
 # back, in seconds; from the platform's description of its registry.
 LAPSE_GRACE_S = 2.0
 
+# Shortest outage of the store in which an entry can lapse, in heartbeats of
+# its server. Three are missing then, and the last one came before the outage.
+LAPSE_HEARTBEATS = 2
+
+# Interval between two heartbeats of a server, in seconds.
+HEARTBEAT_S = 1.2
+
 # Number of servers that have left which are remembered.
 MAX_LEFT_SERVERS = 2000
 
@@ -62,26 +69,46 @@
 class ServerDirectory:
     """The registered servers that one node knows."""
 
-    def __init__(self, timer: TimerService) -> None:
+    def __init__(
+        self, timer: TimerService, heartbeat_s: float = HEARTBEAT_S
+    ) -> None:
         self._timer = timer
+        self._min_lapse_s = LAPSE_HEARTBEATS * heartbeat_s
         self._server_by_id: dict[str, KnownServer] = {}
         # Whether the store has answered since its last failure, and when it
         # first did.
         self._store_answers = True
         self._store_recovered_at = -inf
+        # Whether all failures since were cuts of waiting watches, and when
+        # any call was last answered.
+        self._is_only_cut = True
+        self._answered_at = -inf
         # Start of the process of each server that has left, in Unix ms.
         self._left_started_ms_by_id: OrderedDict[str, int] = OrderedDict()
         self.loaded = False
 
-    def note_store_failure(self) -> None:
-        """Records that a call to the store has failed just now."""
+    def note_store_failure(self, is_cut: bool = False) -> None:
+        """Records that a watch of the store or a listing has failed just now.
+
+        ``is_cut`` says that a waiting watch was cut. The store may do that at
+        any time, so it is no outage while other calls are answered.
+        """
         self._store_answers = False
+        self._is_only_cut = self._is_only_cut and is_cut
 
     def note_store_answer(self) -> None:
-        """Records that the store has answered just now."""
-        if not self._store_answers:
-            self._store_answers = True
+        """Records that a watch or a listing was answered just now."""
+        away_s = self._timer.now() - self._answered_at
+        was_outage = not self._is_only_cut or away_s >= self._min_lapse_s
+        if not self._store_answers and was_outage:
             self._store_recovered_at = self._timer.now()
+        self._store_answers = True
+        self._is_only_cut = True
+        self.note_store_alive()
+
+    def note_store_alive(self) -> None:
+        """Records that any call to the store was answered just now."""
+        self._answered_at = self._timer.now()
 
     @property
     def store_recovered_at(self) -> float:
