Replace silent connections to the store before their excuse ends

A watch waits for 1.8 s; one that times out is made again at once, on a new connection, as a time-out leaves all idle connections to the store unused. Other calls under way go on. A store that stays silent is called with the usual pauses.

--- a/tests/test_fleet_follower.py
+++ b/tests/test_fleet_follower.py
@@ -24,6 +24,7 @@
 from wasabiwing.fleet_follower import FleetFollower
 from wasabiwing.fleet_follower import FleetView
 from wasabiwing.fleet_follower import RETRY_PAUSE_S
+from wasabiwing.fleet_follower import WATCH_WAIT_AFTER_FAILURE_S
 from wasabiwing.fleet_follower import WATCH_WAIT_S
 from wasabiwing.node_registry import NodeRegistry
 from wasabiwing.ports import StoreChanges
@@ -36,6 +37,10 @@
 from wasabiwing.store_progress import MAX_LAG_S
 from wasabiwing.store_progress import StoreProgress
 from wasabiwing.timers import FakeTimer
+from wasabiwing_platform.store import LONG_POLL_SLACK_S
+
+# Time for which a disturbance excuses a node, in seconds.
+CONTACT_S = 3.0
 
 Answer = Result[StoreChanges, Failure] | None
 
@@ -212,6 +217,37 @@
             recovered_at = found.view.directory.store_recovered_at
             assert (recovered_at > -inf) == is_outage
 
+    @pytest.mark.parametrize("pause_s", [0.0, BATCH_PAUSE_S])
+    async def test_silent_connection_hides_a_change_for_three_seconds(
+        self, pause_s: float
+    ) -> None:
+        """Guards against a dropped route in use for longer (CONFIG).
+
+        No other node is ahead, as their connections are silent too.
+        """
+        lost = Err(Failure(ResultCode.STORE_REPLY_LOST))
+        news = change(11, "configuration", b"7")
+        silent_s = pause_s + WATCH_WAIT_S + LONG_POLL_SLACK_S
+        async with follower(lost, news, delay_s=silent_s) as found:
+            await found.timer.advance(CONTACT_S - 0.3)
+            assert found.version == 7
+
+    async def test_store_that_stays_silent_is_called_without_pause(
+        self,
+    ) -> None:
+        """Guards against calls of many nodes at the moment it returns."""
+        lost = Err(Failure(ResultCode.STORE_REPLY_LOST))
+        silent_s = WATCH_WAIT_S + LONG_POLL_SLACK_S
+        again_s = WATCH_WAIT_AFTER_FAILURE_S + LONG_POLL_SLACK_S
+        async with follower(lost, lost, lost, delay_s=silent_s) as found:
+            found.store.delays.extend([again_s] * 2)
+            await found.timer.advance(silent_s)
+            assert found.store.watches == 2
+            await found.timer.advance(again_s + RETRY_PAUSE_S - 0.1)
+            assert found.store.watches == 2
+            await found.timer.advance(RETRY_PAUSE_S + 0.1)
+            assert found.store.watches == 3
+
     async def test_watch_that_is_never_answered_counts_as_cut(self) -> None:
         """Its store may have been away for as long as the watch waited."""
         lost = Err(Failure(ResultCode.STORE_REPLY_LOST))
--- a/wasabiwing/fleet_follower.py
+++ b/wasabiwing/fleet_follower.py
@@ -52,7 +52,7 @@
 # Longest wait of a watch for changes, in seconds. Its connection may have been
 # lost without an error, and a server's departure must be known within two
 # seconds.
-WATCH_WAIT_S = 2.5
+WATCH_WAIT_S = 1.8
 
 # Longest wait of a watch on which other nodes depend, in seconds.
 SHARED_WATCH_WAIT_S = 1.0
@@ -394,11 +394,14 @@
                 await self._load()
             else:
                 # A store that is away answers late, or refuses the call.
-                is_cut = (
-                    found.err_value.code is ResultCode.STORE_REPLY_LOST
-                    and self._timer.now() - began_at < wait_s
-                )
-                await self._pause_after(found.err_value, is_cut)
+                is_late = self._timer.now() - began_at >= wait_s
+                is_lost = found.err_value.code is ResultCode.STORE_REPLY_LOST
+                was_connected = self._connected
+                self._note_failure(found.err_value, is_lost and not is_late)
+                # A connection that went silent says nothing of the store, so
+                # the next call is made at once.
+                if not (was_connected and is_lost and is_late):
+                    await self._timer.sleep(self._retry_pause_s())
             return
         self._note_success()
         changes = found.ok_value
@@ -432,7 +435,8 @@
         """Reads all keys of the store."""
         found = await self._store.snapshot("")
         if isinstance(found, Err):
-            await self._pause_after(found.err_value)
+            self._note_failure(found.err_value)
+            await self._timer.sleep(self._retry_pause_s())
             return
         self._note_success()
         snapshot = found.ok_value
@@ -609,9 +613,8 @@
             )
         return None
 
-    async def _pause_after(
-        self, failure: Failure, is_cut: bool = False
-    ) -> None:
+    def _note_failure(self, failure: Failure, is_cut: bool = False) -> None:
+        """Records a failed call; ``is_cut`` stands for a cut watch."""
         self._view.directory.note_store_failure(is_cut)
         self._failure_count += 1
         if self._connected:
@@ -622,7 +625,6 @@
                 dependency="store",
                 failure=str(failure),
             )
-        await self._timer.sleep(self._retry_pause_s())
 
     def _retry_pause_s(self) -> float:
         """Returns the pause after a failure in seconds, with jitter.
--- a/wasabiwing/http_client.py
+++ b/wasabiwing/http_client.py
@@ -10,7 +10,9 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from contextlib import asynccontextmanager
+from dataclasses import dataclass
 
+from anyio import CancelScope
 from anyio import move_on_after
 from httpcore import AsyncConnectionPool
 from httpcore import ConnectError
@@ -136,21 +138,60 @@
         return Ok(b"".join(parts))
 
 
+@dataclass(eq=False, slots=True)
+class _Pool:
+    """A connection pool and the number of calls that use it."""
+
+    connections: AsyncConnectionPool
+    call_count: int = 0
+
+
 class HttpClient:
-    """An HTTP client with a connection pool of its own."""
-
-    def __init__(self, max_connections: int = 256) -> None:
-        self._pool = AsyncConnectionPool(
-            max_connections=max_connections,
-            max_keepalive_connections=max_connections,
-            keepalive_expiry=KEEPALIVE_EXPIRY_S,
-            retries=0,
-            socket_options=SOCKET_OPTIONS,
-        )
+    """An HTTP client with a connection pool of its own.
+
+    If ``doubts_idle`` is set, a call that times out leaves the idle
+    connections unused from then on, as they may be silent too.
+    """
+
+    def __init__(
+        self, max_connections: int = 256, doubts_idle: bool = False
+    ) -> None:
+        self._max_connections = max_connections
+        self._doubts_idle = doubts_idle
+        self._pool = self._new_pool()
 
     async def close(self) -> None:
         """Closes all connections."""
-        await self._pool.aclose()
+        await self._pool.connections.aclose()
+
+    def _new_pool(self) -> _Pool:
+        return _Pool(
+            AsyncConnectionPool(
+                max_connections=self._max_connections,
+                max_keepalive_connections=self._max_connections,
+                keepalive_expiry=KEEPALIVE_EXPIRY_S,
+                retries=0,
+                socket_options=SOCKET_OPTIONS,
+            )
+        )
+
+    @asynccontextmanager
+    async def _used_pool(self) -> AsyncIterator[_Pool]:
+        """Counts a call; closes a replaced pool after its last call."""
+        pool = self._pool
+        pool.call_count += 1
+        try:
+            yield pool
+        finally:
+            pool.call_count -= 1
+            if pool is not self._pool and not pool.call_count:
+                with CancelScope(shield=True):
+                    await pool.connections.aclose()
+
+    def _replace_pool(self, used: _Pool) -> None:
+        """Leaves a pool on which a call has timed out to its other calls."""
+        if self._doubts_idle and used is self._pool:
+            self._pool = self._new_pool()
 
     @asynccontextmanager
     async def stream(
@@ -170,29 +211,34 @@
         """
         trace = _SendTrace(may_send)
         opened = False
-        try:
-            async with self._pool.stream(
-                method,
-                url,
-                headers=list((headers or {}).items()),
-                content=body,
-                extensions={
-                    "timeout": _timeouts(timeout_s),
-                    "trace": trace,
-                },
-            ) as response:
-                opened = True
-                stream = HttpStream(response)
-                if observer is not None:
-                    observer(stream.headers)
-                yield Ok(stream)
-        except SendWithheld:
-            yield Err(Failure(ResultCode.DISPATCH_WINDOW_MISSED))
-        except HTTP_ERRORS as error:
-            # Once the response was yielded, the reader of its body has
-            # already seen the failure.
-            if not opened:
-                yield Err(_failure_from_error(error, trace.may_have_been_sent))
+        async with self._used_pool() as pool:
+            try:
+                async with pool.connections.stream(
+                    method,
+                    url,
+                    headers=list((headers or {}).items()),
+                    content=body,
+                    extensions={
+                        "timeout": _timeouts(timeout_s),
+                        "trace": trace,
+                    },
+                ) as response:
+                    opened = True
+                    stream = HttpStream(response)
+                    if observer is not None:
+                        observer(stream.headers)
+                    yield Ok(stream)
+            except SendWithheld:
+                yield Err(Failure(ResultCode.DISPATCH_WINDOW_MISSED))
+            except HTTP_ERRORS as error:
+                if isinstance(error, TimeoutException):
+                    self._replace_pool(pool)
+                # Once the response was yielded, the reader of its body has
+                # already seen the failure.
+                if not opened:
+                    yield Err(
+                        _failure_from_error(error, trace.may_have_been_sent)
+                    )
 
     async def send(
         self,
