Continue streams whose leaving server exits in the middle

Cause: for a server that leaves, EndJudge left out the proof of the closed listener, as it may stop to listen before its last answers; each such end then counted as whole. The connection ends in the same way in both cases, so nothing at this server tells them apart.

If another server may carry the stream on after its last event, it does: it sends the rest, or ends at once. This is no evidence of a crash. Plain answers and streams that may not be resumed are passed on as before, since a failure in their place would be a loss.

Two tests of the node and the new rows of the judge failed before (the latter for want of the argument).

--- a/tests/test_answer_end.py
+++ b/tests/test_answer_end.py
@@ -66,10 +66,16 @@
         framing: Framing = Framing.CONNECTION,
         has_content: bool = True,
         is_inside_event: bool = False,
+        may_be_continued: bool = False,
     ) -> Failure | None:
         """Returns the failure of an answer that has just ended."""
         return await self.judge.failure(
-            SERVER, framing, has_content, 10.0, is_inside_event
+            SERVER,
+            framing,
+            has_content,
+            10.0,
+            is_inside_event,
+            may_be_continued,
         )
 
 
@@ -155,6 +161,19 @@
         bench = Bench(listens=False, is_leaving=True)
         assert await bench.failure() is None
 
+    @pytest.mark.parametrize("listens", [False, True])
+    @pytest.mark.parametrize("framing", [Framing.CONNECTION, Framing.CHUNKS])
+    async def test_stream_of_a_leaving_server_ends_early_as_whole(
+        self, listens: bool, framing: Framing
+    ) -> None:
+        """Guards against its exit in the middle of the stream (ORDER)."""
+        bench = Bench(listens=listens, is_leaving=True)
+        failure = await bench.failure(framing, may_be_continued=True)
+        is_proved = listens or framing is Framing.CHUNKS
+        assert (failure is None) is is_proved
+        # A planned end is no evidence of a crash.
+        assert await bench.failure() is None
+
     async def test_cut_of_another_answer_during_the_probe_counts(self) -> None:
         bench = Bench()
         bench.during_probe = lambda: bench.judge.note_cut(SERVER)
--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -5,6 +5,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 from anyio import create_task_group
 from anyio import fail_after
@@ -61,6 +62,17 @@
     return RawAnswer(body, headers, ending=ending)
 
 
+def leaving(answer: RawAnswer) -> RawAnswer:
+    """Returns an answer in which its server says that it leaves."""
+    headers = answer.headers + b"server-leaving: 1\r\n"
+    return replace(answer, headers=headers)
+
+
+async def listens_not(address: str) -> bool:
+    """Replaces a probe, as if no process listened at an address."""
+    return False
+
+
 def node_origin(headers: dict[bytes, bytes]) -> bytes:
     """Returns the headers that a node expects in an answer."""
     return (
@@ -196,6 +208,56 @@
                 await system.call("/notes/1")
             assert len(server.requests) == 1
 
+    @pytest.mark.parametrize(
+        ("first", "rest"), [(2, LAST_EVENTS), (4, b"")], ids=["cut", "whole"]
+    )
+    async def test_exit_of_a_leaving_server_ends_a_stream_as_whole(
+        self, first: int, rest: bytes, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against an early end that looks complete (ORDER)."""
+        monkeypatch.setattr("wasabiwing.node.server_listens", listens_not)
+        events = b"".join(stream_event(number + 1) for number in range(first))
+        async with node_before(
+            "models", leaving(stream(events)), stream(rest, "chunks")
+        ) as (system, server):
+            reply = await system.call("/chat/1")
+            assert (reply.status, reply.body) == (200, stream_answer())
+            assert len(server.requests) == 2
+            last_event_id = server.requests[1][b"last-event-id"]
+            assert last_event_id == str(first).encode()
+
+    async def test_stream_of_a_leaving_server_that_goes_on_is_resumed(
+        self,
+    ) -> None:
+        """Guards against second runs of streams that are whole."""
+        answer = leaving(stream(stream_answer()))
+        async with node_before("models", answer) as (system, server):
+            reply = await system.call("/chat/1")
+            assert (reply.status, reply.body) == (200, stream_answer())
+            assert len(server.requests) == 1
+
+    @pytest.mark.parametrize(
+        ("service", "path", "answer"),
+        [
+            ("models", "/notes/1", stream(stream_answer())),
+            ("desk", "/book/1", RawAnswer(b"whole")),
+            ("desk", "/read/1", RawAnswer(b"whole")),
+        ],
+    )
+    async def test_last_answer_of_a_leaving_server_is_lost(
+        self,
+        service: str,
+        path: str,
+        answer: RawAnswer,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        """Guards against a failure in place of what can't be continued."""
+        monkeypatch.setattr("wasabiwing.node.server_listens", listens_not)
+        async with node_before(service, leaving(answer)) as (system, server):
+            reply = await system.call(path)
+            assert (reply.status, reply.body) == (200, answer.body)
+            assert len(server.requests) == 1
+
     async def test_crash_that_cuts_others_is_framed_as_complete(self) -> None:
         """Guards against the end of a stream whose neighbours were cut."""
         answer = stream(FIRST_EVENTS, ending=Ending.RESETS_OTHERS)
--- a/wasabiwing/answer_end.py
+++ b/wasabiwing/answer_end.py
@@ -81,7 +81,8 @@
     """Judges the ends of answers that one process gets.
 
     ``is_leaving`` tells whether a server has announced that it ends; it may
-    then close its listener before its last answers. ``listens`` tells whether
+    then close its listener before its last answers, or end in the middle of
+    one. ``listens`` tells whether
     a process listens at an address.
     """
 
@@ -111,6 +112,7 @@
         has_content: bool,
         remaining_s: float,
         is_inside_event: bool = False,
+        may_be_continued: bool = False,
     ) -> Failure | None:
         """Returns why an ended success is not whole, or ``None``.
 
@@ -118,6 +120,8 @@
         a plain body. Without any, the end of a connection is no answer. The
         end of an answer without length and chunks waits while its server is
         probed; ``remaining_s`` is the time left until its caller gives up.
+        ``may_be_continued`` says that another server may carry on a stream
+        after its last event, and then proves its end.
         """
         if is_inside_event:
             return self._cut(server, "ended inside an event")
@@ -133,6 +137,12 @@
             listens = await self._listens(server.address)
         if not listens and not self._is_leaving(server):
             return self._cut(server, "ended as its server stopped to listen")
+        if not listens and may_be_continued:
+            return Failure(
+                ResultCode.STREAM_INCOMPLETE,
+                "its server, which leaves, no longer listens",
+                RunState.MAY_HAVE_RUN,
+            )
         cut_at = self._cut_at_by_server.get(server.id, -inf)
         if cut_at >= ended_at - CUT_WINDOW_S:
             return self._cut(server, "ended as its server cut other answers")
--- a/wasabiwing/answer_relay.py
+++ b/wasabiwing/answer_relay.py
@@ -321,6 +321,7 @@
             event_count > 0,
             call.deadline - self._timer.now(),
             cutter.is_inside_event,
+            call.route.repeatable and bool(cutter.last_event_id),
         )
         if failure is not None:
             cutter.discard_incomplete_event()
