Name no pause when a stopping gateway refuses a request

Cause: the data paths added Retry-After to the one decision in different ways.

The refusal of stop_admission goes out as it is on both. A gateway on a reclaimed VM still names one second: it refuses from the first moment on, when the load balancer may send the caller back to it.

Not measured: the time that callers win.

--- a/wasabiwing/admission.py
+++ b/wasabiwing/admission.py
@@ -10,7 +10,6 @@
 from collections.abc import Collection
 from contextlib import AbstractContextManager
 from dataclasses import dataclass
-from dataclasses import replace
 from heapq import heapify
 from heapq import heappop
 from heapq import heappush
@@ -356,12 +355,9 @@
 
     def _stop_refusal(self, call: Call) -> Failure | None:
         """Returns why this process, which stops, begins no attempt."""
-        refusal = self._stop_admission.refusal(
+        return self._stop_admission.refusal(
             call.route.id, call.received_at, call.deadline, call.max_tokens
         )
-        if refusal is None:
-            return None
-        return replace(refusal, retry_after_s=DEFAULT_RETRY_AFTER_S)
 
     def _refuse_at_stop(self) -> None:
         """Refuses waiting requests that can no longer end in time."""
--- a/wasabiwing/gateway_http.py
+++ b/wasabiwing/gateway_http.py
@@ -4,7 +4,6 @@
 from collections.abc import Iterator
 from collections.abc import Mapping
 from contextlib import contextmanager
-from dataclasses import replace
 from random import Random
 
 from anyio import CancelScope
@@ -90,8 +89,8 @@
 # Status of all other failures; a retry may succeed.
 DEFAULT_ERROR_STATUS = 503
 
-# Seconds after which a caller that a leaving gateway refuses may return, at
-# another gateway.
+# Seconds after which a caller may return that a gateway on a reclaimed VM
+# refuses. The load balancer may still send it there before.
 LEAVING_RETRY_S = 1.0
 
 # Kind under which the duration of job submissions is tracked.
@@ -385,7 +384,6 @@
             JOB_SUBMISSION, call.received_at, call.deadline, None
         )
         if refusal is not None:
-            refusal = replace(refusal, retry_after_s=LEAVING_RETRY_S)
             await self._refuse(call.path, refusal, responder)
             return
         submitted: Result[JobReply, Failure] = Err(
--- a/wasabiwing/stop_admission.py
+++ b/wasabiwing/stop_admission.py
@@ -98,7 +98,8 @@
         It is asked before each attempt. ``kind`` is that under which its
         duration is tracked. ``came_at``, when its last byte was read, and
         ``deadline`` are monotonic seconds. ``answer_tokens`` is the largest
-        number of tokens of its answer; ``None`` for plain requests.
+        number of tokens of its answer; ``None`` for plain requests. The
+        refusal names no pause, as another process takes the request at once.
         """
         if not self.stopping:
             return None
