Read whole numbers of other parties in one place

A store era of 5,000 digits ended the call that read it, and a caller's X-Deadline-Ms or Last-Event-Id of as many was a 500 of the gateway.

Cause: str.isdigit and str.isdecimal say nothing of the alphabet or the size, and int raises for superscripts and for more than 4,300 digits. Eleven places relied on them.

parse_whole_number takes 1 to 15 ASCII digits; other text counts as absent, as odd text did before. Usual numbers, zeros in front included, read as before. Addresses of the own interface may have ports up to 65,535.

Four of the new tests failed before (a lease in two forms, the era, the gateway); the others state what sound and odd numbers give. Facts, engines' attempts and relayed attempts have no test of their own beside the function's.

--- a/tests/test_odd_values.py
+++ b/tests/test_odd_values.py
@@ -5,9 +5,18 @@
 from result import Err
 from result import Ok
 
+from tests.examples import Caller
+from tests.examples import example_configuration
+from tests.examples import running_deployment
 from tests.node_deployment import deployment
+from tests.node_fleet import node_fleet
 from tests.test_platform_adapter import SETTINGS
+from wasabiwing.decoding import parse_whole_number
 from wasabiwing.fleet_changes import ServerChange
+from wasabiwing.http_client import find_header
+from wasabiwing.http_client import HttpClient
+from wasabiwing.leases import LEASE_PREFIX
+from wasabiwing.store_eras import StoreEras
 from wasabiwing_platform.documents import decode_item
 from wasabiwing_platform.headers import PlatformHeaders
 from wasabiwing_platform.settings_file import MAX_QUOTED_LENGTH
@@ -74,6 +83,55 @@
                 assert (await system.call("/read/1")).status == 200
 
 
+@pytest.mark.anyio
+class TestGatewayRequests:
+    """Requests of callers at a whole gateway."""
+
+    async def test_number_of_5000_digits_ends_in_a_500(self) -> None:
+        caller = Caller(HttpClient())
+        async with running_deployment(example_configuration(), 1) as system:
+            vm = system.vms[0]
+            status = await caller.send(
+                vm, "POST", "/orders/status", {}, {"X-Deadline-Ms": DIGITS}
+            )
+            assert status.status == 200
+            chat = await caller.chat(vm, "gravel")
+            request_id = find_header(chat.headers, b"x-request-id")
+            assert request_id is not None
+            again = await caller.send(
+                vm,
+                "GET",
+                f"/v1/requests/{request_id.decode()}",
+                headers={"Last-Event-Id": DIGITS},
+            )
+            assert again.status == 200
+
+
+class TestStore:
+    """Keys and headers of the store."""
+
+    @pytest.mark.anyio
+    @pytest.mark.parametrize("capacity", [DIGITS, "\u00b2", "-1", ""])
+    async def test_node_beside_an_odd_lease_never_becomes_ready(
+        self, capacity: str
+    ) -> None:
+        """Guards against a key that ends each listing (RECOVER)."""
+        async with node_fleet(2) as fleet:
+            document = configuration_document()
+            fleet.store.put("op/config", encode(document))
+            lease = f"{LEASE_PREFIX}node/x@10.0.0.9:1/zone-a/{capacity}"
+            fleet.store.put(lease, b"")
+            await fleet.timer.advance(3.0)
+            assert all(node.ready for node in fleet.nodes)
+
+    @pytest.mark.parametrize("text", [DIGITS, "\u00b2", "\u0663", "-1", ""])
+    def test_odd_era_ends_a_call(self, text: str) -> None:
+        eras = StoreEras("node")
+        eras.note_answer("3")
+        assert eras.note_answer(text) == 3
+        assert eras.note_answer("4") == 4
+
+
 class TestDocuments:
     """Documents in the store."""
 
@@ -172,6 +230,28 @@
 class TestNumbers:
     """Numbers in headers."""
 
+    @pytest.mark.parametrize(
+        ("text", "number"),
+        [
+            ("0", 0),
+            ("007", 7),
+            ("9" * 15, 10**15 - 1),
+            ("9" * 16, None),
+            (DIGITS, None),
+            ("\u00b2", None),
+            ("\u0663", None),
+            ("+1", None),
+            ("1_0", None),
+            (" 1", None),
+            ("1\n", None),
+            ("", None),
+        ],
+    )
+    def test_whole_number_of_another_party_raises(
+        self, text: str, number: int | None
+    ) -> None:
+        assert parse_whole_number(text) == number
+
     @pytest.mark.parametrize("text", ["1", "1500.5", "0", "1.", ".5"])
     def test_usual_number_is_refused(self, text: str) -> None:
         headers = (
--- a/wasabiwing/caller_http.py
+++ b/wasabiwing/caller_http.py
@@ -30,6 +30,7 @@
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
+from wasabiwing.decoding import parse_whole_number
 from wasabiwing.events import Event
 from wasabiwing.events import log_event
 from wasabiwing.fleet_follower import FleetView
@@ -397,8 +398,9 @@
 def _attempts_left(headers: RawHeaders) -> int | None:
     """Returns the attempts that a relayed request may still make."""
     for name, value in headers:
-        if name == ATTEMPTS_LEFT and value.isdigit():
-            return max(int(value), 1)
+        if name == ATTEMPTS_LEFT:
+            count = parse_whole_number(value.decode("latin-1"))
+            return None if count is None else max(count, 1)
     return None
 
 
--- a/wasabiwing/configuration_check.py
+++ b/wasabiwing/configuration_check.py
@@ -15,6 +15,7 @@
 from wasabiwing.configuration import PoolKind
 from wasabiwing.configuration import Rollout
 from wasabiwing.configuration import ZoneState
+from wasabiwing.decoding import parse_whole_number
 
 SHA256_HEX_DIGITS = 64
 
@@ -22,6 +23,8 @@
 # without being forced. One half allows draining one of two zones.
 MAX_CAPACITY_CUT = 0.5
 
+MAX_PORT = 65_535
+
 
 def check_configuration(configuration: Configuration) -> list[str]:
     """Returns findings as lines ``path: message``; empty if all is valid."""
@@ -338,5 +341,6 @@
 
 
 def _is_address(address: str) -> bool:
-    host, separator, port = address.rpartition(":")
-    return bool(host and separator) and port.isdigit()
+    host, _, port_text = address.rpartition(":")
+    port = parse_whole_number(port_text)
+    return bool(host) and port is not None and port <= MAX_PORT
--- a/wasabiwing/crashing_parts.py
+++ b/wasabiwing/crashing_parts.py
@@ -25,6 +25,7 @@
 
 from xxhash import xxh64_intdigest
 
+from wasabiwing.decoding import parse_whole_number
 from wasabiwing.events import Event
 from wasabiwing.events import log_event
 from wasabiwing.facts import FactRule
@@ -391,10 +392,11 @@
         crash, _, request = fact.key.rpartition("/")
         epoch_by_part: dict[str, int] = {}
         for item in fact.value.split(",")[:MAX_PARTS]:
-            part, _, epoch = item.partition(".")
-            if not epoch.isascii() or not epoch.isdecimal():
+            part, _, epoch_text = item.partition(".")
+            epoch = parse_whole_number(epoch_text)
+            if epoch is None:
                 return
-            epoch_by_part[part] = int(epoch)
+            epoch_by_part[part] = epoch
         self._remove_sighting(fact.key)
         self._sighting_by_key[fact.key] = _Sighting(
             crash, request, epoch_by_part, self._timer.now()
@@ -673,10 +675,11 @@
             return set()
         before = inf
         if fact.epoch % 2 == 0:
-            word, _, epoch = fact.value.partition(" ")
-            if word != "cleared" or not epoch.isdecimal():
+            word, _, epoch_text = fact.value.partition(" ")
+            epoch = parse_whole_number(epoch_text)
+            if word != "cleared" or epoch is None:
                 return set()
-            before = int(epoch)
+            before = epoch
         return {
             sighting.crash
             for sighting in self._sighting_by_key.values()
@@ -764,7 +767,7 @@
         """Returns the number of probes that crashed a server."""
         fact = self._facts.get(QUARANTINE_FACT_KIND, PART_PREFIX + part)
         count = "" if fact is None else fact.value.partition(" ")[2]
-        return int(count) if count.isascii() and count.isdecimal() else 0
+        return parse_whole_number(count) or 0
 
     def _begin_probe(self, part: str, request_id: str) -> bool:
         """Whether a request may probe a quarantined part now."""
--- a/wasabiwing/decoding.py
+++ b/wasabiwing/decoding.py
@@ -1,4 +1,6 @@
-"""Errors of decoding bytes that another party has written."""
+"""Reads bytes and numbers that another party has written."""
+
+from re import compile as compile_pattern
 
 from msgspec import DecodeError
 
@@ -10,3 +12,12 @@
     OverflowError,
     RecursionError,
 )
+
+# Longer numbers exceed all that is meant; ``int`` refuses those of more than
+# 4,300 digits.
+WHOLE_NUMBER = compile_pattern(r"[0-9]{1,15}")
+
+
+def parse_whole_number(text: str) -> int | None:
+    """Returns a number of up to 15 ASCII digits; ``None`` for other text."""
+    return int(text) if WHOLE_NUMBER.fullmatch(text) else None
--- a/wasabiwing/gateway_http.py
+++ b/wasabiwing/gateway_http.py
@@ -36,6 +36,7 @@
 from wasabiwing.codes import RunState
 from wasabiwing.configuration import PoolKind
 from wasabiwing.decisions import DecisionLog
+from wasabiwing.decoding import parse_whole_number
 from wasabiwing.events import Event as LogEvent
 from wasabiwing.events import log_event
 from wasabiwing.gateway_credits import GatewayCredits
@@ -671,7 +672,7 @@
             )
             return
         last_event_id = request.headers.get("last-event-id", "")
-        after = int(last_event_id) if last_event_id.isdigit() else 0
+        after = parse_whole_number(last_event_id) or 0
         await self._send_answer(known, after, responder)
 
     def _may_read(self, request: HttpRequest, known: RunningRequest) -> bool:
--- a/wasabiwing/node_registry.py
+++ b/wasabiwing/node_registry.py
@@ -8,6 +8,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from wasabiwing.decoding import parse_whole_number
+
 NODE_LEASE_PREFIX = "node/"
 
 
@@ -104,6 +106,7 @@
     node_id, separator, inbox = parts[0].rpartition("@")
     if not separator or not node_id:
         return None
-    if len(parts) != 3 or not parts[2].isdigit():
+    capacity = parse_whole_number(parts[2]) if len(parts) == 3 else None
+    if capacity is None:
         return NodeRecord(node_id, inbox)
-    return NodeRecord(node_id, inbox, parts[1], int(parts[2]))
+    return NodeRecord(node_id, inbox, parts[1], capacity)
--- a/wasabiwing/openai_engine.py
+++ b/wasabiwing/openai_engine.py
@@ -21,6 +21,7 @@
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
+from wasabiwing.decoding import parse_whole_number
 from wasabiwing.decoding import UNDECODABLE
 from wasabiwing.http_client import AnswerObserver
 from wasabiwing.http_client import HttpClient
@@ -52,8 +53,9 @@
         self._stream = stream
         self.stream_id = _header_text(stream.header(b"x-stream-id"))
         self.request_id = _header_text(stream.header(b"x-request-id"))
-        attempt = _header_text(stream.header(b"x-attempt"))
-        self.attempt = int(attempt) if attempt.isdigit() else None
+        self.attempt = parse_whole_number(
+            _header_text(stream.header(b"x-attempt"))
+        )
 
     def chunks(self) -> AsyncIterator[Result[bytes, Failure]]:
         return self._stream.chunks()
--- a/wasabiwing/replay_caller.py
+++ b/wasabiwing/replay_caller.py
@@ -18,6 +18,7 @@
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
+from wasabiwing.decoding import parse_whole_number
 from wasabiwing.decoding import UNDECODABLE
 from wasabiwing.http_client import HttpClient
 from wasabiwing.http_client import HttpStream
@@ -325,7 +326,7 @@
     number = value_by_field.get(b"id", b"")
     return (
         value_by_field.get(b"event", b""),
-        int(number) if number.isdigit() else 0,
+        parse_whole_number(number.decode("latin-1")) or 0,
         value_by_field.get(b"data", b""),
     )
 
--- a/wasabiwing/request_parsing.py
+++ b/wasabiwing/request_parsing.py
@@ -23,6 +23,7 @@
 from wasabiwing.codes import ResultCode
 from wasabiwing.configuration import Organisation
 from wasabiwing.configuration import Route
+from wasabiwing.decoding import parse_whole_number
 from wasabiwing.decoding import UNDECODABLE
 from wasabiwing.prefix_index import block_digests
 
@@ -206,7 +207,7 @@
 
 def _deadline_s(request: HttpRequest, route: Route) -> float:
     """Returns the shorter deadline of route and caller, in seconds."""
-    header = request.headers.get("x-deadline-ms", "")
-    if header.isdigit() and 0 < int(header) < route.deadline_ms:
-        return int(header) / 1000
+    deadline_ms = parse_whole_number(request.headers.get("x-deadline-ms", ""))
+    if deadline_ms is not None and 0 < deadline_ms < route.deadline_ms:
+        return deadline_ms / 1000
     return route.deadline_ms / 1000
--- a/wasabiwing/store_eras.py
+++ b/wasabiwing/store_eras.py
@@ -11,6 +11,7 @@
 
 from collections.abc import Callable
 
+from wasabiwing.decoding import parse_whole_number
 from wasabiwing.events import Event
 from wasabiwing.events import log_event
 
@@ -72,11 +73,11 @@
         answers name it, the store has lost its count, and this process stays
         with what it knows.
         """
-        if not text.isdecimal():
+        era = parse_whole_number(text)
+        if era is None:
             if self._current:
                 self._log_unusable(text)
             return self.current
-        era = int(text)
         if self._current is None:
             self._current = era
         elif era > self._current:
