Name the build in production and keep its messages as data

A message of each of its 42 kinds, as it encodes it, is read and written alike by this build; one of a later build, with additional items or an unknown tag, is read or dropped with its sender's name.

--- a/tests/test_recorded_bytes.py
+++ b/tests/test_recorded_bytes.py
@@ -1,14 +1,16 @@
 """Tests that messages and stored records keep their encoding across builds.
 
-``recorded_bytes.json`` holds what the build of revision c7bc534 encoded; that
-build and this one must read each other's bytes during an upgrade and after a
-rollback.
+``recorded_bytes.json`` holds what the build of revision c7bc534 encoded, and
+``recorded_messages.json`` the messages of the landing before this one
+(``production`` in ``deploy/system.toml``); such a build and this one must read
+each other's bytes during an upgrade and after a rollback.
 """
 
 from base64 import b64decode
 from dataclasses import replace
 import json
 from pathlib import Path
+import tomllib
 from typing import Any
 from typing import get_args
 
@@ -27,6 +29,7 @@
 from wasabiwing.messages import encode_envelope
 from wasabiwing.messages import Envelope
 from wasabiwing.messages import Message
+from wasabiwing.messages import Ping
 from wasabiwing.pool_servers import VmServer
 from wasabiwing.ports import CacheEvent
 from wasabiwing.ports import EngineOrder
@@ -51,6 +54,13 @@
     (Path(__file__).parent / "recorded_bytes.json").read_text()
 )
 
+LANDING_BEFORE = json.loads(
+    (Path(__file__).parent / "recorded_messages.json").read_text()
+)
+
+# Tags of messages that the landing before drops, as it does not know them.
+TAGS_SINCE = {"104", "105"}
+
 KIND_BY_TAG: dict[str, type[Any]] = {
     str(kind.__struct_config__.tag): kind for kind in get_args(Message)
 }
@@ -129,6 +139,47 @@
         assert decode_envelope(wire).unwrap().body == expected
 
 
+class TestLandingBefore:
+    """Messages in an upgrade from the landing before, and back."""
+
+    def test_record_is_of_the_build_in_production(self) -> None:
+        path = Path(__file__).parent.parent / "deploy" / "system.toml"
+        production = tomllib.loads(path.read_text())["production"]
+        assert production.startswith(LANDING_BEFORE["revision"])
+
+    def test_kinds_are_those_of_the_landing_before(self) -> None:
+        known = LANDING_BEFORE["messages"].keys()
+        assert known | TAGS_SINCE == KIND_BY_TAG.keys()
+        assert not known & TAGS_SINCE
+
+    @pytest.mark.parametrize("tag", LANDING_BEFORE["messages"])
+    def test_message_of_the_landing_before_is_dropped(self, tag: str) -> None:
+        """Guards against fields that are moved, retyped or retagged."""
+        wire = b64decode(LANDING_BEFORE["messages"][tag])
+        envelope = Envelope("text-a", "text-b", 7, sample(KIND_BY_TAG[tag]))
+        assert decode_envelope(wire).unwrap() == envelope
+        assert encode_envelope(envelope) == wire
+
+    @pytest.mark.parametrize("tag", KIND_BY_TAG)
+    def test_message_of_a_later_build_is_dropped(self, tag: str) -> None:
+        """Later builds add items at the end, which this one ignores."""
+        envelope = Envelope("text-a", "text-b", 7, sample(KIND_BY_TAG[tag]))
+        items = msgpack.decode(encode_envelope(envelope))
+        items[-1].append({"later": [1, None]})
+        items.append("later")
+        decoded = decode_envelope(msgpack.encode(items))
+        assert decoded.unwrap() == envelope
+
+    def test_kind_of_a_later_build_raises(self) -> None:
+        """Such a message is dropped; the error names its sender."""
+        items = msgpack.decode(
+            encode_envelope(Envelope("text-a", "text-b", 7, Ping()))
+        )
+        items[-1] = [9999, "later"]
+        decoded = decode_envelope(msgpack.encode(items))
+        assert decoded.unwrap_err().startswith("text-a: ")
+
+
 class TestRecords:
     """Stored records, settings, traces and documents of other programs."""
 
