Keep nodes whose leases lapsed for two seconds after an outage

Cause: nodes disappear from the registry as their leases lapse, and come back one by one with their next renewals.

A node whose lease ends in the 2 s after the store's return is kept for that time, as lapsed servers are. Leases that duties rest on end as before. The price: a node that ended in the outage, or leaves in these 2 s, counts longer, and its share of a limit is not used.

--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -156,8 +156,10 @@
         self._last_tick_at = timer.now()
         incarnation_id = f"{node_id}/{random.getrandbits(SEED_BITS):016x}"
         self.metrics = metrics
-        self.nodes = NodeRegistry(node_id)
         directory = ServerDirectory(timer, settings.server_heartbeat_s)
+        self.nodes = NodeRegistry(
+            node_id, timer.now, lambda: directory.lapsed_kept_until
+        )
         self._store.on_renewal = directory.note_store_alive
         self.view = FleetView(node_id, directory)
         progress = StoreProgress(timer)
--- a/wasabiwing/server_directory.py
+++ b/wasabiwing/server_directory.py
@@ -115,6 +115,11 @@
         """Monotonic time of the store's last recovery; -inf for never."""
         return self._store_recovered_at
 
+    @property
+    def lapsed_kept_until(self) -> float:
+        """Monotonic time until which what lapsed in an outage is kept."""
+        return self._store_recovered_at + LAPSE_GRACE_S
+
     def note_store_recovery(self, recovered_at: float) -> None:
         """Records a recovery of the store that another node has seen."""
         self._store_recovered_at = max(self._store_recovered_at, recovered_at)
@@ -152,7 +157,7 @@
         known = self._server_by_id.get(server_id)
         if known is None:
             return
-        grace_until = self._store_recovered_at + LAPSE_GRACE_S
+        grace_until = self.lapsed_kept_until
         if known.entry.draining or self._timer.now() >= grace_until:
             self._forget(server_id)
         elif known.expires_at is None:
