Look for a peer again while a leaving gateway's request has none

Cause: a leaving gateway chooses the peers that hold a request's record once. If it knows no live peer at that moment, because its list is late, the request has no holder until the kill.

Requests with holders keep them.

test_request_without_a_known_peer_at_the_stop_is_lost failed before.

--- a/tests/test_gateway_stops.py
+++ b/tests/test_gateway_stops.py
@@ -37,8 +37,10 @@
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
+from wasabiwing.gateway_directory import GatewayDirectory
 from wasabiwing.http_client import HttpClient
 from wasabiwing.http_client import HttpStream
+from wasabiwing.messages import GatewayEntry
 from wasabiwing.run_durations import MAX_DURATIONS
 from wasabiwing.run_durations import RunEnd
 from wasabiwing.stop_admission import StopAdmission
@@ -343,6 +345,33 @@
         assert b"may_have_run" in charged.detail
         assert b"/v1/requests/" in charged.detail
 
+    async def test_request_without_a_known_peer_at_the_stop_is_lost(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against holders that are looked for only once."""
+        ranked = GatewayDirectory.rank_handover_peers
+        is_known = False
+
+        def rank_if_known(
+            directory: GatewayDirectory, *arguments: Any
+        ) -> list[GatewayEntry]:
+            return ranked(directory, *arguments) if is_known else []
+
+        monkeypatch.setattr(
+            GatewayDirectory, "rank_handover_peers", rank_if_known
+        )
+        async with stopping_gateway(monkeypatch, 0.1, True) as kept:
+            kept.slow_down(20.0)
+            stream = await kept.open()
+            async with create_task_group() as tasks:
+                kept.vm.stop_gateway.set()
+                tasks.start_soon(kept.ask, stream, "chat", 0.0)
+                await sleep(1.0)
+                is_known = True
+                await sleep(KILL_GRACE_S - 1.0)
+                kept.vm.gateway_scope.cancel()
+        assert [item.ending for item in kept.sent] == [Ending.MOVED]
+
     async def test_a_job_is_still_submitted(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
--- a/wasabiwing/handover.py
+++ b/wasabiwing/handover.py
@@ -122,11 +122,12 @@
                 self._view.leaving
                 and request_id not in self._request_ids_with_holders
             ):
-                self._request_ids_with_holders.add(request_id)
-                self._holders_by_request[request_id] = self._choose_holders(
-                    request_id
-                )
                 request.holder_rank = -1
+                holders = self._choose_holders(request_id)
+                # Without a live peer, one is looked for again.
+                if holders:
+                    self._request_ids_with_holders.add(request_id)
+                    self._holders_by_request[request_id] = holders
             if self._holders_by_request.get(request_id):
                 self._renewals_left_by_request[request_id] = FINAL_RENEWALS
         for request_id, left in list(self._renewals_left_by_request.items()):
