Log once a second what a node knows of a cap that is nearly used up

A refusal named the level of one bucket. Nothing told how old the node's knowledge of the others was, what it had admitted and given back, what others had reported, or which share of the fleet it heard, so that late knowledge, forgotten usage and allowances of restarted nodes look alike. USAGE_CAP_STATE (520) says so for organisations that have less than half of their bucket left and sent requests. No decision changes.

--- a/tests/test_usage_caps.py
+++ b/tests/test_usage_caps.py
@@ -178,3 +178,35 @@
         shares[0] = 0.01
         await timer.advance(REPORT_S)
         assert node_caps.admit(NORTH, 100) is None
+
+
+@pytest.mark.anyio
+class TestState:
+    """What an operator is told of a cap that is nearly used up."""
+
+    async def test_state_says_what_the_node_knew_and_did(self) -> None:
+        timer = FakeTimer()
+        node_caps = caps(timer, heard_share=0.5)
+        admitted_tokens(node_caps, 8, 100)
+        node_caps.deduct_peer_usage("north", 900.0, 1100.0)
+        node_caps.refund(NORTH, 100)
+        await timer.advance(0.5)
+        admitted_tokens(node_caps, 9, 100)
+        [state] = node_caps.take_states()
+        assert state.organisation == "north"
+        assert state.level == pytest.approx(-50.0)
+        assert state.news_age_s == pytest.approx(0.5)
+        assert (state.heard_share, state.refusals) == (0.5, 2)
+        assert (state.admitted, state.refunded) == (1500.0, 100.0)
+        assert state.deducted == 900.0
+
+    def test_organisations_far_from_their_cap_are_left_out(self) -> None:
+        node_caps = caps(FakeTimer())
+        node_caps.admit(NORTH, 100)
+        assert node_caps.take_states() == ()
+
+    def test_counts_begin_anew(self) -> None:
+        node_caps = caps(FakeTimer())
+        admitted_tokens(node_caps, 50, 100)
+        assert node_caps.take_states()
+        assert node_caps.take_states() == ()
--- a/wasabiwing/events.py
+++ b/wasabiwing/events.py
@@ -91,6 +91,7 @@
     SERVER_CRASH_UNPROVED = 516
     SERVERS_CUT_OFF = 518
     SERVERS_REACHED = 519
+    USAGE_CAP_STATE = 520
     # 6xx: claims and jobs.
     CLAIM_GRANTED = 600
     CLAIM_REPEATED = 601
@@ -243,6 +244,9 @@
     ),
     Event.SERVERS_CUT_OFF: "The process reaches no backend server.",
     Event.SERVERS_REACHED: "The process reaches a backend server again.",
+    Event.USAGE_CAP_STATE: (
+        "What a process knows of an organisation that nears its usage cap."
+    ),
     Event.CLAIM_GRANTED: "A gateway may send a non-idempotent request.",
     Event.CLAIM_REPEATED: "A known idempotency key was asked for again.",
     Event.PARTITION_LOADED: "A claim partition was read from the store.",
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -98,6 +98,9 @@
 
 SEED_BITS = 64
 
+# Interval between two log lines on the same usage cap, in seconds.
+CAP_STATE_PERIOD_S = 1.0
+
 # How often idle connections to backend servers are checked, in seconds.
 EXPIRY_PERIOD_S = 0.5
 
@@ -398,6 +401,7 @@
             self._on_server_restarted_or_removed
         )
         timer.subscribe(REPORT_PERIOD_S, self._send_report)
+        timer.subscribe(CAP_STATE_PERIOD_S, self._log_caps)
         timer.subscribe(PUSH_PERIOD_S, self._fleet_relay.push)
         timer.subscribe(
             CONFIGURATION_REQUEST_PERIOD_S, self._newer_configurations.request
@@ -603,6 +607,23 @@
     async def _send_report(self) -> None:
         await self._reports.send(self._reported_state)
 
+    async def _log_caps(self) -> None:
+        """Logs what is known of organisations that near their caps."""
+        for state in self._reported_state.caps.take_states():
+            log_event(
+                LogEvent.USAGE_CAP_STATE,
+                self._node_id,
+                organisation=state.organisation,
+                level=round(state.level),
+                rate_per_s=state.rate_per_s,
+                news_age_s=round(state.news_age_s, 2),
+                heard_share=round(state.heard_share, 3),
+                admitted=round(state.admitted),
+                refunded=round(state.refunded),
+                deducted=round(state.deducted),
+                refusals=state.refusals,
+            )
+
     async def _check_connections(self) -> None:
         known = self.follower.store_cache.revision
         if known is not None:
--- a/wasabiwing/usage_caps.py
+++ b/wasabiwing/usage_caps.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from dataclasses import dataclass
+from dataclasses import field
 from math import inf
 
 from wasabiwing.service_configuration import OrganisationProfile
@@ -28,6 +29,9 @@
 # Time for which a level reported by another node is used, in seconds.
 PEER_LEVEL_MAX_AGE_S = 2.0
 
+# Largest age of other nodes' usage that a state shows, in seconds.
+MAX_NEWS_AGE_S = 60.0
+
 # Shortest retry delay of a refusal, in seconds.
 MIN_RETRY_AFTER_S = 0.05
 
@@ -69,6 +73,37 @@
     level: float
 
 
+@dataclass(frozen=True, slots=True)
+class CapState:
+    """What a node knows of an organisation's usage, and did since before.
+
+    Amounts are in the cap's unit.
+    """
+
+    organisation: str
+    level: float
+    rate_per_s: float
+    # Time since other nodes' usage was last heard, in seconds.
+    news_age_s: float
+    # Share of the nodes that were heard, with this one.
+    heard_share: float
+    admitted: float
+    refunded: float
+    # Usage that others have reported.
+    deducted: float
+    refusals: int
+
+
+@dataclass(slots=True)
+class _Counts:
+    """What happened to a bucket since its state was last taken."""
+
+    admitted: float = 0.0
+    refunded: float = 0.0
+    deducted: float = 0.0
+    refusals: int = 0
+
+
 @dataclass(slots=True)
 class _Bucket:
     """The token bucket of one organisation."""
@@ -77,6 +112,7 @@
     refilled_at: float
     used: float = 0.0
     heard: bool = False
+    counts: _Counts = field(default_factory=_Counts)
     # Refill rate and capacity as of the last request.
     rate_per_s: float = 0.0
     capacity: float = inf
@@ -114,9 +150,11 @@
         if bucket.level <= 0:
             deficit = cost - bucket.level
             wait_s = max(deficit / organisation.rate_per_s, MIN_RETRY_AFTER_S)
+            bucket.counts.refusals += 1
             return CapRefusal(wait_s, cost, bucket.level)
         bucket.level -= cost
         bucket.used += cost
+        bucket.counts.admitted += cost
         return None
 
     def refund(
@@ -128,6 +166,7 @@
             cost = _cost(organisation, tokens)
             bucket.level += cost
             bucket.used -= cost
+            bucket.counts.refunded += cost
 
     def own_usage(self) -> tuple[CapUsage, ...]:
         """Returns the usage that this node reports to the others."""
@@ -172,6 +211,7 @@
             bucket.level = min(bucket.level, level)
         else:
             bucket.level -= amount
+        bucket.counts.deducted += amount
         bucket.heard = True
 
     def limit_to_peer_level(self, organisation: str, level: float) -> None:
@@ -184,6 +224,36 @@
         if bucket is not None:
             bucket.level = min(bucket.level, level)
 
+    def take_states(self) -> tuple[CapState, ...]:
+        """Returns and resets the states of caps that were in use and short.
+
+        A cap is short while less than half of its bucket is left.
+        """
+        now = self._timer.now()
+        states = []
+        for name, bucket in self._bucket_by_organisation.items():
+            counts, bucket.counts = bucket.counts, _Counts()
+            in_use = counts.admitted or counts.refusals
+            if not in_use or bucket.level > bucket.capacity / 2:
+                continue
+            reported_at, _ = self._peer_level_by_organisation.get(
+                name, (-inf, inf)
+            )
+            states.append(
+                CapState(
+                    name,
+                    bucket.level,
+                    bucket.rate_per_s,
+                    min(now - reported_at, MAX_NEWS_AGE_S),
+                    self._heard_share(),
+                    counts.admitted,
+                    counts.refunded,
+                    counts.deducted,
+                    counts.refusals,
+                )
+            )
+        return tuple(states)
+
     def refill_buckets(self) -> None:
         """Refills all buckets; called several times a second.
 
