--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -43,10 +43,12 @@
 from wasabiwing.server_directory import RegisteredServer
 from wasabiwing.server_directory import ServerDirectory
 from wasabiwing.server_loads import ServerLoads
+from wasabiwing.service_configuration import OrganisationProfile
 from wasabiwing.service_configuration import RequestLimits
 from wasabiwing.service_configuration import ServiceConfiguration
 from wasabiwing.store_progress import StoreProgress
 from wasabiwing.timers import FakeTimer
+from wasabiwing.usage_caps import CapRefusal
 from wasabiwing.usage_caps import CapTolerance
 from wasabiwing.usage_caps import UsageCaps
 from wasabiwing.usage_windows import UsageWindows
@@ -57,6 +59,8 @@
 HEARTBEAT_PERIOD_S = 1.2
 LARGE_VM_CAPACITY = 20
 
+NO_TOLERANCE = CapTolerance(8.0, 0.0, 0.0)
+
 
 def decode(key: str, value: bytes | None) -> Result[FleetChange | None, str]:
     """Decodes the test's configurations, evacuations and server entries."""
@@ -128,9 +132,9 @@
         self.shared = ReportedState(
             UsageCaps(
                 timer,
-                True,
+                incarnation == 1 or fleet.forgets_restarts,
                 self.reports.heard_share,
-                CapTolerance(8.0, 0.0, 0.0),
+                fleet.tolerance,
             ),
             UsageWindows(timer, name, 5.0),
             ServerLoads(timer, PrefillRates()),
@@ -191,6 +195,12 @@
         """Handles the messages that reach the node's inbox."""
         await self.messages.run()
 
+    async def admit(
+        self, organisation: OrganisationProfile, tokens: int
+    ) -> CapRefusal | None:
+        """Admits a request by its organisation's usage cap."""
+        return self.shared.caps.admit(organisation, tokens)
+
     async def _receive_report(
         self, envelope: Envelope, report: NodeReport
     ) -> None:
@@ -207,10 +217,14 @@
         tasks: TaskGroup,
         count: int,
         large: int,
+        tolerance: CapTolerance,
     ) -> None:
         self.timer = timer
         self.network = network
-        self._tasks = tasks
+        self.tasks = tasks
+        self.tolerance = tolerance
+        # Whether restarted nodes take their start for the deployment's first.
+        self.forgets_restarts = True
         # Number of nodes on large VMs; these are the first nodes.
         self.large = large
         self.store = LeaseStoreFake(timer)
@@ -231,8 +245,8 @@
         """Starts a node, or a new incarnation of one that was killed."""
         node = RelayNode(self, number, incarnation)
         self.node_by_id[node.id] = node
-        self._tasks.start_soon(node.run)
-        self._tasks.start_soon(node.receive)
+        self.tasks.start_soon(node.run)
+        self.tasks.start_soon(node.receive)
         return node
 
     def heads(self, zone: str) -> list[RelayNode]:
@@ -270,12 +284,15 @@
 
 @asynccontextmanager
 async def relay_fleet(
-    count: int, large: int = 6, seed: int = 1
+    count: int,
+    large: int = 6,
+    seed: int = 1,
+    tolerance: CapTolerance = NO_TOLERANCE,
 ) -> AsyncIterator[RelayFleet]:
     """Runs a fleet whose nodes have had six seconds to find each other."""
     async with bench(seed) as found:
         fleet = RelayFleet(
-            found.timer, found.network, found.tasks, count, large
+            found.timer, found.network, found.tasks, count, large, tolerance
         )
         await fleet.run(6.0)
         yield fleet
