Deduct nothing from before its start on a node that restarts

Up to 13 nodes: a restarted node took the first report of each other one as usage since its own start and deducted the whole total, all that the node had admitted in its life.

The first report of a node that has run for longer than 2 s now only lowers the level to that node's. A report of a node that has just started counts in full, as does every first report on the deployment's first start.

--- a/tests/test_usage_caps.py
+++ b/tests/test_usage_caps.py
@@ -7,6 +7,7 @@
 from wasabiwing.service_configuration import OrganisationProfile
 from wasabiwing.timers import FakeTimer
 from wasabiwing.usage_caps import CapTolerance
+from wasabiwing.usage_caps import CapUsage
 from wasabiwing.usage_caps import PEER_LEVEL_MAX_AGE_S
 from wasabiwing.usage_caps import UsageCaps
 
@@ -158,6 +159,28 @@
         [use] = node_caps.own_usage()
         assert use.level == 2000.0 - 100.0 - 300.0
 
+    def test_totals_from_before_a_restart_are_not_deducted(self) -> None:
+        """Guards against refusals within the cap by restarted nodes."""
+        node_caps = caps(FakeTimer(), first_start=False)
+        node_caps.admit(NORTH, 1)
+        for number in range(6):
+            use = CapUsage("north", 50_000.0, 1_900.0)
+            node_caps.note_peer_usage(f"node-{number}", [use], 60.0)
+        assert node_caps.admit(NORTH, 100) is None
+        use = CapUsage("north", 50_300.0, 1_600.0)
+        node_caps.note_peer_usage("node-1", [use], 60.0)
+        [own] = node_caps.own_usage()
+        assert own.level == 500.0 - 1.0 - 100.0 - 300.0
+
+    def test_all_that_a_new_node_admitted_is_deducted(self) -> None:
+        node_caps = caps(FakeTimer(), first_start=False)
+        node_caps.admit(NORTH, 1)
+        use = CapUsage("north", 100.0, 1_900.0)
+        node_caps.note_peer_usage("node-1", [use], 60.0)
+        node_caps.note_peer_usage("node-2", [use], 0.5)
+        [own] = node_caps.own_usage()
+        assert own.level == 500.0 - 1.0 - 100.0
+
     @pytest.mark.anyio
     async def test_a_moment_without_others_does_not_cost_the_refill(
         self,
--- a/wasabiwing/node_reports.py
+++ b/wasabiwing/node_reports.py
@@ -222,6 +222,7 @@
                 CapUsage(item.organisation, item.used, item.level)
                 for item in report.organisation_usage
             ],
+            report.age_s,
         )
         shared.windows.note_peer_counts(
             report.incarnation_id, _window_counts(report.windows)
--- a/wasabiwing/usage_caps.py
+++ b/wasabiwing/usage_caps.py
@@ -29,6 +29,10 @@
 # Time for which a level reported by another node is used, in seconds.
 PEER_LEVEL_MAX_AGE_S = 2.0
 
+# Age up to which all that a node has admitted is news to a restarted node, in
+# seconds.
+NEW_PEER_AGE_S = 2.0
+
 # Largest age of other nodes' usage that a state shows, in seconds.
 MAX_NEWS_AGE_S = 60.0
 
@@ -176,12 +180,17 @@
         )
 
     def note_peer_usage(
-        self, peer_incarnation_id: str, uses: Iterable[CapUsage]
+        self,
+        peer_incarnation_id: str,
+        uses: Iterable[CapUsage],
+        age_s: float = 0.0,
     ) -> None:
         """Deducts the usage that a node admitted since its last report.
 
-        ``peer_incarnation_id`` identifies one start of the node.
+        ``peer_incarnation_id`` identifies one start of the node, which was
+        ``age_s`` seconds ago; 0 if that is not known.
         """
+        is_new = 0.0 < age_s < NEW_PEER_AGE_S
         for use in uses:
             before = self._used_by_peer.get(
                 (peer_incarnation_id, use.organisation)
@@ -189,6 +198,10 @@
             self._used_by_peer[(peer_incarnation_id, use.organisation)] = (
                 use.used
             )
+            if before is None and not self._first_start and not is_new:
+                # What it admitted before this node's start is not news.
+                self.limit_to_peer_level(use.organisation, use.level)
+                continue
             amount = use.used if before is None else use.used - before
             self.deduct_peer_usage(use.organisation, amount, use.level)
 
@@ -223,6 +236,7 @@
         bucket = self._bucket_by_organisation.get(organisation)
         if bucket is not None:
             bucket.level = min(bucket.level, level)
+            bucket.heard = True
 
     def take_states(self) -> tuple[CapState, ...]:
         """Returns and resets the states of caps that were in use and short.
