Let one node decide on an organisation's usage cap

Cause: each node kept a bucket for the whole fleet and deducted what others had reported. While an organisation asks for many times its cap, all nodes see the same positive level and each admits what comes to it until the reports arrive, up to 1.25 s later. The excess is demand x age of the reports, without a bound; the debt that follows takes the cap away.

Change: rendezvous hashing chooses one node for each organisation; it has the bucket (cap_issuer) and the others ask it (cap_admission). A request within a node's equal part of 0.15 of what is left goes without a message; a denial holds for the node's next requests without one. The next issuers are told what is admitted.

The test that a relayed request is charged once now counts the admission of the node and not of its bucket, which a request near the cap no longer passes.

--- a/tests/cap_fleet.py
+++ b/tests/cap_fleet.py
@@ -4,15 +4,18 @@
 and store. What counts is the moment of admission.
 """
 
+from collections.abc import Callable
 from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
+from math import ceil
 from math import exp
 from random import Random
 
 from tests.relay_fleet import relay_fleet
 from tests.relay_fleet import RelayFleet
 from tests.relay_fleet import RelayNode
+from wasabiwing.rendezvous import rank_members
 from wasabiwing.service_configuration import OrganisationProfile
 from wasabiwing.usage_caps import CapTolerance
 
@@ -111,7 +114,9 @@
         while True:
             elapsed_s = timer.now() - self._began_at
             demand = [d for d in self.demands if d.from_s <= elapsed_s][-1]
-            per_s = self.organisation.rate_per_s / MEAN_TOKENS
+            per_s = self.organisation.rate_per_s
+            if self.organisation.counts_tokens:
+                per_s /= MEAN_TOKENS
             await timer.sleep(
                 self._random.expovariate(per_s * demand.times_rate)
             )
@@ -127,7 +132,11 @@
         now = self._fleet.timer.now
         began_at = now()
         refusal = await node.admit(self.organisation, tokens)
+        if node.paused:
+            return
         self.outcome.decision_s.append(now() - began_at)
+        if not self.organisation.counts_tokens:
+            tokens = 1
         found = (now() - self._began_at, tokens)
         if refusal is None:
             self.outcome.admitted.append(found)
@@ -141,38 +150,113 @@
         return max(min(int(size), MAX_TOKENS), 1)
 
 
+# Something that happens to the fleet at a time after the start, in seconds.
+Action = tuple[float, Callable[[RelayFleet], None]]
+
+
+def restart(
+    choose: Callable[[RelayFleet], Sequence[RelayNode]],
+    at_s: float = 2.0,
+    down_s: float = 1.0,
+) -> list[Action]:
+    """Kills nodes and starts them again."""
+    killed: list[RelayNode] = []
+
+    def kill(fleet: RelayFleet) -> None:
+        killed.extend(choose(fleet))
+        for node in killed:
+            node.kill()
+
+    def start(fleet: RelayFleet) -> None:
+        for node in killed:
+            fleet.start(int(node.id.removeprefix("node-")), 2)
+
+    return [(at_s, kill), (at_s + down_s, start)]
+
+
+def share_of_nodes(
+    share: float, seed: int = 1
+) -> Callable[[RelayFleet], Sequence[RelayNode]]:
+    """Chooses a share of the nodes, at least one unless it is zero."""
+    return lambda fleet: Random(seed).sample(
+        fleet.nodes, ceil(len(fleet.nodes) * share)
+    )
+
+
+def issuers(
+    count: int, organisation: OrganisationProfile = NORTH
+) -> Callable[[RelayFleet], Sequence[RelayNode]]:
+    """Chooses the best issuers of an organisation."""
+
+    def choose(fleet: RelayFleet) -> Sequence[RelayNode]:
+        ranking = rank_members(
+            f"cap/{organisation.name}", [node.id for node in fleet.nodes]
+        )
+        return [fleet.node_by_id[node_id] for node_id in ranking[:count]]
+
+    return choose
+
+
+def cut(
+    choose: Callable[[RelayFleet], Sequence[RelayNode]],
+    at_s: float = 2.0,
+    for_s: float = 5.0,
+) -> list[Action]:
+    """Cuts the links between some nodes and the others."""
+
+    def begin(fleet: RelayFleet) -> None:
+        for node in choose(fleet):
+            fleet.network.group_by_address[node.transport.address] = 1
+
+    def end(fleet: RelayFleet) -> None:
+        fleet.network.group_by_address.clear()
+
+    return [(at_s, begin), (at_s + for_s, end)]
+
+
+def freeze(
+    choose: Callable[[RelayFleet], Sequence[RelayNode]],
+    at_s: float = 2.0,
+    for_s: float = 4.0,
+) -> list[Action]:
+    """Suspends nodes for a time."""
+    frozen: list[RelayNode] = []
+
+    def begin(fleet: RelayFleet) -> None:
+        frozen.extend(choose(fleet))
+        for node in frozen:
+            node.paused = True
+            node.transport.paused = True
+
+    def end(fleet: RelayFleet) -> None:
+        for node in frozen:
+            node.paused = False
+            node.transport.resume()
+
+    return [(at_s, begin), (at_s + for_s, end)]
+
+
 async def play(
     count: int,
     demands: Sequence[Demand],
     seed: int = 1,
     seconds: float = 12.0,
-    restarted_share: float = 0.0,
-    restart_s: float = 2.0,
+    actions: Sequence[Action] = (),
     organisation: OrganisationProfile = NORTH,
+    tolerance: CapTolerance = TOLERANCE,
 ) -> Outcome:
-    """Plays requests at a fleet; returns what became of them.
-
-    ``restarted_share`` of the nodes are killed after ``restart_s`` seconds and
-    start again a second later.
-    """
+    """Plays requests at a fleet; returns what became of them."""
     async with relay_fleet(
-        count, min(count, 6), seed, tolerance=TOLERANCE
+        count, min(count, 6), seed, tolerance=tolerance
     ) as fleet:
         fleet.forgets_restarts = False
         traffic = CapTraffic(fleet, seed, organisation)
         traffic.demands = demands
         fleet.tasks.start_soon(traffic.run)
-        if not restarted_share:
-            await fleet.run(seconds)
-            return traffic.outcome
-        await fleet.run(restart_s)
-        killed = Random(seed).sample(
-            fleet.nodes, max(round(count * restarted_share), 1)
-        )
-        for node in killed:
-            node.kill()
-        await fleet.run(1.0)
-        for node in killed:
-            fleet.start(int(node.id.removeprefix("node-")), 2)
-        await fleet.run(seconds - restart_s - 1.0)
+        elapsed_s = 0.0
+        for at_s, act in sorted(actions, key=lambda action: action[0]):
+            await fleet.run(at_s - elapsed_s)
+            elapsed_s = at_s
+            act(fleet)
+        await fleet.run(seconds - elapsed_s)
         return traffic.outcome
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -14,6 +14,8 @@
 from tests.network import FakeNetwork
 from tests.platform_fakes import LeaseStoreFake
 from tests.platform_fakes import LongPollStoreLink
+from wasabiwing.cap_admission import CapAdmission
+from wasabiwing.cap_admission import SPENDING_PERIOD_S
 from wasabiwing.fleet_changes import ConfigurationChange
 from wasabiwing.fleet_changes import EvacuationChange
 from wasabiwing.fleet_changes import FleetChange
@@ -129,13 +131,26 @@
         self.reports = NodeReports(
             name, timer, self.transport, self.nodes, self.heads
         )
+        caps = UsageCaps(
+            timer,
+            incarnation == 1 or fleet.forgets_restarts,
+            self.reports.heard_share,
+            fleet.tolerance,
+        )
+        self.cap_admission = CapAdmission(
+            self.id,
+            timer,
+            self.transport,
+            caps,
+            fleet.tolerance,
+            self.reports.known_inboxes,
+            lambda: self.reported_share or self.reports.heard_share(),
+            Random(number),
+        )
+        # Share of the nodes that reports show, if the test sets it.
+        self.reported_share: float | None = None
         self.shared = ReportedState(
-            UsageCaps(
-                timer,
-                incarnation == 1 or fleet.forgets_restarts,
-                self.reports.heard_share,
-                fleet.tolerance,
-            ),
+            caps,
             UsageWindows(timer, name, 5.0),
             ServerLoads(timer, PrefillRates()),
             PromptCacheIndex(),
@@ -167,6 +182,7 @@
         self.messages.register(FleetRequest, self.relay.answer_catch_up)
         self.messages.register(FleetContent, self.relay.receive_catch_up)
         self.messages.register(NodeReport, self._receive_report)
+        self.cap_admission.register(self.messages)
         self.versions: list[int] = []
         self.view.on_configuration(
             lambda found: self.versions.append(found.version)
@@ -199,7 +215,7 @@
         self, organisation: OrganisationProfile, tokens: int
     ) -> CapRefusal | None:
         """Admits a request by its organisation's usage cap."""
-        return self.shared.caps.admit(organisation, tokens)
+        return await self.cap_admission.admit(organisation, tokens, 1)
 
     async def _receive_report(
         self, envelope: Envelope, report: NodeReport
@@ -267,6 +283,8 @@
             for number, node in enumerate(self.nodes):
                 if self._is_due(REPORT_PERIOD_S, number):
                     await node.reports.send(node.shared)
+                if self._is_due(SPENDING_PERIOD_S, number):
+                    await node.cap_admission.tell_issuers()
                 if self._is_due(PUSH_PERIOD_S, number):
                     await node.relay.push()
                 if self._is_due(PRESENCE_PERIOD_S, number):
--- a/tests/test_peer_relay.py
+++ b/tests/test_peer_relay.py
@@ -7,10 +7,10 @@
 
 from tests.cut_nodes import linked_nodes
 from tests.cut_nodes import LinkedNodes
+from wasabiwing.cap_admission import CapAdmission
 from wasabiwing.ports import HttpReply
 from wasabiwing.service_configuration import OrganisationProfile
 from wasabiwing.usage_caps import CapRefusal
-from wasabiwing.usage_caps import UsageCaps
 from wasabiwing_platform_standins.examples import caller_headers
 from wasabiwing_platform_standins.examples import configuration_document
 from wasabiwing_platform_standins.server import plain_answer
@@ -139,19 +139,20 @@
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         charged: list[int | None] = []
-        admit = UsageCaps.admit
+        admit = CapAdmission.admit
 
-        def count(
-            caps: UsageCaps,
+        async def count(
+            caps: CapAdmission,
             organisation: OrganisationProfile,
             tokens: int | None,
+            version: int,
         ) -> CapRefusal | None:
             charged.append(tokens)
-            return admit(caps, organisation, tokens)
+            return await admit(caps, organisation, tokens, version)
 
         async with linked_nodes(2) as nodes:
             await cut_first_node(nodes)
-            monkeypatch.setattr(UsageCaps, "admit", count)
+            monkeypatch.setattr(CapAdmission, "admit", count)
             assert (await call(nodes, "/book/1")).status == 200
         assert len(charged) == 1
 
--- a/tests/test_usage_cap_excess.py
+++ b/tests/test_usage_cap_excess.py
@@ -4,6 +4,8 @@
 
 from tests.cap_fleet import Demand
 from tests.cap_fleet import play
+from tests.cap_fleet import restart
+from tests.cap_fleet import share_of_nodes
 
 pytestmark = pytest.mark.anyio
 
@@ -43,7 +45,7 @@
         outcome = await play(
             count,
             [Demand(times_rate, first_node_share=first_node_share)],
-            restarted_share=restarted_share,
+            actions=restart(share_of_nodes(restarted_share)),
         )
         assert outcome.worst_share <= 1.0
         assert outcome.used_share(4.0, 12.0) >= MIN_USED_SHARE
--- a/wasabiwing/caller_http.py
+++ b/wasabiwing/caller_http.py
@@ -27,6 +27,7 @@
 from wasabiwing.asgi import Send
 from wasabiwing.asgi_answer import AsgiAnswer
 from wasabiwing.call_forwarding import CallForwarder
+from wasabiwing.cap_admission import CapAdmission
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
@@ -52,7 +53,6 @@
 from wasabiwing.service_configuration import WeightedService
 from wasabiwing.stop_admission import StopAdmission
 from wasabiwing.timers import TimerService
-from wasabiwing.usage_caps import UsageCaps
 
 # Timeout in seconds of a request where neither caller nor route sets one.
 DEFAULT_TIMEOUT_S = 30.0
@@ -147,7 +147,7 @@
         timer: TimerService,
         view: FleetView,
         codec: CallCodec,
-        caps: UsageCaps,
+        caps: CapAdmission,
         forwarder: CallForwarder,
         stop_admission: StopAdmission,
         metrics: GatewayMetrics,
@@ -240,6 +240,12 @@
             await self._refuse(output, parsed.err_value)
             return
         call = parsed.ok_value
+        if not relayed:
+            # The node that relays a request has charged the usage cap.
+            refusal = await self._charge_cap(call)
+            if refusal is not None:
+                await self._refuse(output, refusal)
+                return
         answered = False
         async with create_task_group() as tasks:
 
@@ -333,16 +339,18 @@
             received_at=received_at,
             deadline=received_at + _timeout_s(route, head),
         )
-        # The node that relays a request has charged the usage cap.
-        return Ok(call) if relayed else self._check_cap(call)
+        return Ok(call)
 
-    def _check_cap(self, call: RoutedCall) -> Result[RoutedCall, Failure]:
+    async def _charge_cap(self, call: RoutedCall) -> Failure | None:
         """Charges a call to its organisation's usage cap, or refuses it."""
-        if call.organisation is None:
-            return Ok(call)
-        refusal = self._caps.admit(call.organisation, call.total_tokens)
+        configuration = self._view.configuration
+        if call.organisation is None or configuration is None:
+            return None
+        refusal = await self._caps.admit(
+            call.organisation, call.total_tokens, configuration.version
+        )
         if refusal is None:
-            return Ok(call)
+            return None
         log_event(
             Event.REQUEST_REFUSED,
             self._node_id,
@@ -357,12 +365,10 @@
             level=round(refusal.level),
             rate_per_s=call.organisation.rate_per_s,
         )
-        return Err(
-            Failure(
-                ResultCode.OVERLOADED,
-                "the organisation's usage cap is reached",
-                retry_after_s=refusal.retry_after_s,
-            )
+        return Failure(
+            ResultCode.OVERLOADED,
+            "the organisation's usage cap is reached",
+            retry_after_s=refusal.retry_after_s,
         )
 
     def _refund_cap(self, call: RoutedCall, outcome: Failure) -> None:
@@ -370,7 +376,8 @@
         not_run = outcome.run_state is RunState.NOT_RUN
         if call.organisation is not None and not_run:
             if outcome.code is not ResultCode.OK:
-                self._caps.refund(call.organisation, call.total_tokens)
+                age_s = self._timer.now() - call.received_at
+                self._caps.refund(call.organisation, call.total_tokens, age_s)
 
     async def _refuse(self, output: CallerOutput, failure: Failure) -> None:
         self._count("", failure)
--- a/wasabiwing/events.py
+++ b/wasabiwing/events.py
@@ -92,6 +92,8 @@
     SERVERS_CUT_OFF = 518
     SERVERS_REACHED = 519
     USAGE_CAP_STATE = 520
+    USAGE_CAP_ISSUED = 521
+    CAP_ISSUER_SILENT = 522
     # 6xx: claims and jobs.
     CLAIM_GRANTED = 600
     CLAIM_REPEATED = 601
@@ -247,6 +249,12 @@
     Event.USAGE_CAP_STATE: (
         "What a process knows of an organisation that nears its usage cap."
     ),
+    Event.USAGE_CAP_ISSUED: (
+        "What a process decided for all on an organisation at its usage cap."
+    ),
+    Event.CAP_ISSUER_SILENT: (
+        "A process did not answer for a usage cap; the next is asked."
+    ),
     Event.CLAIM_GRANTED: "A gateway may send a non-idempotent request.",
     Event.CLAIM_REPEATED: "A known idempotency key was asked for again.",
     Event.PARTITION_LOADED: "A claim partition was read from the store.",
--- a/wasabiwing/messages.py
+++ b/wasabiwing/messages.py
@@ -732,6 +732,57 @@
     running: tuple[tuple[str, tuple[str, ...]], ...]
 
 
+class OrganisationCap(Struct, frozen=True, array_like=True):
+    """The usage cap of an organisation."""
+
+    organisation: str
+    # Version of the configuration that the cap is from.
+    version: int
+    rate_per_s: float
+    burst: float
+
+
+class CapRequest(Struct, frozen=True, array_like=True, tag=116):
+    """Asks to admit a request by its organisation's usage cap."""
+
+    cap: OrganisationCap
+    # Cost of the request, in the cap's unit.
+    cost: float
+
+
+class CapDecision(Struct, frozen=True, array_like=True, tag=117):
+    """Answers a request for admission by a usage cap."""
+
+    organisation: str
+    cost: float
+    admitted: bool
+    # Seconds until the cap admits a request again, and after which the caller
+    # should return; 0 if the request is admitted.
+    wait_s: float = 0.0
+    return_s: float = 0.0
+    # Level of the organisation's bucket, in the cap's unit.
+    level: float = 0.0
+    # Whether the sender has started so recently that another process may know
+    # more.
+    is_young: bool = False
+
+
+class CapSpent(Struct, frozen=True, array_like=True):
+    """Usage of an organisation that a node admitted by itself."""
+
+    cap: OrganisationCap
+    # Usage, less refunds that came soon, in the cap's unit.
+    amount: float
+    # Refunds that came late, in the cap's unit.
+    late_refund: float = 0.0
+
+
+class CapSpending(Struct, frozen=True, array_like=True, tag=118):
+    """States what the sender admitted without the receiver's decision."""
+
+    uses: tuple[CapSpent, ...]
+
+
 Message = (
     Ping
     | Ack
@@ -777,6 +828,9 @@
     | SlotGrant
     | SlotEnded
     | SlotReport
+    | CapRequest
+    | CapDecision
+    | CapSpending
 )
 
 M = TypeVar("M", bound=Struct)
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -22,6 +22,8 @@
 from wasabiwing.brittle_servers import BrittleServers
 from wasabiwing.call_forwarding import CallForwarder
 from wasabiwing.caller_http import CallerHttp
+from wasabiwing.cap_admission import CapAdmission
+from wasabiwing.cap_admission import SPENDING_PERIOD_S
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
 from wasabiwing.duties import DUTY_PERIOD_S
@@ -190,15 +192,27 @@
         self._prefill_rates = PrefillRates()
         self._loads = ServerLoads(timer, self._prefill_rates)
         self._prompt_cache = PromptCacheIndex()
+        tolerance = CapTolerance(
+            bounds.cap_window_s, bounds.cap_excess, bounds.cap_slack
+        )
+        caps = UsageCaps(
+            timer,
+            settings.first_start,
+            self._reports.heard_share,
+            tolerance,
+        )
+        self._cap_admission = CapAdmission(
+            node_id,
+            timer,
+            transport,
+            caps,
+            tolerance,
+            self._reports.known_inboxes,
+            self._reports.heard_share,
+            random,
+        )
         self._reported_state = ReportedState(
-            UsageCaps(
-                timer,
-                settings.first_start,
-                self._reports.heard_share,
-                CapTolerance(
-                    bounds.cap_window_s, bounds.cap_excess, bounds.cap_slack
-                ),
-            ),
+            caps,
             UsageWindows(timer, incarnation_id, bounds.usage_window_s),
             self._loads,
             self._prompt_cache,
@@ -387,7 +401,7 @@
             timer,
             self.view,
             platform.codec,
-            self._reported_state.caps,
+            self._cap_admission,
             self.forwarder,
             self.stop_admission,
             metrics.gateway,
@@ -401,6 +415,7 @@
             self._on_server_restarted_or_removed
         )
         timer.subscribe(REPORT_PERIOD_S, self._send_report)
+        timer.subscribe(SPENDING_PERIOD_S, self._cap_admission.tell_issuers)
         timer.subscribe(CAP_STATE_PERIOD_S, self._log_caps)
         timer.subscribe(PUSH_PERIOD_S, self._fleet_relay.push)
         timer.subscribe(
@@ -455,6 +470,7 @@
             NewerConfiguration, self._newer_configurations.receive
         )
         self.facts.register(messages)
+        self._cap_admission.register(messages)
         self._permits.register(messages)
         self._slots.register(messages)
 
@@ -608,21 +624,7 @@
         await self._reports.send(self._reported_state)
 
     async def _log_caps(self) -> None:
-        """Logs what is known of organisations that near their caps."""
-        for state in self._reported_state.caps.take_states():
-            log_event(
-                LogEvent.USAGE_CAP_STATE,
-                self._node_id,
-                organisation=state.organisation,
-                level=round(state.level),
-                rate_per_s=state.rate_per_s,
-                news_age_s=round(state.news_age_s, 2),
-                heard_share=round(state.heard_share, 3),
-                admitted=round(state.admitted),
-                refunded=round(state.refunded),
-                deducted=round(state.deducted),
-                refusals=state.refusals,
-            )
+        self._cap_admission.log_states()
 
     async def _check_connections(self) -> None:
         known = self.follower.store_cache.revision
--- a/wasabiwing/node_reports.py
+++ b/wasabiwing/node_reports.py
@@ -165,6 +165,14 @@
             if self.heard_since(node_id, since)
         }
 
+    def known_inboxes(self) -> dict[str, str]:
+        """Returns the inboxes of the other nodes, heard or not, by id."""
+        registered = {
+            node_id: f"tcp://{inbox}"
+            for node_id, inbox in self._nodes.peers().items()
+        }
+        return registered | self.live_inboxes()
+
     def heard_since(self, node_id: str, moment: float) -> bool:
         """Returns whether a node's report arrived since a monotonic time."""
         return self._heard_at_by_node.get(node_id, 0.0) >= moment
--- a/wasabiwing/usage_caps.py
+++ b/wasabiwing/usage_caps.py
@@ -60,10 +60,15 @@
     # Further fixed excess, in the cap's unit.
     slack: float
 
+    def amount(self, rate_per_s: float, burst: float) -> float:
+        """Returns the tolerance of a cap in a window, in the cap's unit."""
+        allowed = rate_per_s * self.window_s + burst
+        return allowed * self.excess + self.slack
+
     def usable_amount(self, organisation: OrganisationProfile) -> float:
         """Returns the tolerance that admission uses, in the cap's unit."""
-        allowed = organisation.rate_per_s * self.window_s + organisation.burst
-        return (allowed * self.excess + self.slack) * ADMISSION_TOLERANCE_SHARE
+        amount = self.amount(organisation.rate_per_s, organisation.burst)
+        return amount * ADMISSION_TOLERANCE_SHARE
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,25 +154,53 @@
         """Deducts a request's cost; returns ``None`` if it may be sent."""
         if organisation.rate_per_s <= 0:
             return None
-        cost = _cost(organisation, tokens)
+        cost = request_cost(organisation, tokens)
         bucket = self._refilled_bucket(organisation)
         if bucket.level <= 0:
             deficit = cost - bucket.level
             wait_s = max(deficit / organisation.rate_per_s, MIN_RETRY_AFTER_S)
             bucket.counts.refusals += 1
             return CapRefusal(wait_s, cost, bucket.level)
-        bucket.level -= cost
-        bucket.used += cost
-        bucket.counts.admitted += cost
+        _charge(bucket, cost)
         return None
 
+    def charge(self, organisation: OrganisationProfile, cost: float) -> None:
+        """Deducts the cost of a request that was admitted elsewhere."""
+        _charge(self._refilled_bucket(organisation), cost)
+
+    def note_refusal(self, organisation: str) -> None:
+        """Counts a request that was refused elsewhere."""
+        bucket = self._bucket_by_organisation.get(organisation)
+        if bucket is not None:
+            bucket.counts.refusals += 1
+
+    def level(self, organisation: OrganisationProfile) -> float:
+        """Returns what is left according to all reports, in the cap's unit."""
+        return self._refilled_bucket(organisation).level
+
+    def known_level(
+        self, organisation: str, rate_per_s: float, burst: float
+    ) -> float:
+        """Returns what is left of a cap that another node has named."""
+        bucket = self._bucket_by_organisation.get(organisation)
+        if bucket is None:
+            bucket = self._refilled_bucket(
+                OrganisationProfile(
+                    organisation,
+                    frozenset(),
+                    rate_per_s=rate_per_s,
+                    burst=burst,
+                )
+            )
+        return bucket.level
+
     def refund(
         self, organisation: OrganisationProfile, tokens: int | None
     ) -> None:
         """Refunds the cost of a request that has not run."""
         bucket = self._bucket_by_organisation.get(organisation.name)
         if bucket is not None and organisation.rate_per_s > 0:
-            cost = _cost(organisation, tokens)
+            cost = request_cost(organisation, tokens)
             bucket.level += cost
             bucket.used -= cost
             bucket.counts.refunded += cost
@@ -307,7 +340,16 @@
         bucket.refilled_at = now
 
 
-def _cost(organisation: OrganisationProfile, tokens: int | None) -> float:
+def _charge(bucket: _Bucket, cost: float) -> None:
+    bucket.level -= cost
+    bucket.used += cost
+    bucket.counts.admitted += cost
+
+
+def request_cost(
+    organisation: OrganisationProfile, tokens: int | None
+) -> float:
+    """Returns what a request costs, in the unit of its organisation's cap."""
     if not organisation.counts_tokens:
         return 1.0
     return float(organisation.default_tokens if tokens is None else tokens)
