Read the other nodes four times a second for usage caps

Each request near a cap put the inboxes of all nodes together three times (195 entries each) and made a set of their ids. They are read once in 0.25 s now, and the ranking is kept while the nodes are the same. A node that sends a request or tells its spending no longer counts as silent since an earlier probe, and a decision on an organisation that this node does not know is ignored: its refund would have ended the message to the issuers.

--- a/wasabiwing/cap_admission.py
+++ b/wasabiwing/cap_admission.py
@@ -49,6 +49,9 @@
 # Largest number of issuers that a request asks one after the other.
 MAX_ASKED = 2
 
+# Period in which the other nodes are read anew, in seconds.
+MEMBERS_PERIOD_S = 0.25
+
 # Time for which a node counts as live after it was heard, and in which it has
 # to answer a probe, in seconds.
 HEARD_S = 0.5
@@ -160,7 +163,11 @@
         self._transport = transport
         self._caps = caps
         self._random = random
-        self._members = members
+        self._read_members = members
+        # Inboxes of the other nodes by id, and the time until which they are
+        # used.
+        self._inbox_by_node: Mapping[str, str] = {}
+        self._members_until = -inf
         self._reported_share = heard_share
         # Share of the nodes whose messages on caps came lately.
         self._direct_share = 0.0
@@ -193,9 +200,8 @@
         # Amounts and late refunds that an issuer is still to be told, by
         # issuer and organisation.
         self._untold: dict[str, dict[str, tuple[float, float]]] = {}
-        # Ranking by organisation, with the nodes that it was made from.
+        # Ranking of the nodes by organisation.
         self._ranking_by_organisation: dict[str, list[str]] = {}
-        self._ranked_ids: frozenset[str] = frozenset()
 
     def register(self, messages: MessageRouter) -> None:
         """Registers the handlers of other nodes' messages."""
@@ -404,9 +410,7 @@
         decided: tuple[str, CapDecision | None] = ("", None)
         asked = 0
         now = self._timer.now()
-        for rank, issuer_id in enumerate(
-            self._ranking(request.cap.organisation)
-        ):
+        for issuer_id in self._ranking(request.cap.organisation):
             silence = self._silence_by_issuer.get(issuer_id)
             if silence is not None and silence.until > now:
                 continue
@@ -477,15 +481,25 @@
     def _told_issuers(self, organisation: str) -> list[str]:
         return self._ranking(organisation)[:TOLD_ISSUERS]
 
+    def _members(self) -> Mapping[str, str]:
+        """Returns the inboxes of the other nodes by id."""
+        now = self._timer.now()
+        if now >= self._members_until:
+            self._members_until = now + MEMBERS_PERIOD_S
+            inbox_by_node = self._read_members()
+            if inbox_by_node.keys() != self._inbox_by_node.keys():
+                self._ranking_by_organisation = {}
+            self._inbox_by_node = inbox_by_node
+        return self._inbox_by_node
+
     def _ranking(self, organisation: str) -> list[str]:
         """Returns the nodes, the first choice for deciding first."""
-        node_ids = frozenset((*self._members(), self._node_id))
-        if node_ids != self._ranked_ids:
-            self._ranked_ids = node_ids
-            self._ranking_by_organisation = {}
+        members = self._members()
         known = self._ranking_by_organisation.get(organisation)
         if known is None:
-            known = rank_members(f"cap/{organisation}", node_ids)
+            known = rank_members(
+                f"cap/{organisation}", (*members, self._node_id)
+            )
             self._ranking_by_organisation[organisation] = known
         return known
 
@@ -561,10 +575,14 @@
         )
         return (heard + 1) / (len(members) + 1)
 
+    def _note_heard(self, node_id: str) -> None:
+        self._heard_at_by_node[node_id] = self._timer.now()
+        self._silent_since_by_node.pop(node_id, None)
+
     async def _receive_request(
         self, envelope: Envelope, request: CapRequest
     ) -> None:
-        self._heard_at_by_node[envelope.sender] = self._timer.now()
+        self._note_heard(envelope.sender)
         if request.cost > 0.0:
             decision = self._decide(request)
         else:
@@ -579,8 +597,7 @@
     ) -> None:
         sender = envelope.sender
         self._silence_by_issuer.pop(sender, None)
-        self._heard_at_by_node[sender] = self._timer.now()
-        self._silent_since_by_node.pop(sender, None)
+        self._note_heard(sender)
         self._is_young_by_node[sender] = decision.is_young
         ask = self._ask_by_number.get(envelope.correlation_id)
         probed = self._probed_by_number.pop(envelope.correlation_id, "")
@@ -590,7 +607,10 @@
         elif probed:
             if self._issuer.is_young and not decision.is_young:
                 self._issuer.adopt_level(probed, decision.level)
-        elif decision.admitted:
+        elif (
+            decision.admitted
+            and decision.organisation in self._cap_by_organisation
+        ):
             # The request went on without the decision, or is gone.
             self._note_untold(
                 sender, decision.organisation, -decision.cost, 0.0
@@ -599,7 +619,7 @@
     async def _receive_spending(
         self, envelope: Envelope, spending: CapSpending
     ) -> None:
-        self._heard_at_by_node[envelope.sender] = self._timer.now()
+        self._note_heard(envelope.sender)
         self._issuer.note_spent(spending.uses)
         for use in spending.uses:
             self._ask_level(self._ranking(use.cap.organisation), use.cap)
