--- a/benchmarks/usage_caps.py
+++ b/benchmarks/usage_caps.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
+from math import inf
+from time import process_time_ns
 
 from anyio import run
 from fire import Fire
@@ -19,15 +21,30 @@
 from tests.cap_fleet import Demand
 from tests.cap_fleet import freeze
 from tests.cap_fleet import issuers
+from tests.cap_fleet import MEAN_TOKENS
+from tests.cap_fleet import NORTH
 from tests.cap_fleet import play
 from tests.cap_fleet import restart
 from tests.cap_fleet import share_of_nodes
+from tests.cap_fleet import TOLERANCE
+from wasabiwing.cap_issuer import CapIssuer
+from wasabiwing.messages import CapDecision
+from wasabiwing.messages import CapRequest
+from wasabiwing.messages import CapSpending
+from wasabiwing.messages import CapSpent
+from wasabiwing.messages import encode_envelope
+from wasabiwing.messages import Envelope
+from wasabiwing.messages import OrganisationCap
+from wasabiwing.timers import FakeTimer
 
 # Part of the 12 s in which the used share is measured, in seconds.
 USED_SINCE_S = 4.0
 USED_UNTIL_S = 12.0
 
 
+DECISIONS = 20_000
+NS_PER_US = 1000.0
+
 # What happens to a fleet, by the name of the case.
 ACTIONS: Mapping[str, Callable[[], list[Action]]] = {
     "calm": list,
@@ -59,6 +76,28 @@
     )
 
 
+def print_costs() -> None:
+    """Prints what the decision on one request costs."""
+    timer = FakeTimer()
+    issuer = CapIssuer(timer, TOLERANCE, lambda: 1.0, lambda cap: inf)
+    cap = OrganisationCap(NORTH.name, 1, NORTH.rate_per_s, NORTH.burst)
+    request = CapRequest(cap, float(MEAN_TOKENS))
+    begun = process_time_ns()
+    for _ in range(DECISIONS):
+        issuer.decide(request, True)
+    spent_us = (process_time_ns() - begun) / DECISIONS / NS_PER_US
+    print(f"CPU time of a decision of the issuer: {spent_us:.1f} us")
+    for message in (
+        request,
+        CapDecision(NORTH.name, request.cost, True, level=100_000.0),
+        CapSpending((CapSpent(cap, request.cost),)),
+    ):
+        data = encode_envelope(
+            Envelope("front-lakes-a-1", "tcp://10.0.0.1:7000", 1, message)
+        )
+        print(f"{type(message).__name__}: {len(data)} bytes")
+
+
 def main(
     sizes: Sequence[int] = (1, 3, 7, 30, 78, 195),
     times_rates: Sequence[float] = (0.9, 3.0, 7.0, 20.0),
@@ -66,7 +105,7 @@
     cases: Sequence[str] = ("calm", "tenth restarted"),
     seed: int = 1,
 ) -> None:
-    """Prints a row for each case."""
+    """Prints a row for each case, then what a decision costs."""
     print(
         "| nodes | demand, times the rate | share at one node | case |"
         " worst / allowed | rate used from 4 s on | refused |"
@@ -78,6 +117,7 @@
             for share in first_node_shares:
                 for case in cases:
                     run(print_row, size, times_rate, share, case, seed)
+    print_costs()
 
 
 if __name__ == "__main__":
