--- a/wasabiwing/usage_caps.py
+++ b/wasabiwing/usage_caps.py
@@ -1,10 +1,10 @@
-"""Usage caps of organisations, enforced by all nodes together.
+"""Usage of organisations' caps, as the reports of all nodes show it.
 
-The caps hold when one organisation sends many times its usual traffic through
-all nodes at once. Each node keeps a token bucket for the whole fleet: it
-deducts what it admits itself and what other nodes report. While some nodes are
-not heard from, it refills only by the share of the heard ones, since the
-others may admit requests as well.
+Each node keeps a token bucket for the whole fleet: it deducts what it admits
+itself and what other nodes report. While some nodes are not heard from, it
+refills only by the share of the heard ones, since the others may admit
+requests as well. Reports are up to a second old, so ``cap_issuer`` decides;
+this count bounds it, and decides only while no issuer answers.
 """
 
 from collections.abc import Callable
