Log what a node acts on and why it does not read the store

Who reads is decided in store_readers, with the logic of before; ages and sources are kept in store_knowledge.

--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -24,6 +24,10 @@
 from wasabiwing.store_eras import StoreEras
 from wasabiwing.timers import FakeTimer
 
+# Time limits of the calls of a node, in seconds; of a watch beyond its wait.
+CALL_TIMEOUT_S = 1.5
+LONG_POLL_SLACK_S = 0.5
+
 # Period in which a waiting watch of the fake looks for changes.
 WATCH_STEP_S = 0.02
 
@@ -210,11 +214,15 @@
         self._timer = timer
         self.reads = 0
         self.watches = 0
+        # Whether calls that are refused are so only after their time limit.
+        self.silent = False
+        # Time by which answers to watches are late, in seconds.
+        self.answer_delay_s = 0.0
 
     async def snapshot(self, prefix: str) -> Result[StoreSnapshot, Failure]:
         self.reads += 1
         if not self._reach():
-            return Err(Failure(ResultCode.STORE_UNAVAILABLE))
+            return await self._fail(CALL_TIMEOUT_S)
         self.store.expire()
         values = tuple(
             StoredValue(key, item.value, item.revision)
@@ -224,6 +232,21 @@
 
     async def changes(
         self, prefix: str, after: int, wait_s: float
+    ) -> Result[StoreChanges, Failure]:
+        began_at = self._timer.now()
+        found = await self._poll(after, wait_s)
+        delay_s = self.answer_delay_s
+        if delay_s > 0.0 and isinstance(found, Ok):
+            limit = began_at + wait_s + LONG_POLL_SLACK_S
+            is_late = self._timer.now() + delay_s > limit
+            left_s = max(limit - self._timer.now(), 0.0)
+            await self._timer.sleep(left_s if is_late else delay_s)
+            if is_late:
+                return Err(Failure(ResultCode.STORE_REPLY_LOST))
+        return found
+
+    async def _poll(
+        self, after: int, wait_s: float
     ) -> Result[StoreChanges, Failure]:
         self.watches += 1
         until = self._timer.now() + wait_s
@@ -242,7 +265,13 @@
             if events or self._timer.now() >= until:
                 return Ok(StoreChanges(events, self.store.revision))
             await self._timer.sleep(WATCH_STEP_S)
-        return Err(Failure(ResultCode.STORE_UNAVAILABLE))
+        return await self._fail(until + LONG_POLL_SLACK_S - self._timer.now())
+
+    async def _fail(self, timeout_s: float) -> Err[Failure]:
+        if not self.silent:
+            return Err(Failure(ResultCode.STORE_UNAVAILABLE))
+        await self._timer.sleep(timeout_s)
+        return Err(Failure(ResultCode.STORE_REPLY_LOST))
 
 
 @dataclass(slots=True)
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -1,6 +1,7 @@
 """Nodes that relay changes of the store to each other, on a fake network."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from contextlib import asynccontextmanager
 from random import Random
 
@@ -49,6 +50,7 @@
 from wasabiwing.service_configuration import RequestLimits
 from wasabiwing.service_configuration import ServiceConfiguration
 from wasabiwing.store_progress import StoreProgress
+from wasabiwing.store_readers import KNOWLEDGE_CHECK_PERIOD_S
 from wasabiwing.timers import FakeTimer
 from wasabiwing.usage_caps import CapRefusal
 from wasabiwing.usage_caps import CapTolerance
@@ -125,6 +127,7 @@
             progress,
             Random(number),
         )
+        self.record = record
         self.heads = ZoneHeads(record, timer, self.nodes)
         self.transport = fleet.network.open(self.id, f"tcp://{inbox}")
         name = f"{self.id}/{incarnation}"
@@ -223,6 +226,36 @@
         self.reports.receive(envelope, report, self.shared)
 
 
+Fault = Callable[[RelayNode], None]
+
+
+def refuse(node: RelayNode) -> None:
+    """Makes the store refuse a node's calls."""
+    node.link.unavailable = True
+
+
+def silence(node: RelayNode) -> None:
+    """Leaves a node's calls to the store without an answer."""
+    node.link.unavailable = True
+    node.link.silent = True
+
+
+def delay(seconds: float) -> Fault:
+    """Returns a fault by which answers to a node's watches are late."""
+
+    def apply(node: RelayNode) -> None:
+        node.link.answer_delay_s = seconds
+
+    return apply
+
+
+def restore_path(node: RelayNode) -> None:
+    """Ends the faults of a node's path to the store."""
+    node.link.unavailable = False
+    node.link.silent = False
+    node.link.answer_delay_s = 0.0
+
+
 class RelayFleet:
     """Nodes whose periodic work the test drives, and their servers."""
 
@@ -287,6 +320,8 @@
                     await node.cap_admission.tell_issuers()
                 if self._is_due(PUSH_PERIOD_S, number):
                     await node.relay.push()
+                if self._is_due(KNOWLEDGE_CHECK_PERIOD_S, number):
+                    await node.relay.readers.log_old_knowledge(node.version)
                 if self._is_due(PRESENCE_PERIOD_S, number):
                     await node.presence.renew(node.heads.uses_heads)
         await self.timer.advance(0.0)
--- a/tests/test_unreadable_values.py
+++ b/tests/test_unreadable_values.py
@@ -419,21 +419,20 @@
             StoredValue("b", b"", 2),
             StoredValue("configuration", b"3", 3),
         )
-        node.follower.apply_snapshot(values, 3, 0.0)
+        node.follower.apply_snapshot(values, 3)
         assert node.view.loaded
         assert node.view.directory.get("b") is not None
         assert node.unusable == ["failed"]
 
     def test_error_of_one_change_hides_the_rest(self) -> None:
         node = PartFailure()
-        node.follower.apply_snapshot((), 1, 0.0)
+        node.follower.apply_snapshot((), 1)
         node.follower.apply_changes(
             (
                 WatchEvent("a", 2, b"odd"),
                 WatchEvent("configuration", 3, b"4"),
             ),
             3,
-            0.0,
         )
         assert node.view.configuration is not None
         assert node.view.configuration.version == 4
@@ -449,7 +448,7 @@
 
         monkeypatch.setattr(node.view.directory, "replace_all", fail)
         with pytest.raises(ZeroDivisionError):
-            node.follower.apply_snapshot((), 7, 0.0)
+            node.follower.apply_snapshot((), 7)
         assert node.follower.store_cache.revision is None
 
     def test_error_of_a_value_is_logged_each_time(
@@ -467,10 +466,10 @@
 
         monkeypatch.setattr("wasabiwing.fleet_follower.log_error", record)
         monkeypatch.setattr(node.view.directory, "put", fail)
-        node.follower.apply_snapshot((), 1, 0.0)
+        node.follower.apply_snapshot((), 1)
         for revision in range(2, 12):
             node.follower.apply_changes(
-                (WatchEvent("a", revision, b""),), revision, 0.0
+                (WatchEvent("a", revision, b""),), revision
             )
         assert parts == ["follower, a"]
         assert node.unusable == ["failed"] * 10
@@ -485,7 +484,7 @@
         node.view.on_configuration(fail)
         node.view.on_configuration(lambda found: told.append(found.version))
         node.follower.apply_snapshot(
-            (StoredValue("configuration", b"3", 3),), 3, 0.0
+            (StoredValue("configuration", b"3", 3),), 3
         )
         assert told == [3]
 
--- a/wasabiwing/events.py
+++ b/wasabiwing/events.py
@@ -34,6 +34,8 @@
     STORE_LISTING_REFUSED = 113
     STORE_KNOWLEDGE_KEPT = 114
     STORE_REWRITTEN = 115
+    STORE_KNOWLEDGE_OLD = 116
+    STORE_KNOWLEDGE_RENEWED = 117
     # 2xx: requests.
     ROUTE_DECISION = 200
     REQUEST_ADMITTED = 201
@@ -149,6 +151,12 @@
         "What a node knew goes before what a restored store says."
     ),
     Event.STORE_REWRITTEN: "A node wrote again what a restore had undone.",
+    Event.STORE_KNOWLEDGE_OLD: (
+        "A node acts on an old copy of the store; from whom, and who reads."
+    ),
+    Event.STORE_KNOWLEDGE_RENEWED: (
+        "A node's copy of the store is current again."
+    ),
     Event.ROUTE_DECISION: (
         "A backend server was chosen; candidates, scores and filters."
     ),
--- a/wasabiwing/fleet_follower.py
+++ b/wasabiwing/fleet_follower.py
@@ -46,6 +46,7 @@
 from wasabiwing.store_cache import StoreCache
 from wasabiwing.store_eras import era_of
 from wasabiwing.store_eras import revision_of
+from wasabiwing.store_knowledge import StoreKnowledge
 from wasabiwing.store_progress import StoreProgress
 from wasabiwing.timers import TimerService
 
@@ -279,8 +280,8 @@
         self._hold_until = inf
         # Positions of what the store held when it came back.
         self._copied_position_by_key: dict[str, int] = {}
-        # Monotonic time at which the store cache was last known current.
-        self.synced_at = -inf
+        # How current the store cache is.
+        self.knowledge = StoreKnowledge(timer)
         # Whether this node has to watch the store now, and whether other
         # nodes depend on its watch.
         self.must_watch: Callable[[], bool] = lambda: True
@@ -329,36 +330,30 @@
         self._apply_to_view(document.key, document.value, change)
         return self.configuration_document == document
 
-    def age_s(self) -> float:
-        """Returns for how long changes may have been missed, in seconds."""
-        return self._timer.now() - self.synced_at
-
     def apply_changes(
-        self, events: Iterable[WatchEvent], revision: int, synced_at: float
-    ) -> None:
+        self, events: Iterable[WatchEvent], revision: int
+    ) -> bool:
         """Applies changes up to a revision, in order.
 
         Changes of another era than that of the cache are ignored, because
-        they need a complete listing first.
+        they need a complete listing first. Returns whether they were not.
         """
         known = self.store_cache.revision
         if known is not None and era_of(known) != era_of(revision):
-            return
+            return False
         for event in self.store_cache.note_changes(events, revision):
             self._progress.note_own_revision(event.revision)
             if self._apply_or_log(event.key, event.value):
                 self.store_cache.retain_change(event)
-        self.synced_at = max(self.synced_at, synced_at)
+        return True
 
     def apply_snapshot(
-        self,
-        values: tuple[StoredValue, ...],
-        revision: int,
-        synced_at: float,
-    ) -> None:
+        self, values: tuple[StoredValue, ...], revision: int
+    ) -> bool:
         """Applies a complete listing unless the cache is newer.
 
-        The listing is read again if it was applied in part only.
+        The listing is read again if it was applied in part only. Returns
+        whether the cache was not newer.
         """
         known = self.store_cache.revision
         if not self.store_cache.replace_all(values, revision):
@@ -368,7 +363,7 @@
                 revision=revision,
                 known=known,
             )
-            return
+            return False
         for stored in values:
             self._progress.note_own_revision(stored.revision)
         is_restored = known is not None and era_of(known) != era_of(revision)
@@ -380,7 +375,7 @@
         except Exception:
             self.store_cache.forget()
             raise
-        self.synced_at = max(self.synced_at, synced_at)
+        return True
 
     async def _follow(self, revision: int) -> None:
         """Waits for changes once and applies them."""
@@ -405,7 +400,8 @@
             return
         self._note_success()
         changes = found.ok_value
-        self.apply_changes(changes.events, changes.revision, self._timer.now())
+        if self.apply_changes(changes.events, changes.revision):
+            self.knowledge.note_read(self._timer.now())
         if changes.events:
             is_shared = self.is_watch_shared()
             await self._timer.sleep(
@@ -440,9 +436,8 @@
             return
         self._note_success()
         snapshot = found.ok_value
-        self.apply_snapshot(
-            snapshot.values, snapshot.revision, self._timer.now()
-        )
+        if self.apply_snapshot(snapshot.values, snapshot.revision):
+            self.knowledge.note_read(self._timer.now())
         era = era_of(snapshot.revision)
         if (
             self.store_cache.revision != snapshot.revision
--- a/wasabiwing/fleet_relay.py
+++ b/wasabiwing/fleet_relay.py
@@ -33,6 +33,7 @@
 from wasabiwing.store_eras import era_of
 from wasabiwing.store_eras import revision_of
 from wasabiwing.store_eras import store_position
+from wasabiwing.store_readers import StoreReaders
 from wasabiwing.timers import TimerService
 from wasabiwing.zone_heads import HEAD_SILENCE_S
 from wasabiwing.zone_heads import ZoneHeads
@@ -48,16 +49,6 @@
 # push does no harm.
 CHANGE_REPEAT_S = 1.2
 
-# Age of the state after which a node reads the store itself, in seconds: the
-# second head, a node that gets no pushes, and a node whose pushes bring
-# nothing newer.
-SECOND_HEAD_STALE_S = 1.0
-UNHEARD_STALE_S = 1.5
-HEARD_STALE_S = 2.5
-
-# Jitter that is added to the last of these on each node, in seconds.
-HEARD_STALE_JITTER_S = 5.0
-
 # Largest age of the first state that a started node accepts from another node,
 # in seconds. A head that was suspended may not know yet that a server has left
 # or that a key was withdrawn.
@@ -91,6 +82,7 @@
         self._heads = heads
         self._nodes = nodes
         self._follower = follower
+        self._knowledge = follower.knowledge
         self._directory = directory
         self._reports = reports
         self._shared = shared
@@ -98,35 +90,12 @@
         # Times and revisions of the latest pushes.
         self._recent_pushes: list[tuple[float, int]] = []
         self._requested_at = -inf
-        follower.must_watch = self.must_watch
-        follower.is_watch_shared = self.is_watch_shared
-        follower.uses_long_backoff = lambda: heads.uses_heads
-        # Jitter: nodes that get pushes do not all read the store at once.
-        self._heard_stale_s = HEARD_STALE_S + random.uniform(
-            0.0, HEARD_STALE_JITTER_S
-        )
-
-    def must_watch(self) -> bool:
-        """Whether this node has to read the store itself now."""
-        if not self._heads.uses_heads:
-            return True
-        age_s = self._follower.age_s()
-        rank = self._heads.own_rank()
-        if rank == 0:
-            return True
-        if rank is not None:
-            return age_s > SECOND_HEAD_STALE_S
-        hears_a_head = any(
-            self._heads.heard_within(node_id, HEAD_SILENCE_S)
-            for node_id in self._heads.heads_of_zone(self._heads.zone)
-        )
-        return age_s > (
-            self._heard_stale_s if hears_a_head else UNHEARD_STALE_S
+        self.readers = StoreReaders(
+            node_id, timer, heads, follower.knowledge, random
         )
-
-    def is_watch_shared(self) -> bool:
-        """Whether other nodes rely on this node's watch."""
-        return self._heads.own_rank() is not None
+        follower.must_watch = self.readers.must_watch
+        follower.is_watch_shared = self.readers.is_watch_shared
+        follower.uses_long_backoff = lambda: heads.uses_heads
 
     async def push(self) -> None:
         """Pushes state to other nodes; called every ``PUSH_PERIOD_S``."""
@@ -179,7 +148,8 @@
         if known_revision is None or since > known_revision or omitted:
             self._request_changes(envelope.reply_to)
             return
-        self._follower.apply_changes(events, revision, synced_at)
+        if self._follower.apply_changes(events, revision):
+            self._knowledge.note_synced(synced_at, envelope.sender)
 
     async def answer_catch_up(
         self, envelope: Envelope, request: FleetRequest
@@ -236,16 +206,16 @@
         if cache.revision is None:
             is_recent = reply.age_ms <= MAX_INITIAL_AGE_S * MILLISECONDS
             if reply.since == 0 and is_recent:
-                self._follower.apply_snapshot(
-                    tuple(values), revision, synced_at
+                self._apply_listing(
+                    envelope.sender, values, revision, synced_at
                 )
             return
         if revision < cache.revision:
             return
         if reply.store_era > era_of(cache.revision):
             if reply.since == 0:
-                self._follower.apply_snapshot(
-                    tuple(values), revision, synced_at
+                self._apply_listing(
+                    envelope.sender, values, revision, synced_at
                 )
             return
         if cache.revision < store_position(reply.store_era, reply.since):
@@ -260,7 +230,18 @@
             WatchEvent(stored.key, stored.revision, stored.value)
             for stored in sorted(values, key=lambda stored: stored.revision)
         ]
-        self._follower.apply_changes(events, revision, synced_at)
+        if self._follower.apply_changes(events, revision):
+            self._knowledge.note_synced(synced_at, envelope.sender)
+
+    def _apply_listing(
+        self,
+        sender: str,
+        values: list[StoredValue],
+        revision: int,
+        synced_at: float,
+    ) -> None:
+        if self._follower.apply_snapshot(tuple(values), revision):
+            self._knowledge.note_synced(synced_at, sender)
 
     def _push_to_nodes(
         self,
@@ -343,7 +324,7 @@
         )
 
     def _age_ms(self) -> int:
-        return int(max(self._follower.age_s(), 0.0) * MILLISECONDS)
+        return int(max(self._knowledge.age_s(), 0.0) * MILLISECONDS)
 
 
 def _encode_change(event: WatchEvent) -> RelayedChange:
--- a/wasabiwing/metrics.py
+++ b/wasabiwing/metrics.py
@@ -1,5 +1,7 @@
 """Prometheus metrics of one process, in a registry of its own."""
 
+from collections.abc import Callable
+
 from prometheus_client import CollectorRegistry
 from prometheus_client import Counter
 from prometheus_client import Gauge
@@ -151,6 +153,11 @@
             "Revision of the newest state of the store that the node knows.",
             registry=self.registry,
         )
+        self.store_age = Gauge(
+            "wasabiwing_store_age_seconds",
+            "Age of what the node knows of the store.",
+            registry=self.registry,
+        )
         self.statements = Counter(
             "wasabiwing_server_statements",
             "Backend servers that said that they leave or want no requests.",
@@ -174,6 +181,10 @@
         self.store_era.set(era_of(position))
         self.store_revision.set(revision_of(position))
 
+    def show_store_age(self, age_s: Callable[[], float]) -> None:
+        """Shows the age in seconds that ``age_s`` returns when scraped."""
+        self.store_age.set_function(age_s)
+
     def count_statement(self, kind: str) -> None:
         """Counts a statement of a backend server about itself."""
         self.statements.labels(kind.lower()).inc()
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -89,6 +89,7 @@
 from wasabiwing.stop_admission import LENIENT_S
 from wasabiwing.stop_admission import StopAdmission
 from wasabiwing.store_progress import StoreProgress
+from wasabiwing.store_readers import KNOWLEDGE_CHECK_PERIOD_S
 from wasabiwing.suspect_isolation import SuspectIsolation
 from wasabiwing.timers import TimerService
 from wasabiwing.unknown_headers import UnknownHeaders
@@ -179,6 +180,7 @@
             random,
         )
         self.follower.count_unusable = metrics.count_unusable_value
+        metrics.show_store_age(self.follower.knowledge.age_s)
         record = NodeRecord(
             node_id,
             str(settings.inbox),
@@ -418,6 +420,7 @@
         timer.subscribe(SPENDING_PERIOD_S, self._cap_admission.tell_issuers)
         timer.subscribe(CAP_STATE_PERIOD_S, self._log_caps)
         timer.subscribe(PUSH_PERIOD_S, self._fleet_relay.push)
+        timer.subscribe(KNOWLEDGE_CHECK_PERIOD_S, self._log_old_knowledge)
         timer.subscribe(
             CONFIGURATION_REQUEST_PERIOD_S, self._newer_configurations.request
         )
@@ -626,6 +629,12 @@
     async def _log_caps(self) -> None:
         self._cap_admission.log_states()
 
+    async def _log_old_knowledge(self) -> None:
+        configuration = self.view.configuration
+        await self._fleet_relay.readers.log_old_knowledge(
+            None if configuration is None else configuration.version
+        )
+
     async def _check_connections(self) -> None:
         known = self.follower.store_cache.revision
         if known is not None:
