Add failing tests: changes are known late while heads lack the store

Nodes on a fake network; the heads of each zone lose the store, by refusal or silence, or their answers come 2.5 s late. Then a configuration is written and a server says that it leaves.

--- /dev/null
+++ b/tests/test_stale_heads.py
@@ -0,0 +1,120 @@
+"""Tests of changes that the heads of zones cannot read from the store."""
+
+from collections.abc import Iterable
+
+import pytest
+
+from tests.relay_fleet import delay
+from tests.relay_fleet import Fault
+from tests.relay_fleet import refuse
+from tests.relay_fleet import relay_fleet
+from tests.relay_fleet import RelayFleet
+from tests.relay_fleet import RelayNode
+from tests.relay_fleet import silence
+from tests.relay_fleet import STEP_S
+from tests.relay_fleet import ZONES
+from wasabiwing.zone_heads import MAX_FULL_MESH_NODES
+from wasabiwing.zone_heads import rank_nodes
+
+pytestmark = pytest.mark.anyio
+
+# Smallest bound on the time until a change is in force, in seconds, of the
+# users' deployments with heads of zones (``configApplyMs``, ``drainMs``).
+CHANGE_S = 3.0
+
+# Time until all fleets of the tests have settled after a change, in seconds.
+SETTLED_S = 9.0
+
+
+def first_of_each_zone(fleet: RelayFleet, count: int) -> list[RelayNode]:
+    """Returns the first nodes of the ranking of each zone."""
+    victims = []
+    for zone in ZONES:
+        members = [node for node in fleet.nodes if node.zone == zone]
+        if not members:
+            continue
+        records = {
+            node.id: record
+            for node in members
+            if (record := members[0].nodes.get(node.id)) is not None
+        }
+        records[members[0].id] = members[0].record
+        ranking = rank_nodes(zone, list(records.values()))
+        victims += [fleet.node_by_id[node_id] for node_id in ranking[:count]]
+    return victims
+
+
+async def change_times(
+    fleet: RelayFleet, affected: Iterable[RelayNode]
+) -> dict[str, float]:
+    """Returns when a change was known at the other nodes, in seconds.
+
+    The change is a new configuration and a server that leaves.
+    """
+    spared = {node.id for node in affected}
+    fleet.store.put("configuration", b"2")
+    fleet.state_by_server["server-1"] = "draining"
+    fleet.store.put("servers/server-1", b"draining 0")
+    known_at_by_id: dict[str, float] = {}
+    for step in range(round(SETTLED_S / STEP_S)):
+        await fleet.run(STEP_S)
+        for node in fleet.nodes:
+            if node.id in spared or node.id in known_at_by_id:
+                continue
+            servers = {found.id for found in node.view.servers("models")}
+            if node.version == 2 and "server-1" not in servers:
+                known_at_by_id[node.id] = (step + 1) * STEP_S
+    for node in fleet.nodes:
+        if node.id not in spared:
+            known_at_by_id.setdefault(node.id, SETTLED_S)
+    return known_at_by_id
+
+
+class TestHeadsWithoutStore:
+    """Tests of nodes that hear heads which know nothing newer."""
+
+    @pytest.mark.parametrize("nodes", [1, 3, 7, 30, 78])
+    @pytest.mark.parametrize("fault", [refuse, silence])
+    @pytest.mark.parametrize("lost", [2, 4])
+    async def test_change_is_known_late_while_all_heads_lack_the_store(
+        self, nodes: int, fault: Fault, lost: int
+    ) -> None:
+        """Guards against requests at servers that have left (DRAIN, CONFIG).
+
+        Nodes heard the heads of their zones and did not read the store.
+        """
+        async with relay_fleet(nodes) as fleet:
+            victims = first_of_each_zone(fleet, lost)
+            if nodes <= MAX_FULL_MESH_NODES:
+                victims = victims[: nodes - 1]
+            for node in victims:
+                fault(node)
+            times = await change_times(fleet, victims)
+            assert max(times.values()) < CHANGE_S
+
+    @pytest.mark.parametrize("delay_s", [0.4, 0.9, 2.5])
+    async def test_change_is_known_late_while_answers_to_heads_are_late(
+        self, delay_s: float
+    ) -> None:
+        """Guards against late answers that count as current."""
+        async with relay_fleet(30) as fleet:
+            victims = first_of_each_zone(fleet, 2)
+            for node in victims:
+                delay(delay_s)(node)
+            await fleet.run(1.5)
+            times = await change_times(fleet, victims)
+            assert max(times.values()) < CHANGE_S
+
+    async def test_change_is_known_late_while_links_of_heads_are_slow(
+        self,
+    ) -> None:
+        """Guards against heads that refresh each other's old knowledge."""
+        async with relay_fleet(30) as fleet:
+            victims = first_of_each_zone(fleet, 2)
+            fleet.network.delay_s = (0.6, 0.65)
+            await fleet.run(2.0)
+            for node in victims:
+                refuse(node)
+            await fleet.run(2.0)
+            times = await change_times(fleet, victims)
+            assert max(times.values()) < CHANGE_S
