Let nodes read the store when their knowledge is old, whomever they hear

Callers got what an older configuration allows, and requests reached servers that had left, for up to 6.6 s after the store had confirmed the change.

Cause: a node that heard a head of its zone took what it heard for current. If the store turned away the heads of all zones, nobody stood in for them, and the others read the store only at an age of 2.5 to 7.5 s. Ages were too low as well: an answer counted as current when it arrived, however late, and heads took ages from each other, each time without the time on the way. On links with 0.6 s of delay they refreshed each other without end, and no node ever knew.

Change: the age of what a node knows decides, whomever it hears. The second head reads at 1.2 s, the other nodes of a zone at 1.4 to 1.7 s in the order of its ranking; one that reads tells the heads, and stops once a node that comes before it reads. The jitter of 5 s protected the store from all nodes at once; the ranking does so now. Heads tell other zones' heads only what was read in their own zone, and who read it (two new fields at the end of HeadPush, which earlier builds ignore). A late answer counts from when it was due. Heads wait 0.4 s, not 1 s, for changes, so that a store without changes does not make knowledge old.

tests/test_recorded_bytes.py: messages of the landing before are compared but for fields that were added since, as those of older builds were; one function does both.

--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -170,7 +170,6 @@
             self.directory,
             self.reports,
             self.shared,
-            Random(number),
         )
         self.presence = Presence(
             self.id,
--- a/tests/test_recorded_bytes.py
+++ b/tests/test_recorded_bytes.py
@@ -101,9 +101,13 @@
 
 # Fields with defaults that later builds have added at the end of messages, by
 # tag. Earlier builds ignore further items of an array.
+ADDED_SINCE_LANDING: dict[str, dict[str, object]] = {
+    "101": {"zone_reader": "", "zone_read_age_ms": -1},
+}
+
 ADDED_FIELDS_BY_TAG: dict[str, dict[str, object]] = {
     "100": {"store_era": 0},
-    "101": {"store_era": 0},
+    "101": {"store_era": 0, "zone_reader": "", "zone_read_age_ms": -1},
     "102": {"store_era": 0},
     "103": {"store_era": 0},
 }
@@ -114,6 +118,23 @@
     return b64decode(RECORDED[section][name])
 
 
+def assert_same_but_for(
+    wire: bytes, tag: str, added: dict[str, object]
+) -> None:
+    """Compares an earlier build's message with this one's, both ways.
+
+    ``added`` has the fields with defaults that the earlier build lacks.
+    """
+    body = sample(KIND_BY_TAG[tag])
+    envelope = Envelope("text-a", "text-b", 7, body)
+    items = msgpack.decode(encode_envelope(envelope))
+    del items[-1][len(items[-1]) - len(added) :]
+    assert msgpack.encode(items) == wire
+    # A message of the earlier build has the defaults of later fields.
+    expected = Envelope("text-a", "text-b", 7, structs.replace(body, **added))
+    assert decode_envelope(wire).unwrap() == expected
+
+
 class TestMessages:
     """Messages between processes of consecutive builds."""
 
@@ -123,20 +144,8 @@
     @pytest.mark.parametrize("tag", RECORDED["messages"])
     def test_the_bytes_are_the_same_in_both_directions(self, tag: str) -> None:
         """Guards against fields that are moved, retyped or retagged."""
-        body = sample(KIND_BY_TAG[tag])
-        envelope = Envelope("text-a", "text-b", 7, body)
         wire = recorded("messages", tag)
-        added = ADDED_FIELDS_BY_TAG.get(tag)
-        if added is None:
-            assert encode_envelope(envelope) == wire
-            assert decode_envelope(wire).unwrap() == envelope
-            return
-        items = msgpack.decode(encode_envelope(envelope))
-        del items[-1][-len(added) :]
-        assert msgpack.encode(items) == wire
-        # A message of the earlier build has the defaults of later fields.
-        expected = structs.replace(body, **added)
-        assert decode_envelope(wire).unwrap().body == expected
+        assert_same_but_for(wire, tag, ADDED_FIELDS_BY_TAG.get(tag, {}))
 
 
 class TestLandingBefore:
@@ -156,9 +165,7 @@
     def test_message_of_the_landing_before_is_dropped(self, tag: str) -> None:
         """Guards against fields that are moved, retyped or retagged."""
         wire = b64decode(LANDING_BEFORE["messages"][tag])
-        envelope = Envelope("text-a", "text-b", 7, sample(KIND_BY_TAG[tag]))
-        assert decode_envelope(wire).unwrap() == envelope
-        assert encode_envelope(envelope) == wire
+        assert_same_but_for(wire, tag, ADDED_SINCE_LANDING.get(tag, {}))
 
     @pytest.mark.parametrize("tag", KIND_BY_TAG)
     def test_message_of_a_later_build_is_dropped(self, tag: str) -> None:
--- a/tests/test_stale_heads.py
+++ b/tests/test_stale_heads.py
@@ -10,17 +10,21 @@
 from tests.relay_fleet import relay_fleet
 from tests.relay_fleet import RelayFleet
 from tests.relay_fleet import RelayNode
+from tests.relay_fleet import restore_path
 from tests.relay_fleet import silence
 from tests.relay_fleet import STEP_S
 from tests.relay_fleet import ZONES
+from wasabiwing.zone_heads import HEADS_PER_ZONE
 from wasabiwing.zone_heads import MAX_FULL_MESH_NODES
 from wasabiwing.zone_heads import rank_nodes
 
 pytestmark = pytest.mark.anyio
 
 # Smallest bound on the time until a change is in force, in seconds, of the
-# users' deployments with heads of zones (``configApplyMs``, ``drainMs``).
-CHANGE_S = 3.0
+# users' deployments (``configApplyMs``, ``drainMs``), and of those with heads
+# of zones.
+CHANGE_S = 2.0
+MANY_NODES_CHANGE_S = 3.0
 
 # Time until all fleets of the tests have settled after a change, in seconds.
 SETTLED_S = 9.0
@@ -92,6 +96,49 @@
             times = await change_times(fleet, victims)
             assert max(times.values()) < CHANGE_S
 
+    @pytest.mark.parametrize("fault", [refuse, silence, delay(0.9)])
+    @pytest.mark.parametrize("lost", [1, 3, 9])
+    @pytest.mark.parametrize("since_s", [0.0, 0.5, 0.95, 1.4, 6.0])
+    async def test_change_is_known_late_whoever_lacks_the_store(
+        self, fault: Fault, lost: int, since_s: float
+    ) -> None:
+        async with relay_fleet(30) as fleet:
+            victims = first_of_each_zone(fleet, lost)
+            for node in victims:
+                fault(node)
+            await fleet.run(since_s)
+            times = await change_times(fleet, victims)
+            assert max(times.values()) < CHANGE_S
+
+    async def test_change_is_known_late_while_heads_lose_the_store_in_turn(
+        self,
+    ) -> None:
+        async with relay_fleet(30) as fleet:
+            victims: list[RelayNode] = []
+            for count in range(1, 7):
+                for node in first_of_each_zone(fleet, count):
+                    if node not in victims:
+                        refuse(node)
+                        victims.append(node)
+                await fleet.run(0.5)
+            times = await change_times(fleet, victims)
+            assert max(times.values()) < CHANGE_S
+
+    @pytest.mark.parametrize("last", [0, 2, 29])
+    async def test_only_node_with_the_store_tells_its_zone_at_once(
+        self, last: int
+    ) -> None:
+        """All other nodes get the change from the only one that reads it."""
+        async with relay_fleet(30) as fleet:
+            reader = fleet.nodes[last]
+            for node in fleet.nodes:
+                if node is not reader:
+                    refuse(node)
+            await fleet.run(4.0)
+            times = await change_times(fleet, ())
+            assert times[reader.id] < CHANGE_S
+            assert max(times.values()) < MANY_NODES_CHANGE_S
+
     @pytest.mark.parametrize("delay_s", [0.4, 0.9, 2.5])
     async def test_change_is_known_late_while_answers_to_heads_are_late(
         self, delay_s: float
@@ -105,8 +152,9 @@
             times = await change_times(fleet, victims)
             assert max(times.values()) < CHANGE_S
 
+    @pytest.mark.parametrize("since_s", [0.0, 2.0])
     async def test_change_is_known_late_while_links_of_heads_are_slow(
-        self,
+        self, since_s: float
     ) -> None:
         """Guards against heads that refresh each other's old knowledge."""
         async with relay_fleet(30) as fleet:
@@ -115,6 +163,65 @@
             await fleet.run(2.0)
             for node in victims:
                 refuse(node)
-            await fleet.run(2.0)
+            await fleet.run(since_s)
             times = await change_times(fleet, victims)
-            assert max(times.values()) < CHANGE_S
+            assert max(times.values()) < MANY_NODES_CHANGE_S
+
+
+def store_calls(fleet: RelayFleet) -> int:
+    """Returns the number of reading calls that nodes have made so far."""
+    return sum(node.link.watches + node.link.reads for node in fleet.nodes)
+
+
+class TestCalls:
+    """Tests of calls to a store that some nodes or none reach."""
+
+    async def test_few_nodes_stand_in_for_heads_without_the_store(
+        self,
+    ) -> None:
+        async with relay_fleet(78) as fleet:
+            victims = first_of_each_zone(fleet, 4)
+            for node in victims:
+                refuse(node)
+            await fleet.run(4.0)
+            refused = {node.id for node in victims}
+            reading = set(stand_ins(fleet)) - refused
+            assert len(reading) <= 2 * HEADS_PER_ZONE * len(ZONES)
+
+    async def test_stand_ins_stop_when_heads_read_again(self) -> None:
+        async with relay_fleet(30) as fleet:
+            victims = first_of_each_zone(fleet, 3)
+            for node in victims:
+                refuse(node)
+            await fleet.run(4.0)
+            assert stand_ins(fleet)
+            for node in victims:
+                restore_path(node)
+            await fleet.run(4.0)
+            assert stand_ins(fleet) == []
+
+    async def test_nodes_do_not_all_call_a_returned_store_at_once(
+        self,
+    ) -> None:
+        async with relay_fleet(78) as fleet:
+            for node in fleet.nodes:
+                silence(node)
+            await fleet.run(8.0)
+            before = store_calls(fleet)
+            await fleet.run(5.0)
+            assert store_calls(fleet) - before <= 78 * 5.0
+            for node in fleet.nodes:
+                restore_path(node)
+            most = 0
+            for _ in range(40):
+                before = store_calls(fleet)
+                await fleet.run(STEP_S)
+                most = max(most, store_calls(fleet) - before)
+            assert most <= 78 / 4
+            await fleet.run(3.0)
+            assert stand_ins(fleet) == []
+
+
+def stand_ins(fleet: RelayFleet) -> list[str]:
+    """Returns the nodes that read the store in place of a head."""
+    return [node.id for node in fleet.nodes if node.relay.readers.stands_in]
--- a/tests/test_store_readers.py
+++ b/tests/test_store_readers.py
@@ -31,7 +31,7 @@
 
     async def test_older_knowledge_changes_nothing(self) -> None:
         timer = FakeTimer()
-        knowledge = StoreKnowledge(timer)
+        knowledge = StoreKnowledge("node-0", timer)
         knowledge.note_read(timer.now())
         await timer.advance(2.0)
         knowledge.note_synced(timer.now() - 1.0, "node-1")
--- a/wasabiwing/fleet_follower.py
+++ b/wasabiwing/fleet_follower.py
@@ -56,12 +56,16 @@
 WATCH_WAIT_S = 1.8
 
 # Longest wait of a watch on which other nodes depend, in seconds.
-SHARED_WATCH_WAIT_S = 1.0
+SHARED_WATCH_WAIT_S = 0.4
 
 # Longest wait of a watch after a failure, in seconds. The store may still
 # leave calls unanswered, so each call has to end soon.
 WATCH_WAIT_AFTER_FAILURE_S = 0.4
 
+# Time in which the store usually answers a watch that finds changes, in
+# seconds. What comes later may have been on the way for the rest of the time.
+TIMELY_ANSWER_S = 0.3
+
 # Pause after changes, in seconds. The store charges for every call, and
 # changes come in groups.
 BATCH_PAUSE_S = 0.35
@@ -81,6 +85,9 @@
 # seconds.
 ROLE_CHECK_PERIOD_S = 0.2
 
+# Shortest such interval, in seconds.
+MIN_ROLE_CHECK_PERIOD_S = 0.01
+
 # Time in seconds for which an evacuation stays in force that a restored store
 # does not hold.
 RESTORE_HOLD_S = 10.0
@@ -281,11 +288,13 @@
         # Positions of what the store held when it came back.
         self._copied_position_by_key: dict[str, int] = {}
         # How current the store cache is.
-        self.knowledge = StoreKnowledge(timer)
+        self.knowledge = StoreKnowledge(node_id, timer)
         # Whether this node has to watch the store now, and whether other
         # nodes depend on its watch.
         self.must_watch: Callable[[], bool] = lambda: True
         self.is_watch_shared: Callable[[], bool] = lambda: False
+        # Time until this node has to watch, in seconds, unless it hears news.
+        self.until_watch_s: Callable[[], float] = lambda: ROLE_CHECK_PERIOD_S
         # Whether the deployment is so large that the pause after repeated
         # failures has to grow.
         self.uses_long_backoff: Callable[[], bool] = lambda: False
@@ -312,7 +321,12 @@
         elif self.must_watch():
             await self._follow(self.store_cache.revision)
         else:
-            await self._timer.sleep(ROLE_CHECK_PERIOD_S)
+            await self._timer.sleep(
+                min(
+                    max(self.until_watch_s(), MIN_ROLE_CHECK_PERIOD_S),
+                    ROLE_CHECK_PERIOD_S,
+                )
+            )
 
     def on_key_change(self, prefix: str, listener: KeyListener) -> None:
         """Registers a listener for the keys that begin with a prefix."""
@@ -400,8 +414,11 @@
             return
         self._note_success()
         changes = found.ok_value
+        # An answer that comes late tells of the time when it was due.
+        due_s = TIMELY_ANSWER_S if changes.events else wait_s
+        read_at = min(self._timer.now(), began_at + due_s)
         if self.apply_changes(changes.events, changes.revision):
-            self.knowledge.note_read(self._timer.now())
+            self.knowledge.note_read(read_at)
         if changes.events:
             is_shared = self.is_watch_shared()
             await self._timer.sleep(
@@ -429,6 +446,7 @@
 
     async def _load(self) -> None:
         """Reads all keys of the store."""
+        began_at = self._timer.now()
         found = await self._store.snapshot("")
         if isinstance(found, Err):
             self._note_failure(found.err_value)
@@ -437,7 +455,7 @@
         self._note_success()
         snapshot = found.ok_value
         if self.apply_snapshot(snapshot.values, snapshot.revision):
-            self.knowledge.note_read(self._timer.now())
+            self.knowledge.note_read(began_at)
         era = era_of(snapshot.revision)
         if (
             self.store_cache.revision != snapshot.revision
--- a/wasabiwing/fleet_relay.py
+++ b/wasabiwing/fleet_relay.py
@@ -9,7 +9,6 @@
 """
 
 from math import inf
-from random import Random
 
 from wasabiwing.events import Event
 from wasabiwing.events import log_event
@@ -33,6 +32,7 @@
 from wasabiwing.store_eras import era_of
 from wasabiwing.store_eras import revision_of
 from wasabiwing.store_eras import store_position
+from wasabiwing.store_readers import SECOND_HEAD_AGE_S
 from wasabiwing.store_readers import StoreReaders
 from wasabiwing.timers import TimerService
 from wasabiwing.zone_heads import HEAD_SILENCE_S
@@ -57,6 +57,9 @@
 # Shortest interval between two requests for missed changes, in seconds.
 MIN_REQUEST_INTERVAL_S = 0.7
 
+# Largest age that messages state, in seconds; "never" is stated as this.
+MAX_STATED_AGE_S = 1_000_000.0
+
 MILLISECONDS = 1000.0
 
 
@@ -74,7 +77,6 @@
         directory: ServerDirectory,
         reports: NodeReports,
         shared: ReportedState,
-        random: Random,
     ) -> None:
         self._node_id = node_id
         self._timer = timer
@@ -90,10 +92,9 @@
         # Times and revisions of the latest pushes.
         self._recent_pushes: list[tuple[float, int]] = []
         self._requested_at = -inf
-        self.readers = StoreReaders(
-            node_id, timer, heads, follower.knowledge, random
-        )
+        self.readers = StoreReaders(node_id, timer, heads, self._knowledge)
         follower.must_watch = self.readers.must_watch
+        follower.until_watch_s = self.readers.until_read_s
         follower.is_watch_shared = self.readers.is_watch_shared
         follower.uses_long_backoff = lambda: heads.uses_heads
 
@@ -102,15 +103,21 @@
         rank = self._heads.own_rank()
         self._push_count += 1
         revision = self._follower.store_cache.revision
-        if rank is None or revision is None:
+        if revision is None:
+            return
+        if rank is None:
+            self._push_as_stand_in(revision)
             return
         zone_aggregate = self._reports.aggregate_zone(self._shared)
-        since = self._record_push(revision)
-        changes = self._encoded_changes(since)
-        if changes is None:
-            since, changes = revision, ()
+        since, changes = self._changes_to_push(revision)
+        # Ages that other zones' heads have told go to nodes only: between
+        # heads they would go round, each time without the time on the way.
         to_heads = self._build_push(
-            revision, since, changes, zone_aggregate, None
+            revision,
+            since,
+            changes,
+            self._knowledge.zone_read_age_s(),
+            zone_aggregate,
         )
         for zone, heads in self._heads.heads_by_zone().items():
             for node_id in heads:
@@ -119,12 +126,36 @@
                 continue
             self._push_to_nodes(rank, heads, revision, since, changes)
 
+    def _push_as_stand_in(self, revision: int) -> None:
+        """Tells the heads of the zone what this node has read itself."""
+        read_age_s = self._knowledge.read_age_s()
+        if not self.readers.stands_in or read_age_s > SECOND_HEAD_AGE_S:
+            return
+        since, changes = self._changes_to_push(revision)
+        message = self._build_push(revision, since, changes, read_age_s)
+        for node_id in self._heads.heads_of_zone(self._heads.zone):
+            self._send_push(node_id, message)
+
+    def _changes_to_push(
+        self, revision: int
+    ) -> tuple[int, tuple[RelayedChange, ...]]:
+        """Returns recent changes and the revision after which they came."""
+        since = self._record_push(revision)
+        changes = self._encoded_changes(since)
+        return (revision, ()) if changes is None else (since, changes)
+
     async def receive_push(self, envelope: Envelope, push: HeadPush) -> None:
         """Applies a push of a head."""
         self._heads.note_heard(envelope.sender)
         self._reports.receive_push(push, self._shared)
         now = self._timer.now()
         synced_at = now - push.age_ms / MILLISECONDS
+        is_zone_read = (
+            push.zone == self._heads.zone and push.zone_read_age_ms >= 0
+        )
+        zone_read_at = now - push.zone_read_age_ms / MILLISECONDS
+        if is_zone_read:
+            self.readers.note_zone_read(push.zone_reader, zone_read_at)
         if push.since_store_recovery_ms >= 0:
             self._directory.note_store_recovery(
                 now - push.since_store_recovery_ms / MILLISECONDS
@@ -148,8 +179,11 @@
         if known_revision is None or since > known_revision or omitted:
             self._request_changes(envelope.reply_to)
             return
-        if self._follower.apply_changes(events, revision):
-            self._knowledge.note_synced(synced_at, envelope.sender)
+        if not self._follower.apply_changes(events, revision):
+            return
+        self._knowledge.note_synced(synced_at, envelope.sender)
+        if is_zone_read and push.zone_reader == envelope.sender:
+            self._knowledge.note_zone_read(zone_read_at, envelope.sender)
 
     async def answer_catch_up(
         self, envelope: Envelope, request: FleetRequest
@@ -166,7 +200,7 @@
         reply = FleetContent(
             since,
             revision_of(cache.revision),
-            self._age_ms(),
+            _age_ms(self._knowledge.age_s()),
             tuple(
                 RelayedValue(
                     compressed.key,
@@ -260,7 +294,9 @@
         )
         if rank == 0 or first_is_silent:
             aggregate = self._reports.aggregate_fleet(self._shared)
-        message = self._build_push(revision, since, changes, None, aggregate)
+        message = self._build_push(
+            revision, since, changes, self._knowledge.age_s(), None, aggregate
+        )
         members = self._nodes.ids_by_zone().get(self._heads.zone, [])
         for node_id in members:
             if node_id not in heads:
@@ -271,8 +307,9 @@
         revision: int,
         since: int,
         changes: tuple[RelayedChange, ...],
-        zone_aggregate: AggregatedReport | None,
-        fleet_aggregate: AggregatedReport | None,
+        age_s: float,
+        zone_aggregate: AggregatedReport | None = None,
+        fleet_aggregate: AggregatedReport | None = None,
     ) -> HeadPush:
         recovered_at = self._directory.store_recovered_at
         since_recovery_ms = -1
@@ -283,12 +320,14 @@
             self._heads.zone,
             revision_of(revision),
             revision_of(since),
-            self._age_ms(),
+            _age_ms(age_s),
             since_recovery_ms,
             changes,
             zone_aggregate,
             fleet_aggregate,
             era_of(revision),
+            self._knowledge.zone_reader,
+            _read_age_ms(self._knowledge.zone_read_age_s()),
         )
 
     def _send_push(self, node_id: str, message: HeadPush) -> None:
@@ -323,8 +362,14 @@
             inbox, FleetRequest(revision_of(known), era_of(known))
         )
 
-    def _age_ms(self) -> int:
-        return int(max(self._knowledge.age_s(), 0.0) * MILLISECONDS)
+
+def _age_ms(age_s: float) -> int:
+    """Returns an age in milliseconds, as messages state it."""
+    return int(min(max(age_s, 0.0), MAX_STATED_AGE_S) * MILLISECONDS)
+
+
+def _read_age_ms(age_s: float) -> int:
+    return -1 if age_s == inf else _age_ms(age_s)
 
 
 def _encode_change(event: WatchEvent) -> RelayedChange:
--- a/wasabiwing/messages.py
+++ b/wasabiwing/messages.py
@@ -583,7 +583,7 @@
 
 
 class HeadPush(Struct, frozen=True, array_like=True, tag=101):
-    """A zone head's report to other zone heads and to its zone's nodes."""
+    """Newest state of the store, sent by zone heads and their stand-ins."""
 
     zone: str
     # Newest revision of the store that the head knows; 0 for none.
@@ -601,6 +601,10 @@
     # Sent to the nodes of the zone.
     fleet_aggregate: AggregatedReport | None = None
     store_era: int = 0
+    # The node of the sender's zone that read the store last, and how long
+    # ago, in milliseconds; -1 for never.
+    zone_reader: str = ""
+    zone_read_age_ms: int = -1
 
 
 class FleetRequest(Struct, frozen=True, array_like=True, tag=102):
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -231,7 +231,6 @@
             directory,
             self._reports,
             self._reported_state,
-            random,
         )
         self._newer_configurations = NewerConfigurations(
             node_id,
--- a/wasabiwing/store_readers.py
+++ b/wasabiwing/store_readers.py
@@ -1,30 +1,31 @@
 """Decides which nodes read the store themselves.
 
-Load pattern: hundreds of nodes and a store that counts every call. The heads
-of zones read the store for all; another node reads it only while its own
-knowledge is old.
+Load pattern: hundreds of nodes, a store that counts every call, and single
+nodes that it does not answer, heads of zones among them. The heads read the
+store for all. Another node stands in for them once what it knows is too old,
+whomever it hears. Nodes do so one after the other, in the order of their
+zone's ranking, and a stand-in tells the heads what it reads, so that few nodes
+read. None waits for another longer than ``LAST_STAND_IN_AGE_S``.
 """
 
 from enum import StrEnum
 from enum import unique
-from random import Random
+from math import inf
+from math import log2
 
 from wasabiwing.events import Event
 from wasabiwing.events import log_event
 from wasabiwing.store_knowledge import StoreKnowledge
 from wasabiwing.timers import TimerService
 from wasabiwing.zone_heads import HEAD_SILENCE_S
+from wasabiwing.zone_heads import HEADS_PER_ZONE
 from wasabiwing.zone_heads import ZoneHeads
 
 # Age of the state after which a node reads the store itself, in seconds: the
-# second head, a node that gets no pushes, and a node whose pushes bring
-# nothing newer.
-SECOND_HEAD_STALE_S = 1.0
-UNHEARD_STALE_S = 1.5
-HEARD_STALE_S = 2.5
-
-# Jitter that is added to the last of these on each node, in seconds.
-HEARD_STALE_JITTER_S = 5.0
+# second head, and the first and the last of the other nodes of a zone.
+SECOND_HEAD_AGE_S = 1.2
+FIRST_STAND_IN_AGE_S = 1.4
+LAST_STAND_IN_AGE_S = 1.7
 
 # Age from which knowledge is logged as old, in seconds.
 OLD_KNOWLEDGE_S = 2.0
@@ -39,10 +40,26 @@
 
     FEW_NODES = "few nodes"
     FIRST_HEAD = "first head"
-    OLD_KNOWLEDGE = "old knowledge"
+    STANDS_IN = "stands in"
     HEADS_READ = "heads read"
 
 
+def stand_in_age_s(position: int, count: int) -> float:
+    """Returns the age of knowledge in seconds at which a node reads itself.
+
+    ``position`` is its place, from 0, in its zone's ranking of ``count``
+    nodes. The number of nodes that read grows exponentially with the age.
+    """
+    if count <= HEADS_PER_ZONE:
+        return FIRST_STAND_IN_AGE_S
+    share = log2((position + 1) / HEADS_PER_ZONE) / log2(
+        count / HEADS_PER_ZONE
+    )
+    return FIRST_STAND_IN_AGE_S + max(share, 0.0) * (
+        LAST_STAND_IN_AGE_S - FIRST_STAND_IN_AGE_S
+    )
+
+
 class StoreReaders:
     """Tells one node whether it has to read the store."""
 
@@ -52,16 +69,15 @@
         timer: TimerService,
         heads: ZoneHeads,
         knowledge: StoreKnowledge,
-        random: Random,
     ) -> None:
         self._node_id = node_id
         self._timer = timer
         self._heads = heads
         self._knowledge = knowledge
-        # Jitter: nodes that get pushes do not all read the store at once.
-        self._heard_stale_s = HEARD_STALE_S + random.uniform(
-            0.0, HEARD_STALE_JITTER_S
-        )
+        self._stands_in = False
+        # Monotonic time of the latest read of a node that comes before this
+        # one in the ranking of the zone.
+        self._preceding_read_at = -inf
         self._logged_at: float | None = None
 
     def must_watch(self) -> bool:
@@ -70,7 +86,17 @@
 
     def is_watch_shared(self) -> bool:
         """Whether other nodes rely on this node's watch."""
-        return self._heads.own_rank() is not None
+        return self.stands_in or self._heads.own_rank() is not None
+
+    @property
+    def stands_in(self) -> bool:
+        """Whether this node reads the store in place of a head."""
+        return self.read_reason() is ReadReason.STANDS_IN
+
+    def note_zone_read(self, reader: str, read_at: float) -> None:
+        """Records when a node of this zone has read the store."""
+        if self._heads.precedes(reader):
+            self._preceding_read_at = max(self._preceding_read_at, read_at)
 
     def read_reason(self) -> ReadReason:
         """Returns why this node reads the store, or does not."""
@@ -79,14 +105,22 @@
         if self._heads.own_rank() == 0:
             return ReadReason.FIRST_HEAD
         if self._knowledge.age_s() > self.largest_age_s():
-            return ReadReason.OLD_KNOWLEDGE
+            self._stands_in = True
+        elif self._timer.now() - self._preceding_read_at <= SECOND_HEAD_AGE_S:
+            self._stands_in = False
+        if self._stands_in:
+            return ReadReason.STANDS_IN
         return ReadReason.HEADS_READ
 
+    def until_read_s(self) -> float:
+        """Returns the seconds until this node reads, unless it hears news."""
+        return self.largest_age_s() - self._knowledge.age_s()
+
     def largest_age_s(self) -> float:
         """Returns the age of knowledge in seconds up to which it is used."""
         if self._heads.own_rank() is not None:
-            return SECOND_HEAD_STALE_S
-        return self._heard_stale_s if self._hears_a_head() else UNHEARD_STALE_S
+            return SECOND_HEAD_AGE_S
+        return stand_in_age_s(*self._heads.own_position())
 
     async def log_old_knowledge(self, version: int | None) -> None:
         """Logs once a second that this node acts on old knowledge.
--- a/wasabiwing/zone_heads.py
+++ b/wasabiwing/zone_heads.py
@@ -111,6 +111,16 @@
         own_id = self._record.id
         return heads.index(own_id) if own_id in heads else None
 
+    def own_position(self) -> tuple[int, int]:
+        """Returns this node's place in its zone's ranking, and its length."""
+        ranking = self._ranking(self.zone)
+        return ranking.index(self._record.id), len(ranking)
+
+    def precedes(self, node_id: str) -> bool:
+        """Whether a node of this zone comes before this one as a head."""
+        ranking = self._ranking(self.zone)
+        return node_id in ranking[: ranking.index(self._record.id)]
+
     def heads_by_zone(self) -> dict[str, tuple[str, ...]]:
         """Returns the heads by zone."""
         return {
