Check again that a server stays once its connection is open

Now the registry's entry counts as well, as it does for new requests; the request goes to another server and counts as not sent. The new test failed before: the leaving server got 1 request, 0 are wanted, the other one 0 in place of 1. 33 tests of statements and of the node's path pass. No calls to the store.

The gateway does not check again; its slots and claims are granted right before sending. That stays open.

--- a/tests/test_node_statements.py
+++ b/tests/test_node_statements.py
@@ -1,5 +1,7 @@
 """Tests of servers that leave or ask for a pause, through whole nodes."""
 
+from typing import Any
+
 from anyio import sleep
 import pytest
 
@@ -9,6 +11,7 @@
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
 from wasabiwing.http_client import find_header
+from wasabiwing.server_connections import ServerConnections
 from wasabiwing_platform_standins.server import ServerFault
 from wasabiwing_platform_standins.server import ServerStandIn
 
@@ -55,6 +58,37 @@
                     assert (await found.call(path)).status == 200
             assert len(leaving.received_requests) == 1
 
+    async def test_request_reaches_server_that_leaves_while_connecting(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against requests sent on what was known when routed.
+
+        The registry tells that the server leaves while a connection to it is
+        being opened.
+        """
+        connect = ServerConnections._connect
+        left: list[str] = []
+        async with deployment() as found:
+            servers = await start_desks(found, 2)
+
+            async def connect_slowly(
+                connections: ServerConnections,
+                server_id: str,
+                host: str,
+                port: int,
+            ) -> Any:
+                if not left:
+                    left.append(server_id)
+                    found.register(server_id, "desk", state="draining", seq=2)
+                    await sleep(1.0)
+                return await connect(connections, server_id, host, port)
+
+            monkeypatch.setattr(ServerConnections, "_connect", connect_slowly)
+            assert (await found.call("/book/1")).status == 200
+            counts = {s.id: len(s.received_requests) for s in servers}
+            assert counts.pop(left[0]) == 0
+            assert list(counts.values()) == [1]
+
     async def test_a_later_start_is_used_again(self) -> None:
         async with deployment() as found:
             [server] = await start_desks(found, 1)
--- a/wasabiwing/call_forwarding.py
+++ b/wasabiwing/call_forwarding.py
@@ -628,7 +628,7 @@
             ),
             call.body,
             remaining_s,
-            partial(self._statements.may_still_send, server.id),
+            partial(self._may_still_send, server),
             partial(self._note_connected, call, placed, progress),
         )
         if not isinstance(sent, Err):
@@ -642,6 +642,16 @@
             await self._connections.close_idle(server.id)
         return sent.err_value
 
+    def _may_still_send(self, server: RegisteredServer) -> bool:
+        """Whether a request that was routed to a server may still be sent.
+
+        The server may have said that it leaves, in an answer or in the
+        registry, while its connection was opened.
+        """
+        return self._statements.may_still_send(
+            server.id
+        ) and not self._quarantine.is_leaving(server)
+
     def _record_sending(
         self, call: RoutedCall, placed: SelectedServer, progress: CallProgress
     ) -> None:
