Test order, stand-ins and schedules of faults while heads lose the store

Seeded schedules play refused, silent and late paths of heads to the store, slow links, restores, suspended nodes and servers that leave, 10 seeds of ten rounds: no node goes back to an older configuration, and all end in one state. A node that starts beside heads that lag, without the store, gets the newer configuration.

--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -56,6 +56,7 @@
 from wasabiwing.usage_caps import CapTolerance
 from wasabiwing.usage_caps import UsageCaps
 from wasabiwing.usage_windows import UsageWindows
+from wasabiwing.zone_heads import rank_nodes
 from wasabiwing.zone_heads import ZoneHeads
 
 ZONES = ("zone-a", "zone-b", "zone-c")
@@ -356,6 +357,30 @@
     return f"{version} ".encode() + encode(names)
 
 
+def first_of_each_zone(fleet: RelayFleet, count: int) -> list[RelayNode]:
+    """Returns the first nodes of the ranking of each zone."""
+    victims = []
+    for zone in ZONES:
+        members = [node for node in fleet.nodes if node.zone == zone]
+        if not members:
+            continue
+        records = {
+            node.id: record
+            for node in members
+            if (record := members[0].nodes.get(node.id)) is not None
+        }
+        records[members[0].id] = members[0].record
+        ranking = rank_nodes(zone, list(records.values()))
+        victims += [fleet.node_by_id[node_id] for node_id in ranking[:count]]
+    return victims
+
+
+PATH_FAULTS: dict[str, Fault] = {
+    "heads rejected by store": refuse,
+    "heads silent at store": silence,
+    "heads answered late": delay(0.9),
+}
+
 # Time after the last fault in which all nodes come to the same state. Nodes
 # skip a silent head only after a timeout, and a killed head's entry stays
 # until its lease expires.
@@ -375,13 +400,31 @@
     "none",
 )
 
+# Faults of the way on which heads of zones learn of changes.
+HEAD_FAULTS = (
+    "heads rejected by store",
+    "heads silent at store",
+    "heads answered late",
+    "slow links",
+    "store restored",
+    "rejected by store",
+    "freeze",
+    "server",
+)
+
 
 class FaultSchedule:
     """Seeded rounds of one fault and one new configuration version each."""
 
-    def __init__(self, fleet: RelayFleet, seed: int) -> None:
+    def __init__(
+        self,
+        fleet: RelayFleet,
+        seed: int,
+        faults: tuple[str, ...] = FAULTS,
+    ) -> None:
         self._fleet = fleet
         self._random = Random(seed)
+        self._faults = faults
         self._last_version = 1
         self._last_incarnation = 1
         self._removed_server_ids: set[str] = set()
@@ -392,7 +435,7 @@
     async def run(self, rounds: int) -> list[str]:
         """Runs rounds of one fault each; returns the violations at the end."""
         for _ in range(rounds):
-            await self._run_round(self._random.choice(FAULTS))
+            await self._run_round(self._random.choice(self._faults))
         await self._fleet.run(RECOVERY_S)
         return self._violations()
 
@@ -414,8 +457,10 @@
         fleet = self._fleet
         if fault == "heads":
             return fleet.heads(self._random.choice(ZONES))
-        if fault == "store down":
+        if fault in ("store down", "slow links"):
             return fleet.nodes
+        if fault in PATH_FAULTS:
+            return first_of_each_zone(fleet, self._random.randint(1, 4))
         if fault in ("restart", "freeze", "rejected by store", "alone"):
             count = self._random.randint(1, len(fleet.nodes) // 2)
             return self._random.sample(fleet.nodes, count)
@@ -431,6 +476,10 @@
                 node.transport.paused = True
             elif fault in ("rejected by store", "store down"):
                 node.link.unavailable = True
+            elif fault in PATH_FAULTS:
+                PATH_FAULTS[fault](node)
+            elif fault == "slow links":
+                network.delay_s = (0.3, 0.6)
             else:
                 address = node.transport.address
                 network.group_by_address[address] = 1
@@ -448,12 +497,13 @@
         network = self._fleet.network
         network.loss_share = 0.0
         network.late_share = 0.0
+        network.delay_s = (0.001, 0.002)
         network.group_by_address.clear()
         if self._copy is not None:
             self._restore(self._copy)
             self._copy = None
         for node in affected:
-            node.link.unavailable = False
+            restore_path(node)
             if fault in ("restart", "heads"):
                 self._last_incarnation += 1
                 number = int(node.id.removeprefix("node-"))
--- a/tests/test_stale_heads.py
+++ b/tests/test_stale_heads.py
@@ -6,6 +6,9 @@
 
 from tests.relay_fleet import delay
 from tests.relay_fleet import Fault
+from tests.relay_fleet import FaultSchedule
+from tests.relay_fleet import first_of_each_zone
+from tests.relay_fleet import HEAD_FAULTS
 from tests.relay_fleet import refuse
 from tests.relay_fleet import relay_fleet
 from tests.relay_fleet import RelayFleet
@@ -16,7 +19,6 @@
 from tests.relay_fleet import ZONES
 from wasabiwing.zone_heads import HEADS_PER_ZONE
 from wasabiwing.zone_heads import MAX_FULL_MESH_NODES
-from wasabiwing.zone_heads import rank_nodes
 
 pytestmark = pytest.mark.anyio
 
@@ -30,24 +32,6 @@
 SETTLED_S = 9.0
 
 
-def first_of_each_zone(fleet: RelayFleet, count: int) -> list[RelayNode]:
-    """Returns the first nodes of the ranking of each zone."""
-    victims = []
-    for zone in ZONES:
-        members = [node for node in fleet.nodes if node.zone == zone]
-        if not members:
-            continue
-        records = {
-            node.id: record
-            for node in members
-            if (record := members[0].nodes.get(node.id)) is not None
-        }
-        records[members[0].id] = members[0].record
-        ranking = rank_nodes(zone, list(records.values()))
-        victims += [fleet.node_by_id[node_id] for node_id in ranking[:count]]
-    return victims
-
-
 async def change_times(
     fleet: RelayFleet, affected: Iterable[RelayNode]
 ) -> dict[str, float]:
@@ -225,3 +209,35 @@
 def stand_ins(fleet: RelayFleet) -> list[str]:
     """Returns the nodes that read the store in place of a head."""
     return [node.id for node in fleet.nodes if node.relay.readers.stands_in]
+
+
+class TestOrder:
+    """Tests that no node goes back while heads lose the store."""
+
+    @pytest.mark.parametrize("seed", range(10))
+    async def test_schedules_of_lost_heads_end_in_one_state(
+        self, seed: int
+    ) -> None:
+        """Plays a seeded schedule of faults of heads, links and the store."""
+        async with relay_fleet(18, seed=seed) as fleet:
+            schedule = FaultSchedule(fleet, seed, HEAD_FAULTS)
+            assert await schedule.run(10) == [], schedule.faults_run
+
+    @pytest.mark.parametrize("lost", [2, 4])
+    async def test_restarted_node_starts_from_an_old_head(
+        self, lost: int
+    ) -> None:
+        """A node that cannot read the store starts beside heads that lag."""
+        async with relay_fleet(30) as fleet:
+            victims = first_of_each_zone(fleet, lost)
+            for node in victims:
+                refuse(node)
+            await fleet.run(0.5)
+            fleet.store.put("configuration", b"2")
+            node = next(n for n in fleet.nodes if n not in victims)
+            node.kill()
+            started = fleet.start(int(node.id.removeprefix("node-")), 2)
+            refuse(started)
+            await fleet.run(CHANGE_S + 1.0)
+            assert started.version == 2
+            assert started.versions == sorted(started.versions)
--- a/tests/test_store_readers.py
+++ b/tests/test_store_readers.py
@@ -8,7 +8,11 @@
 from wasabiwing.events import Event
 from wasabiwing.store_knowledge import STORE_SOURCE
 from wasabiwing.store_knowledge import StoreKnowledge
+from wasabiwing.store_readers import FIRST_STAND_IN_AGE_S
+from wasabiwing.store_readers import LAST_STAND_IN_AGE_S
+from wasabiwing.store_readers import stand_in_age_s
 from wasabiwing.timers import FakeTimer
+from wasabiwing.zone_heads import rank_nodes
 
 pytestmark = pytest.mark.anyio
 
@@ -42,6 +46,61 @@
         knowledge.note_read(timer.now())
         assert knowledge.source == STORE_SOURCE
 
+    async def test_read_told_by_others_is_no_later_read_of_the_zone(
+        self,
+    ) -> None:
+        timer = FakeTimer()
+        knowledge = StoreKnowledge("node-0", timer)
+        knowledge.note_zone_read(timer.now(), "node-1")
+        await timer.advance(3.0)
+        knowledge.note_synced(timer.now(), "node-2")
+        assert knowledge.age_s() == pytest.approx(0.0)
+        assert knowledge.zone_read_age_s() == pytest.approx(3.0)
+        assert knowledge.zone_reader == "node-1"
+
+
+class TestStandIns:
+    """Tests of the order in which nodes stand in for heads."""
+
+    @pytest.mark.parametrize("count", [1, 2, 3, 10, 26, 39, 117, 1400])
+    def test_nodes_stand_in_by_rank_and_none_waits_longer(
+        self, count: int
+    ) -> None:
+        ages = [stand_in_age_s(place, count) for place in range(count)]
+        assert ages == sorted(ages)
+        assert FIRST_STAND_IN_AGE_S <= ages[0]
+        assert ages[-1] <= LAST_STAND_IN_AGE_S
+        # Half of the nodes wait for more than half of the time that is left.
+        middle = (FIRST_STAND_IN_AGE_S + LAST_STAND_IN_AGE_S) / 2
+        assert sum(age < middle for age in ages) <= count / 2 + 1
+
+    async def test_stand_in_stops_once_a_preceding_node_reads(self) -> None:
+        async with relay_fleet(30) as fleet:
+            node = next(
+                found
+                for found in fleet.nodes
+                if found.heads.own_position()[0] == 5
+            )
+            ranking = rank_nodes(
+                node.zone,
+                [
+                    found.record
+                    for found in fleet.nodes
+                    if found.zone == node.zone
+                ],
+            )
+            refuse(node)
+            node.transport.paused = True
+            await fleet.run(LAST_STAND_IN_AGE_S + 0.5)
+            readers = node.relay.readers
+            assert readers.stands_in
+            now = fleet.timer.now()
+            node.follower.knowledge.note_synced(now, "node")
+            readers.note_zone_read(ranking[6], now)
+            assert readers.stands_in
+            readers.note_zone_read(ranking[4], now)
+            assert not readers.stands_in
+
 
 class TestLog:
     """Tests of log lines of old knowledge."""
--- a/wasabiwing/fleet_relay.py
+++ b/wasabiwing/fleet_relay.py
@@ -4,8 +4,9 @@
 head of each zone watches the store; heads push changes to each other and to
 the nodes of their zone. A push carries the store's era and revision, so that
 older state never replaces newer state, and the state's age, so that a node
-knows when to read the store itself. A node that the store rejects gets the
-changes from other nodes.
+knows when to read the store itself (``store_readers``). A node that the store
+rejects gets the changes from other nodes; one that reads in place of a head
+sends pushes to the heads of its zone.
 """
 
 from math import inf
