Stop standing in when heads of an earlier build know the newest state

During an upgrade a new node that had once read the store in place of a head would have read on for ever beside heads of the landing before, which do not tell who has read the store: calls to the store by every such node. What their pushes tell of their knowledge counts now. The new test failed before: the node still stood in after such a push.

--- a/tests/test_stale_heads.py
+++ b/tests/test_stale_heads.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tests.relay_fleet import delay
+from tests.relay_fleet import encode_large_configuration
 from tests.relay_fleet import Fault
 from tests.relay_fleet import FaultSchedule
 from tests.relay_fleet import first_of_each_zone
@@ -17,6 +18,8 @@
 from tests.relay_fleet import silence
 from tests.relay_fleet import STEP_S
 from tests.relay_fleet import ZONES
+from wasabiwing.messages import Envelope
+from wasabiwing.messages import FleetRequest
 from wasabiwing.zone_heads import HEADS_PER_ZONE
 from wasabiwing.zone_heads import MAX_FULL_MESH_NODES
 
@@ -151,6 +154,23 @@
             times = await change_times(fleet, victims)
             assert max(times.values()) < MANY_NODES_CHANGE_S
 
+    async def test_long_change_is_known_late_as_heads_answer_no_requests(
+        self,
+    ) -> None:
+        """The change is too long for pushes, and requests get no answer."""
+
+        async def ignore(envelope: Envelope, request: FleetRequest) -> None:
+            pass
+
+        async with relay_fleet(30) as fleet:
+            for zone in ZONES:
+                for head in fleet.heads(zone):
+                    head.messages.register(FleetRequest, ignore)
+            content = encode_large_configuration(2, 2000)
+            fleet.store.put("configuration", content)
+            await fleet.run(CHANGE_S)
+            assert {node.version for node in fleet.nodes} == {2}
+
 
 def store_calls(fleet: RelayFleet) -> int:
     """Returns the number of reading calls that nodes have made so far."""
--- a/tests/test_store_readers.py
+++ b/tests/test_store_readers.py
@@ -6,6 +6,8 @@
 from tests.relay_fleet import relay_fleet
 from tests.relay_fleet import ZONES
 from wasabiwing.events import Event
+from wasabiwing.messages import Envelope
+from wasabiwing.messages import HeadPush
 from wasabiwing.store_knowledge import STORE_SOURCE
 from wasabiwing.store_knowledge import StoreKnowledge
 from wasabiwing.store_readers import FIRST_STAND_IN_AGE_S
@@ -101,6 +103,30 @@
             readers.note_zone_read(ranking[4], now)
             assert not readers.stands_in
 
+    async def test_stand_in_beside_heads_of_an_earlier_build_reads_for_ever(
+        self,
+    ) -> None:
+        """Guards against calls to the store by all nodes in an upgrade.
+
+        Pushes of earlier builds do not tell who has read the store.
+        """
+        async with relay_fleet(30) as fleet:
+            head = fleet.heads(ZONES[0])[0]
+            node = next(
+                found
+                for found in fleet.nodes
+                if found.zone == ZONES[0] and found.heads.own_rank() is None
+            )
+            node.transport.paused = True
+            refuse(node)
+            await fleet.run(LAST_STAND_IN_AGE_S + 0.5)
+            assert node.relay.readers.stands_in
+            revision = node.follower.store_cache.revision or 0
+            push = HeadPush(ZONES[0], revision, revision, 100)
+            envelope = Envelope(head.id, head.transport.address, 0, push)
+            await node.relay.receive_push(envelope, push)
+            assert not node.relay.readers.stands_in
+
 
 class TestLog:
     """Tests of log lines of old knowledge."""
--- a/wasabiwing/fleet_relay.py
+++ b/wasabiwing/fleet_relay.py
@@ -151,12 +151,7 @@
         self._reports.receive_push(push, self._shared)
         now = self._timer.now()
         synced_at = now - push.age_ms / MILLISECONDS
-        is_zone_read = (
-            push.zone == self._heads.zone and push.zone_read_age_ms >= 0
-        )
-        zone_read_at = now - push.zone_read_age_ms / MILLISECONDS
-        if is_zone_read:
-            self.readers.note_zone_read(push.zone_reader, zone_read_at)
+        self._note_zone_read(envelope.sender, push)
         if push.since_store_recovery_ms >= 0:
             self._directory.note_store_recovery(
                 now - push.since_store_recovery_ms / MILLISECONDS
@@ -183,8 +178,25 @@
         if not self._follower.apply_changes(events, revision):
             return
         self._knowledge.note_synced(synced_at, envelope.sender)
-        if is_zone_read and push.zone_reader == envelope.sender:
-            self._knowledge.note_zone_read(zone_read_at, envelope.sender)
+        is_own_read = (
+            push.zone_reader == envelope.sender
+            and push.zone == self._heads.zone
+        )
+        if is_own_read:
+            read_at = now - push.zone_read_age_ms / MILLISECONDS
+            self._knowledge.note_zone_read(read_at, envelope.sender)
+
+    def _note_zone_read(self, sender: str, push: HeadPush) -> None:
+        """Notes which node of this zone has read the store, and when."""
+        if push.zone != self._heads.zone:
+            return
+        reader, age_ms = push.zone_reader, push.zone_read_age_ms
+        if age_ms < 0:
+            # Heads of earlier builds tell only how old their knowledge is.
+            reader, age_ms = sender, push.age_ms
+        self.readers.note_zone_read(
+            reader, self._timer.now() - age_ms / MILLISECONDS
+        )
 
     async def answer_catch_up(
         self, envelope: Envelope, request: FleetRequest
