Put what a stand-in has just read into its first push

A node that began to stand in for heads had recorded no earlier pushes, so its first push carried no changes; heads had to ask it for them, one more message each way and a wait of up to 0.7 s where one is lost, before anybody else knew the change. All nodes now note the revision of each push period.

--- a/tests/test_stale_heads.py
+++ b/tests/test_stale_heads.py
@@ -171,6 +171,29 @@
             await fleet.run(CHANGE_S)
             assert {node.version for node in fleet.nodes} == {2}
 
+    async def test_heads_ask_stand_ins_for_what_these_have_just_read(
+        self,
+    ) -> None:
+        """Guards against a further message each way before a change is known.
+
+        The first push of a stand-in has the changes of the time before it.
+        """
+        asked: list[str] = []
+
+        async with relay_fleet(30) as fleet:
+
+            async def note(envelope: Envelope, request: FleetRequest) -> None:
+                asked.append(envelope.sender)
+
+            for node in first_of_each_zone(fleet, 2):
+                refuse(node)
+            for node in fleet.nodes:
+                node.messages.register(FleetRequest, note)
+            victims = first_of_each_zone(fleet, 2)
+            times = await change_times(fleet, victims)
+            assert max(times.values()) < CHANGE_S
+            assert asked == []
+
 
 def store_calls(fleet: RelayFleet) -> int:
     """Returns the number of reading calls that nodes have made so far."""
--- a/wasabiwing/fleet_relay.py
+++ b/wasabiwing/fleet_relay.py
@@ -90,7 +90,8 @@
         self._reports = reports
         self._shared = shared
         self._push_count = 0
-        # Times and revisions of the latest pushes.
+        # Times of the latest pushes, also of those that a stand-in would have
+        # sent, with the revisions known then.
         self._recent_pushes: list[tuple[float, int]] = []
         self._requested_at = -inf
         self.readers = StoreReaders(node_id, timer, heads, self._knowledge)
@@ -106,11 +107,12 @@
         revision = self._follower.store_cache.revision
         if revision is None:
             return
+        since = self._record_push(revision)
         if rank is None:
-            self._push_as_stand_in(revision)
+            self._push_as_stand_in(revision, since)
             return
         zone_aggregate = self._reports.aggregate_zone(self._shared)
-        since, changes = self._changes_to_push(revision)
+        since, changes = self._changes_to_push(revision, since)
         # Ages that other zones' heads have told go to nodes only: between
         # heads they would go round, each time without the time on the way.
         to_heads = self._build_push(
@@ -127,21 +129,20 @@
                 continue
             self._push_to_nodes(rank, heads, revision, since, changes)
 
-    def _push_as_stand_in(self, revision: int) -> None:
+    def _push_as_stand_in(self, revision: int, since: int) -> None:
         """Tells the heads of the zone what this node has read itself."""
         read_age_s = self._knowledge.read_age_s()
         if not self.readers.stands_in or read_age_s > SECOND_HEAD_AGE_S:
             return
-        since, changes = self._changes_to_push(revision)
+        since, changes = self._changes_to_push(revision, since)
         message = self._build_push(revision, since, changes, read_age_s)
         for node_id in self._heads.heads_of_zone(self._heads.zone):
             self._send_push(node_id, message)
 
     def _changes_to_push(
-        self, revision: int
+        self, revision: int, since: int
     ) -> tuple[int, tuple[RelayedChange, ...]]:
-        """Returns recent changes and the revision after which they came."""
-        since = self._record_push(revision)
+        """Returns the changes after ``since``, or none after ``revision``."""
         changes = self._encoded_changes(since)
         return (revision, ()) if changes is None else (since, changes)
 
@@ -349,7 +350,7 @@
             self._transport.send(inbox, message)
 
     def _record_push(self, revision: int) -> int:
-        """Records a push; returns the revision to repeat changes after."""
+        """Records a time of a push; returns what to repeat changes after."""
         now = self._timer.now()
         self._recent_pushes.append((now, revision))
         while self._recent_pushes[0][0] < now - CHANGE_REPEAT_S or era_of(
