--- a/tests/test_stale_heads.py
+++ b/tests/test_stale_heads.py
@@ -42,7 +42,7 @@
 
     The change is a new configuration and a server that leaves.
     """
-    spared = {node.id for node in affected}
+    affected_ids = {node.id for node in affected}
     fleet.store.put("configuration", b"2")
     fleet.state_by_server["server-1"] = "draining"
     fleet.store.put("servers/server-1", b"draining 0")
@@ -50,17 +50,27 @@
     for step in range(round(SETTLED_S / STEP_S)):
         await fleet.run(STEP_S)
         for node in fleet.nodes:
-            if node.id in spared or node.id in known_at_by_id:
+            if node.id in affected_ids or node.id in known_at_by_id:
                 continue
             servers = {found.id for found in node.view.servers("models")}
             if node.version == 2 and "server-1" not in servers:
                 known_at_by_id[node.id] = (step + 1) * STEP_S
     for node in fleet.nodes:
-        if node.id not in spared:
+        if node.id not in affected_ids:
             known_at_by_id.setdefault(node.id, SETTLED_S)
     return known_at_by_id
 
 
+def store_calls(fleet: RelayFleet) -> int:
+    """Returns the number of reading calls that nodes have made so far."""
+    return sum(node.link.watches + node.link.reads for node in fleet.nodes)
+
+
+def stand_ins(fleet: RelayFleet) -> list[str]:
+    """Returns the nodes that read the store in place of a head."""
+    return [node.id for node in fleet.nodes if node.relay.readers.stands_in]
+
+
 class TestHeadsWithoutStore:
     """Tests of nodes that hear heads which know nothing newer."""
 
@@ -185,21 +195,16 @@
             async def note(envelope: Envelope, request: FleetRequest) -> None:
                 asked.append(envelope.sender)
 
-            for node in first_of_each_zone(fleet, 2):
+            victims = first_of_each_zone(fleet, 2)
+            for node in victims:
                 refuse(node)
             for node in fleet.nodes:
                 node.messages.register(FleetRequest, note)
-            victims = first_of_each_zone(fleet, 2)
             times = await change_times(fleet, victims)
             assert max(times.values()) < CHANGE_S
             assert asked == []
 
 
-def store_calls(fleet: RelayFleet) -> int:
-    """Returns the number of reading calls that nodes have made so far."""
-    return sum(node.link.watches + node.link.reads for node in fleet.nodes)
-
-
 class TestCalls:
     """Tests of calls to a store that some nodes or none reach."""
 
@@ -249,11 +254,6 @@
             assert stand_ins(fleet) == []
 
 
-def stand_ins(fleet: RelayFleet) -> list[str]:
-    """Returns the nodes that read the store in place of a head."""
-    return [node.id for node in fleet.nodes if node.relay.readers.stands_in]
-
-
 class TestOrder:
     """Tests that no node goes back while heads lose the store."""
 
