--- a/wasabiwing/autoscaler.py
+++ b/wasabiwing/autoscaler.py
@@ -20,6 +20,7 @@
 from wasabiwing.capacity_plan import ServerOrder
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
+from wasabiwing.deployed_servers import DeployedServers
 from wasabiwing.duty_port import DutyCalls
 from wasabiwing.duty_port import DutyStamp
 from wasabiwing.events import Event
@@ -88,13 +89,14 @@
         self._last_growth_at = -inf
         # Highest need by service, and when it was last seen.
         self._need_by_service: dict[str, tuple[int, float]] = {}
-        # Most on-demand servers seen by service before any demand: those that
-        # the deployment started with. Later holders count them as well.
-        self._initial_count_by_service: dict[str, int] = {}
+        self._deployed = DeployedServers(timer)
+        # Time at which this node became holder.
+        self._holder_since = timer.now()
 
     def reset(self) -> None:
         """Forgets earlier orders; called when this node becomes holder."""
         self._sent_by_key.clear()
+        self._holder_since = self._timer.now()
 
     def note_initial_servers(self) -> None:
         """Counts the servers that the deployment started with.
@@ -105,20 +107,17 @@
         if configuration is None:
             return
         for profile in configuration.service_by_name.values():
-            service = profile.name
-            if (
-                profile.scale is None
-                or self._demand.total_servers(service) > 0
-            ):
+            if profile.scale is None:
                 continue
-            on_demand = sum(
-                not server.reclaimable
-                for server in self._view.directory.servers_of_service(service)
-            )
-            max_count = max(
-                self._initial_count_by_service.get(service, 0), on_demand
+            service = profile.name
+            servers = self._view.directory.servers_of_service(service)
+            reclaimable = sum(server.reclaimable for server in servers)
+            self._deployed.note(
+                service,
+                len(servers) - reclaimable,
+                reclaimable,
+                self._demand.total_servers(service),
             )
-            self._initial_count_by_service[service] = max_count
 
     async def send_orders(self, stamp: DutyStamp) -> Result[None, Failure]:
         """Sends the orders of the capacity plan under a duty stamp."""
@@ -126,7 +125,9 @@
         if configuration is None:
             return Ok(None)
         for profile in configuration.service_by_name.values():
-            if profile.scale is None:
+            if profile.scale is None or not self._deployed.is_settled(
+                profile.name
+            ):
                 continue
             sent = await self._send_for_service(
                 stamp, profile.name, profile.scale
@@ -154,9 +155,14 @@
         busy = self._highest_recent_need(
             service, self._busy_servers(service, demand)
         )
-        may_shrink = now - self._last_growth_at > RELEASE_DELAY_S
         orders = plan_servers(
-            busy, zones, limits, counts, exhausted_zones, may_shrink
+            busy,
+            zones,
+            limits,
+            counts,
+            exhausted_zones,
+            self._may_shrink(demand),
+            self._deployed.kept_count(service),
         )
         for order in orders:
             sent = await self._send(stamp, service, order, demand)
@@ -168,9 +174,18 @@
         """Returns the number of busy servers, presumed before any demand."""
         if demand > 0:
             return busy_server_count(demand) + self._lost_servers(service)
-        return presumed_busy_server_count(
-            self._initial_count_by_service.get(service, 0)
-        )
+        return presumed_busy_server_count(self._deployed.count(service))
+
+    def _may_shrink(self, demand: float) -> bool:
+        """Whether servers may be released now.
+
+        A new holder does not know the highest need of the last seconds, and
+        hears the demand of the other nodes only after some reports.
+        """
+        now = self._timer.now()
+        if demand > 0 and now - self._holder_since < NEED_WINDOW_S:
+            return False
+        return now - self._last_growth_at > RELEASE_DELAY_S
 
     def _lost_servers(self, service: str) -> int:
         """Returns how many servers' capacity is lost to named limits."""
--- a/wasabiwing/capacity_plan.py
+++ b/wasabiwing/capacity_plan.py
@@ -148,27 +148,29 @@
     counts: Sequence[ServerCount],
     exhausted_zones: frozenset[str],
     may_shrink: bool,
+    kept: int = 0,
 ) -> tuple[ServerOrder, ...]:
     """Returns orders for the numbers of servers that should change.
 
     ``busy`` is the number of servers that can just bear the load. In
     ``exhausted_zones`` no more reclaimable servers are available at present.
+    ``kept`` servers remain whatever the load; on-demand ones among them are
+    released only when as many reclaimable ones are warm.
     """
     cheapest = sorted(
         zones, key=lambda zone: (limits.price_by_zone.get(zone, 1.0), zone)
     )
     plan = _Plan(cheapest, counts)
     needed = max(busy, MIN_SERVERS)
-    target = needed + ceil(needed * RESERVE_SHARE) - MIN_ON_DEMAND_SERVERS
+    total = needed + ceil(needed * RESERVE_SHARE)
+    target = max(total - MIN_ON_DEMAND_SERVERS, kept)
     if limits.reclaimable_price > 0:
         available_zones = [
             zone for zone in cheapest if zone not in exhausted_zones
         ]
         _add_servers(plan, True, available_zones, target, limits)
     else:
-        _add_servers(
-            plan, False, cheapest, target + MIN_ON_DEMAND_SERVERS, limits
-        )
+        _add_servers(plan, False, cheapest, max(total, kept), limits)
     missing = max(
         needed - plan.remaining_after_reclaim(),
         MIN_ON_DEMAND_SERVERS - plan.total(False),
@@ -193,6 +195,7 @@
             lambda: (
                 plan.warm_after_reclaim() > needed
                 and plan.total(False) > MIN_ON_DEMAND_SERVERS
+                and _has_substitutes(plan, available_zones, limits, kept)
             ),
         )
         _release_servers(
@@ -209,6 +212,20 @@
     )
 
 
+def _has_substitutes(
+    plan: _Plan, zones: Sequence[str], limits: ScaleLimits, kept: int
+) -> bool:
+    """Whether an on-demand server can be released and ``kept`` remain.
+
+    Where the zones have no room for as many reclaimable servers, an on-demand
+    one that is released makes room for one.
+    """
+    if plan.warm_reclaimable() >= kept:
+        return True
+    is_full = all(plan.in_zone(zone) >= limits.max_servers for zone in zones)
+    return is_full and plan.warm_total() > kept
+
+
 def _add_servers(
     plan: _Plan,
     reclaimable: bool,
