--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -22,6 +22,7 @@
 from wasabiwing.report_aggregation import add_load
 from wasabiwing.report_aggregation import subtract_own_load
 from wasabiwing.routed_calls import PromptPart
+from wasabiwing.routed_calls import ServerLoad
 from wasabiwing.routed_calls import URGENCY_CLASSES
 from wasabiwing.server_choice import Candidate
 from wasabiwing.server_choice import choose_server
@@ -40,6 +41,12 @@
 AGGREGATE_PERIOD_S = 0.75
 SERVICE = "models"
 
+# Share of the engines that are slow at a time, the factor on their computing
+# time, and the time until other engines are.
+SLOW_SHARE = 0.15
+SLOW_FACTOR = 2.5
+SLOW_PERIOD_S = 0.6
+
 
 @dataclass(frozen=True, slots=True)
 class PromptKind:
@@ -120,6 +127,27 @@
     )
 
 
+class SlowServers:
+    """Draws the engines that are slow until the next draw.
+
+    With ``stated``, each answer states the speed of its engine.
+    """
+
+    def __init__(self, seed: int, stated: bool) -> None:
+        self.stated = stated
+        self._random = Random(seed)
+        self._next_draw = 0.0
+
+    def redraw(self, engines: Sequence[SimulatedEngine], now: float) -> None:
+        """Draws the slow engines anew if it is time."""
+        if now < self._next_draw:
+            return
+        self._next_draw = now + SLOW_PERIOD_S
+        for engine in engines:
+            is_slow = self._random.random() < SLOW_SHARE
+            engine.slowdown = SLOW_FACTOR if is_slow else 1.0
+
+
 class ReplayNode:
     """What one node knows of the servers."""
 
@@ -290,12 +318,14 @@
     nodes: int = 7,
     engines_lost_at: tuple[float, int] | None = None,
     many_nodes: bool = False,
+    slow_servers: SlowServers | None = None,
 ) -> Result:
     """Replays requests and returns their outcomes.
 
     ``engines_lost_at`` is a time and the number of engines that fail at it.
     With ``many_nodes``, nodes get the aggregate of all loads, less often, and
-    do not learn what others have placed.
+    do not learn what others have placed. ``slow_servers`` makes some engines
+    slow for a time.
     """
     timer = FakeTimer(0.0)
     engines = [
@@ -322,6 +352,8 @@
                     _, node, server_id = running.pop(request_id)
                     node.loads.note_ended(server_id, request_id, True)
             engines_lost_at = None
+        if slow_servers is not None:
+            slow_servers.redraw(engines, now)
         alive = [engine.id for engine in engines if not engine.failed]
         while pending and pending[0].arrived_at <= now:
             prompt = pending.pop(0)
@@ -340,6 +372,11 @@
             if at <= now and request_id in running:
                 prompt, node, server_id = running.pop(request_id)
                 prompt.first_event_at = at
+                if slow_servers is not None and slow_servers.stated:
+                    node.loads.note_statement(
+                        server_id,
+                        ServerLoad(0, 0, 64, by_id[server_id].slowdown),
+                    )
                 node.loads.note_first_event(server_id, request_id)
                 node.loads.note_ended(server_id, request_id, False)
         waiting_events = [item for item in waiting_events if item[0] > now]
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -9,6 +9,7 @@
 from wasabiwing.fleet_changes import EvacuationChange
 from wasabiwing.fleet_changes import ServerChange
 from wasabiwing.routed_calls import RoutedCall
+from wasabiwing.routed_calls import ServerLoad
 from wasabiwing.service_configuration import RouteKind
 from wasabiwing.service_configuration import ServiceConfiguration
 from wasabiwing_platform.documents import decode_item
@@ -285,6 +286,30 @@
         assert headers[b"last-event-id"] == b"12"
         assert headers[b"content-length"] == b"4"
 
+    @pytest.mark.parametrize(
+        ("text", "load"),
+        [
+            (b"3,1,8", ServerLoad(3, 1, 8)),
+            (b"3, 1, 8, 250", ServerLoad(3, 1, 8, 2.5)),
+            (b"3,1,8,1", ServerLoad(3, 1, 8, 0.01)),
+            (b"3,1,8,10000", ServerLoad(3, 1, 8, 100.0)),
+            (b"3,1,8,10001", ServerLoad(3, 1, 8)),
+            (b"3,1,8,0", ServerLoad(3, 1, 8)),
+            (b"3,1,8,-5", ServerLoad(3, 1, 8)),
+            (b"3,1,8,2.5", ServerLoad(3, 1, 8)),
+            (b"3,1,8,", ServerLoad(3, 1, 8)),
+            (b"3,1,8,100,7", None),
+            (b"3,1,x,100", None),
+            (b"3,1", None),
+        ],
+    )
+    def test_load_has_three_or_four_figures(
+        self, text: bytes, load: ServerLoad | None
+    ) -> None:
+        """Guards against a load that is dropped because of its speed."""
+        headers = ((b"Wasabiwing-Worker-Load", text),)
+        assert PlatformHeaders().read_answer(200, headers).load == load
+
     def test_answer_is_read(self) -> None:
         head = PlatformHeaders().read_answer(
             200,
--- a/wasabiwing/routed_calls.py
+++ b/wasabiwing/routed_calls.py
@@ -120,11 +120,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerLoad:
-    """Number of requests and slots that a backend server states."""
+    """Requests, slots and speed that a backend server states."""
 
     running: int
     waiting: int
     slots: int
+    # Factor on the time for a piece of work, 1 as usual; ``None`` if the
+    # server does not say.
+    slowdown: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/wasabiwing/server_choice.py
+++ b/wasabiwing/server_choice.py
@@ -4,7 +4,8 @@
 whose computing time differs by a factor of a hundred, depending on what a
 server has cached. A score is the expected time until the first event: the
 uncomputed prompts in the server's queue, the uncached rest of this prompt,
-and the requests that run beside it. This module reads no clock and sends
+and the requests that run beside it, all multiplied by the server's slowdown at
+the moment. This module reads no clock and sends
 nothing.
 """
 
@@ -98,13 +99,13 @@
 def first_event_work_s(candidate: Candidate, token_s: float) -> float:
     """Returns the seconds of computing before a request's first event."""
     tokens = candidate.load.pending_tokens + candidate.uncached_tokens
-    return tokens * token_s
+    return tokens * token_s * candidate.load.slowdown
 
 
 def _score(candidate: Candidate, token_s: float) -> float:
     load = candidate.load
     score = first_event_work_s(candidate, token_s)
-    score += load.running * RUNNING_PENALTY_S
+    score += load.running * RUNNING_PENALTY_S * load.slowdown
     score += load.failure_share * FAILURE_PENALTY_S
     if not candidate.same_zone:
         score += ZONE_PENALTY_S
--- a/wasabiwing/server_loads.py
+++ b/wasabiwing/server_loads.py
@@ -14,6 +14,8 @@
 from wasabiwing.prefill_rates import PrefillRates
 from wasabiwing.routed_calls import ServerLoad
 from wasabiwing.routed_calls import URGENCY_CLASSES
+from wasabiwing.server_speeds import ServerSpeeds
+from wasabiwing.server_speeds import USUAL_SLOWDOWN
 from wasabiwing.timers import TimerService
 
 # Weight of the newest outcome in the moving average of a server's failures.
@@ -81,6 +83,8 @@
     failure_share: float
     # Whether the server recently did not accept a connection.
     avoided: bool
+    # Factor on the server's time for a piece of work; 1 as usual.
+    slowdown: float = USUAL_SLOWDOWN
 
 
 class ServerLoads:
@@ -89,6 +93,7 @@
     def __init__(self, timer: TimerService, rates: PrefillRates) -> None:
         self._timer = timer
         self._rates = rates
+        self.speeds = ServerSpeeds(timer)
         self._server_by_id: dict[str, _Server] = {}
         self._on_heard: Callable[[str], None] = lambda server_id: None
 
@@ -157,6 +162,8 @@
         """Records the load that a server stated in an answer."""
         server = self._server(server_id)
         server.statement = load
+        if load.slowdown is not None:
+            self.speeds.note_statement(server_id, load.slowdown)
         server.stated_at = self._timer.now()
 
     def note_peer_loads(
@@ -208,7 +215,9 @@
         class_count = urgency_class + 1
         pending = float(sum(_pending_by_class(server)[:class_count]))
         running = server.running
-        token_s = max(self._rates.prefill_s_per_token(service), 1e-7)
+        slowdown = self.speeds.slowdown(server_id)
+        token_s = self._rates.prefill_s_per_token(service) * slowdown
+        token_s = max(token_s, 1e-7)
         for reported_at, load in server.load_by_peer.values():
             age_s = now - reported_at
             if age_s <= PEER_REPORT_LIFETIME_S:
@@ -229,11 +238,13 @@
             waiting,
             self._failure_share(server),
             server.avoid_until > now,
+            slowdown,
         )
 
     def remove_server(self, server_id: str) -> None:
         """Removes a server that is gone."""
         self._server_by_id.pop(server_id, None)
+        self.speeds.remove_server(server_id)
 
     def _failure_share(self, server: _Server) -> float:
         age_s = self._timer.now() - server.failure_share_at
--- a/wasabiwing/server_selection.py
+++ b/wasabiwing/server_selection.py
@@ -61,6 +61,8 @@
     version: int
     # Digest of a request that is suspected of crashes; empty for others.
     suspect_digest: str = ""
+    # Factor on the server's time for a piece of work; 1 as usual.
+    slowdown: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -184,6 +186,7 @@
                 chosen.load.pending_tokens,
                 0 if configuration is None else configuration.version,
                 digest,
+                chosen.load.slowdown,
             )
         )
 
--- a/wasabiwing_standins/simulated_engine.py
+++ b/wasabiwing_standins/simulated_engine.py
@@ -52,6 +52,8 @@
         # Time at which the engine can start to compute the next prompt.
         self._free_at = 0.0
         self.failed = False
+        # Factor on the time to compute a prompt that starts now.
+        self.slowdown = 1.0
 
     @property
     def waiting(self) -> int:
@@ -85,7 +87,8 @@
             total = sum(part.tokens for part in prompt.parts)
             cached = self._cache.cached_tokens(self.id, prompt.parts)
             self._cache.note_prompt(self.id, prompt.parts)
-            self._free_at = started_at + (total - cached) / TOKENS_PER_S
+            computing_s = (total - cached) / TOKENS_PER_S * self.slowdown
+            self._free_at = started_at + computing_s
             events.append(
                 FirstEvent(
                     prompt.request_id,
