--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -26,6 +26,7 @@
 from wasabiwing.routed_calls import URGENCY_CLASSES
 from wasabiwing.server_choice import Candidate
 from wasabiwing.server_choice import choose_server
+from wasabiwing.server_choice import first_event_work_s
 from wasabiwing.server_choice import ServerChoice
 from wasabiwing.server_loads import NodeLoad
 from wasabiwing.server_loads import ServerLoads
@@ -130,11 +131,15 @@
 class SlowServers:
     """Draws the engines that are slow until the next draw.
 
-    With ``stated``, each answer states the speed of its engine.
+    With ``stated``, each answer states the speed of its engine. A number of
+    engines is always slow, whatever they state.
     """
 
-    def __init__(self, seed: int, stated: bool) -> None:
+    def __init__(
+        self, seed: int, stated: bool, always_slow: int | None = None
+    ) -> None:
         self.stated = stated
+        self._always_slow = always_slow
         self._random = Random(seed)
         self._next_draw = 0.0
 
@@ -143,8 +148,10 @@
         if now < self._next_draw:
             return
         self._next_draw = now + SLOW_PERIOD_S
-        for engine in engines:
+        for number, engine in enumerate(engines):
             is_slow = self._random.random() < SLOW_SHARE
+            if self._always_slow is not None:
+                is_slow = number < self._always_slow
             engine.slowdown = SLOW_FACTOR if is_slow else 1.0
 
 
@@ -319,13 +326,14 @@
     engines_lost_at: tuple[float, int] | None = None,
     many_nodes: bool = False,
     slow_servers: SlowServers | None = None,
+    learns_speeds: bool = False,
 ) -> Result:
     """Replays requests and returns their outcomes.
 
     ``engines_lost_at`` is a time and the number of engines that fail at it.
     With ``many_nodes``, nodes get the aggregate of all loads, less often, and
     do not learn what others have placed. ``slow_servers`` makes some engines
-    slow for a time.
+    slow for a time; with ``learns_speeds``, nodes learn from first events.
     """
     timer = FakeTimer(0.0)
     engines = [
@@ -337,6 +345,8 @@
     random = Random(7)
     running: dict[str, tuple[Prompt, ReplayNode, str]] = {}
     waiting_events: list[tuple[float, str]] = []
+    # Predicted time of the first event and slowdown, by request id.
+    prediction_by_id: dict[str, tuple[float, float]] = {}
     pending = [
         Prompt(prompt.id, prompt.kind, prompt.arrived_at, prompt.parts)
         for prompt in prompts
@@ -362,6 +372,7 @@
             if chosen is None:
                 prompt.refused_at = now
                 continue
+            prediction_by_id[prompt.id] = _predict(node, prompt, chosen)
             _send(by_id[chosen], node, prompt, now)
             running[prompt.id] = (prompt, node, chosen)
         for engine in engines:
@@ -377,6 +388,14 @@
                         server_id,
                         ServerLoad(0, 0, 64, by_id[server_id].slowdown),
                     )
+                predicted_s, slowdown = prediction_by_id[request_id]
+                if learns_speeds:
+                    node.loads.speeds.note_first_event(
+                        server_id,
+                        predicted_s,
+                        at - prompt.arrived_at,
+                        slowdown,
+                    )
                 node.loads.note_first_event(server_id, request_id)
                 node.loads.note_ended(server_id, request_id, False)
         waiting_events = [item for item in waiting_events if item[0] > now]
@@ -391,6 +410,14 @@
     return result
 
 
+def _predict(
+    node: ReplayNode, prompt: Prompt, server_id: str
+) -> tuple[float, float]:
+    [candidate] = node.candidates(prompt, [server_id])
+    work_s = first_event_work_s(candidate, 1.0 / TOKENS_PER_S)
+    return FIRST_EVENT_DELAY_S + work_s, candidate.load.slowdown
+
+
 def _send(
     engine: SimulatedEngine, node: ReplayNode, prompt: Prompt, now: float
 ) -> None:
--- a/tests/test_server_speeds.py
+++ b/tests/test_server_speeds.py
@@ -43,6 +43,54 @@
         assert speeds.slowdown("a") == speeds.slowdown("b") == 1.0
 
 
+@pytest.mark.anyio
+class TestLearnedSpeeds:
+    """Speeds that follow from the times of first events."""
+
+    async def test_slower_server_is_learnt_without_statements(self) -> None:
+        """Guards against a slower kind that is predicted as the others."""
+        timer = FakeTimer(0.0)
+        speeds = ServerSpeeds(timer)
+        for _ in range(40):
+            for server_id, true in (("a", 1.0), ("b", 1.0), ("slow", 2.0)):
+                known = speeds.slowdown(server_id)
+                speeds.note_first_event(
+                    server_id, 0.3 * known, 0.3 * true, known
+                )
+            await timer.advance(0.1)
+        ratio = speeds.slowdown("slow") / speeds.slowdown("a")
+        assert 1.6 < ratio < 2.1
+        await timer.advance(300.0)
+        assert speeds.slowdown("slow") == pytest.approx(1.0, abs=0.05)
+
+    async def test_lateness_of_all_servers_is_not_theirs(self) -> None:
+        """Guards against predictions that grow with the fleet's load."""
+        speeds = ServerSpeeds(FakeTimer(0.0))
+        for number in range(100):
+            server_id = f"server-{number % 5}"
+            speeds.note_first_event(
+                server_id, 0.2, 0.6, speeds.slowdown(server_id)
+            )
+        assert speeds.slowdown("server-0") == pytest.approx(1.0)
+
+    async def test_change_after_the_send_teaches_nothing(self) -> None:
+        speeds = ServerSpeeds(FakeTimer(0.0))
+        speeds.note_first_event("b", 0.2, 0.2, 1.0)
+        speeds.note_statement("a", 2.5)
+        speeds.note_first_event("a", 0.2, 0.5, 1.0)
+        assert speeds.slowdown("a") == 2.5
+
+    async def test_false_statement_and_event_are_bounded(self) -> None:
+        """Guards against a server that is shut out by one false figure."""
+        speeds = ServerSpeeds(FakeTimer(0.0))
+        speeds.note_statement("a", 100.0)
+        assert speeds.slowdown("a") == 8.0
+        speeds.note_first_event("b", 0.1, 0.1, 1.0)
+        speeds.note_first_event("b", 0.0, 0.1, 1.0)
+        speeds.note_first_event("c", 0.001, 60.0, 1.0)
+        assert speeds.slowdown("c") < 1.3
+
+
 def _candidate(server_id: str, tokens: int, slowdown: float) -> Candidate:
     load = LoadEstimate(float(tokens), 0, 0, 0.0, False, slowdown)
     return Candidate(server_id, True, 8, load, 1000)
@@ -71,7 +119,7 @@
 
 @pytest.mark.anyio
 class TestReplay:
-    """15% of the servers are 2.5 times slower, redrawn every 0.6 s."""
+    """15% of the servers are slow by 2.5 times, redrawn every 0.6 s."""
 
     @pytest.mark.parametrize("seed", [11, 12, 13])
     async def test_utility_is_higher_with_statements(self, seed: int) -> None:
@@ -87,3 +135,23 @@
         assert own > await utility(place_without_refusal, False)
         for policy in (random_policy(seed), least_outstanding):
             assert own > await utility(policy, True)
+
+    @pytest.mark.parametrize("seed", [11, 12, 13])
+    async def test_always_slow_servers_are_learnt(self, seed: int) -> None:
+        """Guards against prompts that queue at servers of a slower kind."""
+        prompts = arrivals(seed, 10.0, lambda kind, now: 5.0)
+
+        async def utility(policy: Policy, learns: bool) -> float:
+            result = await replay(
+                prompts,
+                policy,
+                10,
+                slow_servers=SlowServers(seed, False, always_slow=3),
+                learns_speeds=learns,
+            )
+            return result.utility_share()
+
+        own = await utility(place_without_refusal, True)
+        assert own > await utility(place_without_refusal, False)
+        for policy in (random_policy(seed), least_outstanding):
+            assert own > await utility(policy, False)
--- a/wasabiwing/answer_relay.py
+++ b/wasabiwing/answer_relay.py
@@ -375,9 +375,17 @@
         self._count_run(call, progress)
         first_event_s = self._timer.now() - watched.sent_at
         computed_tokens = round(placed.queued_tokens) + placed.uncached_tokens
+        self._loads.speeds.note_first_event(
+            placed.server.id,
+            placed.choice.first_event_s,
+            first_event_s,
+            placed.slowdown,
+        )
         # The rate of a service is that of its servers at their usual speed.
         self._rates.observe(
-            call.service, computed_tokens, first_event_s / placed.slowdown
+            call.service,
+            computed_tokens,
+            first_event_s / placed.stated_slowdown,
         )
         self._metrics.first_token.labels(call.route.name).observe(
             self._timer.now() - call.received_at
--- a/wasabiwing/server_selection.py
+++ b/wasabiwing/server_selection.py
@@ -61,8 +61,10 @@
     version: int
     # Digest of a request that is suspected of crashes; empty for others.
     suspect_digest: str = ""
-    # Factor on the server's time for a piece of work; 1 as usual.
+    # Factors on the server's time for a piece of work; 1 as usual. The second
+    # follows from its statements alone.
     slowdown: float = 1.0
+    stated_slowdown: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -187,6 +189,7 @@
                 0 if configuration is None else configuration.version,
                 digest,
                 chosen.load.slowdown,
+                self._loads.speeds.stated_slowdown(server.id),
             )
         )
 
