--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -22,9 +22,11 @@
 from wasabiwing.report_aggregation import add_load
 from wasabiwing.report_aggregation import subtract_own_load
 from wasabiwing.routed_calls import PromptPart
+from wasabiwing.routed_calls import ServerLoad
 from wasabiwing.routed_calls import URGENCY_CLASSES
 from wasabiwing.server_choice import Candidate
 from wasabiwing.server_choice import choose_server
+from wasabiwing.server_choice import first_event_work_s
 from wasabiwing.server_choice import ServerChoice
 from wasabiwing.server_loads import NodeLoad
 from wasabiwing.server_loads import ServerLoads
@@ -40,6 +42,12 @@
 AGGREGATE_PERIOD_S = 0.75
 SERVICE = "models"
 
+# Share of the engines that are slow at a time, the factor on their computing
+# time, and the time until other engines are.
+SLOW_SHARE = 0.15
+SLOW_FACTOR = 2.5
+SLOW_PERIOD_S = 0.6
+
 
 @dataclass(frozen=True, slots=True)
 class PromptKind:
@@ -120,6 +128,33 @@
     )
 
 
+class SlowServers:
+    """Draws the engines that are slow until the next draw.
+
+    With ``stated``, each answer states the speed of its engine. A number of
+    engines is always slow, whatever they state.
+    """
+
+    def __init__(
+        self, seed: int, stated: bool, always_slow: int | None = None
+    ) -> None:
+        self.stated = stated
+        self._always_slow = always_slow
+        self._random = Random(seed)
+        self._next_draw = 0.0
+
+    def redraw(self, engines: Sequence[SimulatedEngine], now: float) -> None:
+        """Draws the slow engines anew if it is time."""
+        if now < self._next_draw:
+            return
+        self._next_draw = now + SLOW_PERIOD_S
+        for number, engine in enumerate(engines):
+            is_slow = self._random.random() < SLOW_SHARE
+            if self._always_slow is not None:
+                is_slow = number < self._always_slow
+            engine.slowdown = SLOW_FACTOR if is_slow else 1.0
+
+
 class ReplayNode:
     """What one node knows of the servers."""
 
@@ -290,12 +325,15 @@
     nodes: int = 7,
     engines_lost_at: tuple[float, int] | None = None,
     many_nodes: bool = False,
+    slow_servers: SlowServers | None = None,
+    learns_speeds: bool = False,
 ) -> Result:
     """Replays requests and returns their outcomes.
 
     ``engines_lost_at`` is a time and the number of engines that fail at it.
     With ``many_nodes``, nodes get the aggregate of all loads, less often, and
-    do not learn what others have placed.
+    do not learn what others have placed. ``slow_servers`` makes some engines
+    slow for a time; with ``learns_speeds``, nodes learn from first events.
     """
     timer = FakeTimer(0.0)
     engines = [
@@ -307,6 +345,8 @@
     random = Random(7)
     running: dict[str, tuple[Prompt, ReplayNode, str]] = {}
     waiting_events: list[tuple[float, str]] = []
+    # Predicted time of the first event and slowdown, by request id.
+    prediction_by_id: dict[str, tuple[float, float]] = {}
     pending = [
         Prompt(prompt.id, prompt.kind, prompt.arrived_at, prompt.parts)
         for prompt in prompts
@@ -322,6 +362,8 @@
                     _, node, server_id = running.pop(request_id)
                     node.loads.note_ended(server_id, request_id, True)
             engines_lost_at = None
+        if slow_servers is not None:
+            slow_servers.redraw(engines, now)
         alive = [engine.id for engine in engines if not engine.failed]
         while pending and pending[0].arrived_at <= now:
             prompt = pending.pop(0)
@@ -330,6 +372,7 @@
             if chosen is None:
                 prompt.refused_at = now
                 continue
+            prediction_by_id[prompt.id] = _predict(node, prompt, chosen)
             _send(by_id[chosen], node, prompt, now)
             running[prompt.id] = (prompt, node, chosen)
         for engine in engines:
@@ -340,6 +383,19 @@
             if at <= now and request_id in running:
                 prompt, node, server_id = running.pop(request_id)
                 prompt.first_event_at = at
+                if slow_servers is not None and slow_servers.stated:
+                    node.loads.note_statement(
+                        server_id,
+                        ServerLoad(0, 0, 64, by_id[server_id].slowdown),
+                    )
+                predicted_s, slowdown = prediction_by_id[request_id]
+                if learns_speeds:
+                    node.loads.speeds.note_first_event(
+                        server_id,
+                        predicted_s,
+                        at - prompt.arrived_at,
+                        slowdown,
+                    )
                 node.loads.note_first_event(server_id, request_id)
                 node.loads.note_ended(server_id, request_id, False)
         waiting_events = [item for item in waiting_events if item[0] > now]
@@ -354,6 +410,14 @@
     return result
 
 
+def _predict(
+    node: ReplayNode, prompt: Prompt, server_id: str
+) -> tuple[float, float]:
+    [candidate] = node.candidates(prompt, [server_id])
+    work_s = first_event_work_s(candidate, 1.0 / TOKENS_PER_S)
+    return FIRST_EVENT_DELAY_S + work_s, candidate.load.slowdown
+
+
 def _send(
     engine: SimulatedEngine, node: ReplayNode, prompt: Prompt, now: float
 ) -> None:
