--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -17,6 +17,7 @@
 from tests.platform_fakes import LongPollStoreLink
 from wasabiwing.cap_admission import CapAdmission
 from wasabiwing.cap_admission import SPENDING_PERIOD_S
+from wasabiwing.first_event_counts import FleetFirstEvents
 from wasabiwing.fleet_changes import ConfigurationChange
 from wasabiwing.fleet_changes import EvacuationChange
 from wasabiwing.fleet_changes import FleetChange
@@ -160,6 +161,7 @@
             PromptCacheIndex(),
             ServerDemand(timer),
             progress,
+            FleetFirstEvents(timer),
         )
         self.relay = FleetRelay(
             self.id,
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -16,6 +16,7 @@
 from wasabiwing.duties import DUTY_LEASE_NAME
 from wasabiwing.duties import DutyRunner
 from wasabiwing.duties import ELECTION_JITTER_S
+from wasabiwing.first_event_counts import FleetFirstEvents
 from wasabiwing.leases import LEASE_PREFIX
 from wasabiwing.leases import LeaseHolder
 from wasabiwing.messages import Envelope
@@ -77,6 +78,7 @@
             PromptCacheIndex(),
             ServerDemand(timer),
             StoreProgress(timer),
+            FleetFirstEvents(timer),
         )
         self.usage = UsageReporter(
             node_id,
--- a/tests/test_node_reports.py
+++ b/tests/test_node_reports.py
@@ -4,6 +4,7 @@
 
 from tests.network import Bench
 from tests.network import bench
+from wasabiwing.first_event_counts import FleetFirstEvents
 from wasabiwing.messages import NodeReport
 from wasabiwing.node_registry import node_lease_name
 from wasabiwing.node_registry import NodeRecord
@@ -50,6 +51,7 @@
             PromptCacheIndex(),
             ServerDemand(timer),
             StoreProgress(timer),
+            FleetFirstEvents(timer),
         )
         found.tasks.start_soon(self._receive)
 
--- a/wasabiwing/answer_relay.py
+++ b/wasabiwing/answer_relay.py
@@ -36,6 +36,7 @@
 from wasabiwing.server_connections import ServerAnswer
 from wasabiwing.server_directory import RegisteredServer
 from wasabiwing.server_loads import ServerLoads
+from wasabiwing.server_pace import ServerPace
 from wasabiwing.server_selection import SelectedServer
 from wasabiwing.service_configuration import RouteKind
 from wasabiwing.statement_listener import StatementListener
@@ -132,6 +133,7 @@
         note_answer_began: Callable[[RoutedCall], None],
         listener: StatementListener,
         end_judge: EndJudge[RegisteredServer],
+        pace: ServerPace,
     ) -> None:
         self._node_id = node_id
         self._timer = timer
@@ -145,6 +147,7 @@
         self._note_answer_began = note_answer_began
         self._listener = listener
         self._end_judge = end_judge
+        self._pace = pace
 
     async def relay_answer(
         self,
@@ -376,6 +379,12 @@
         first_event_s = self._timer.now() - watched.sent_at
         computed_tokens = round(placed.queued_tokens) + placed.uncached_tokens
         self._rates.observe(call.service, computed_tokens, first_event_s)
+        self._pace.note_first_event(
+            placed.server.id,
+            call.service,
+            placed.choice.first_event_s,
+            first_event_s,
+        )
         self._metrics.first_token.labels(call.route.name).observe(
             self._timer.now() - call.received_at
         )
--- a/wasabiwing/call_forwarding.py
+++ b/wasabiwing/call_forwarding.py
@@ -50,6 +50,7 @@
 from wasabiwing.server_demand import ServerDemand
 from wasabiwing.server_directory import RegisteredServer
 from wasabiwing.server_loads import ServerLoads
+from wasabiwing.server_pace import ServerPace
 from wasabiwing.server_reachability import ServerReachability
 from wasabiwing.server_selection import SelectedServer
 from wasabiwing.server_selection import ServerSelector
@@ -124,6 +125,7 @@
         end_judge: EndJudge[RegisteredServer],
         reachability: ServerReachability,
         peer_relay: PeerRelay,
+        pace: ServerPace,
         random: Random,
     ) -> None:
         self._node_id = node_id
@@ -147,6 +149,7 @@
         self._end_judge = end_judge
         self._reachability = reachability
         self._peer_relay = peer_relay
+        self._pace = pace
         self._random = random
         self._running = RunningCalls()
 
@@ -582,6 +585,7 @@
         finally:
             self._loads.note_ended(server.id, call.head.attempt_id, failed)
             self._isolation.note_ended(server.id, placed.suspect_digest)
+            self._note_pace(call, server, failed, sent_at)
             self._statements.note_ended(server.id, failed is False)
             self._placement.note_ended(
                 call,
@@ -603,6 +607,27 @@
             )
         return failure
 
+    def _note_pace(
+        self,
+        call: RoutedCall,
+        server: RegisteredServer,
+        failed: bool | None,
+        sent_at: float,
+    ) -> None:
+        """Records how a server answered, for its slow start.
+
+        The first events of streams are recorded when they come.
+        """
+        if failed:
+            self._pace.note_failed(server.id)
+        elif failed is False and call.route.kind is not RouteKind.STREAM:
+            self._pace.note_first_event(
+                server.id,
+                call.service,
+                call.route.latency_target_s,
+                self._timer.now() - sent_at,
+            )
+
     async def _exchange(
         self,
         call: RoutedCall,
--- a/wasabiwing/events.py
+++ b/wasabiwing/events.py
@@ -96,6 +96,8 @@
     USAGE_CAP_STATE = 520
     USAGE_CAP_ISSUED = 521
     CAP_ISSUER_SILENT = 522
+    SLOW_START_BEGUN = 530
+    SLOW_START_ENDED = 531
     # 6xx: claims and jobs.
     CLAIM_GRANTED = 600
     CLAIM_REPEATED = 601
@@ -263,6 +265,12 @@
     Event.CAP_ISSUER_SILENT: (
         "A process did not answer for a usage cap; the next is asked."
     ),
+    Event.SLOW_START_BEGUN: (
+        "A server has started or recovers, and gets few requests at first."
+    ),
+    Event.SLOW_START_ENDED: (
+        "A server has answered enough requests in time, or no longer counts."
+    ),
     Event.CLAIM_GRANTED: "A gateway may send a non-idempotent request.",
     Event.CLAIM_REPEATED: "A known idempotency key was asked for again.",
     Event.PARTITION_LOADED: "A claim partition was read from the store.",
--- a/wasabiwing/fleet_relay.py
+++ b/wasabiwing/fleet_relay.py
@@ -16,6 +16,7 @@
 from wasabiwing.fleet_follower import FleetFollower
 from wasabiwing.messages import AggregatedReport
 from wasabiwing.messages import Envelope
+from wasabiwing.messages import FirstEventEntry
 from wasabiwing.messages import FleetContent
 from wasabiwing.messages import FleetRequest
 from wasabiwing.messages import HeadPush
@@ -342,8 +343,20 @@
             era_of(revision),
             self._knowledge.zone_reader,
             _read_age_ms(self._knowledge.zone_read_age_s()),
+            self._first_events(zone_aggregate, fleet_aggregate),
         )
 
+    def _first_events(
+        self,
+        zone_aggregate: AggregatedReport | None,
+        fleet_aggregate: AggregatedReport | None,
+    ) -> tuple[FirstEventEntry, ...]:
+        if zone_aggregate is not None:
+            return self._shared.first_events.zone_entries()
+        if fleet_aggregate is not None:
+            return self._shared.first_events.fleet_entries()
+        return ()
+
     def _send_push(self, node_id: str, message: HeadPush) -> None:
         inbox = self._heads.inbox(node_id)
         if inbox is not None and node_id != self._node_id:
--- a/wasabiwing/messages.py
+++ b/wasabiwing/messages.py
@@ -518,6 +518,15 @@
     running: int
 
 
+class FirstEventEntry(Struct, frozen=True, array_like=True):
+    """Recent first events of a server in its slow start."""
+
+    server_id: str
+    in_time: int
+    # Late first events, and attempts that failed.
+    troubled: int
+
+
 class PromptPlacement(Struct, frozen=True, array_like=True):
     """Parts of a prompt that a backend server has computed."""
 
@@ -553,6 +562,7 @@
     age_s: float = 0.0
     # Era of the store to which ``revision`` belongs; so in all messages.
     store_era: int = 0
+    first_events: tuple[FirstEventEntry, ...] = ()
 
 
 class AggregatedReport(Struct, frozen=True, array_like=True):
@@ -605,6 +615,9 @@
     # ago, in milliseconds; -1 for never.
     zone_reader: str = ""
     zone_read_age_ms: int = -1
+    # Sums over the zone's nodes beside ``zone_aggregate``, and over all nodes
+    # beside ``fleet_aggregate``.
+    first_events: tuple[FirstEventEntry, ...] = ()
 
 
 class FleetRequest(Struct, frozen=True, array_like=True, tag=102):
--- a/wasabiwing/metrics.py
+++ b/wasabiwing/metrics.py
@@ -172,6 +172,13 @@
             registry=self.registry,
         )
 
+        self.slow_starts = Counter(
+            "wasabiwing_slow_starts",
+            "Slow starts of backend servers by cause.",
+            ("cause",),
+            registry=self.registry,
+        )
+
     def count_unusable_value(self, kind: str) -> None:
         """Counts a value of the store that could not be used."""
         self.unusable_values.labels(kind).inc()
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -33,6 +33,8 @@
 from wasabiwing.events import Event as LogEvent
 from wasabiwing.events import log_event
 from wasabiwing.facts import Facts
+from wasabiwing.first_event_counts import FirstEventCounts
+from wasabiwing.first_event_counts import FleetFirstEvents
 from wasabiwing.fleet_follower import ChangeDecoder
 from wasabiwing.fleet_follower import FleetFollower
 from wasabiwing.fleet_follower import FleetView
@@ -76,6 +78,7 @@
 from wasabiwing.server_directory import ServerDirectory
 from wasabiwing.server_limits import ServerLimits
 from wasabiwing.server_loads import ServerLoads
+from wasabiwing.server_pace import ServerPace
 from wasabiwing.server_probe import accepts_any_connection
 from wasabiwing.server_probe import server_listens
 from wasabiwing.server_reachability import ServerReachability
@@ -194,6 +197,9 @@
         self._prefill_rates = PrefillRates()
         self._loads = ServerLoads(timer, self._prefill_rates)
         self._prompt_cache = PromptCacheIndex()
+        first_events = FleetFirstEvents(timer)
+        self._pace = self._build_pace(timer, first_events, metrics)
+        first_events.use_own(self._pace.own_counts)
         tolerance = CapTolerance(
             bounds.cap_window_s, bounds.cap_excess, bounds.cap_slack
         )
@@ -220,6 +226,7 @@
             self._prompt_cache,
             ServerDemand(timer),
             progress,
+            first_events,
         )
         self._fleet_relay = FleetRelay(
             node_id,
@@ -333,6 +340,7 @@
             self._permits,
             self.reachability.is_unreachable,
             self._slots,
+            self._pace,
         )
         timer.subscribe(WATCH_PERIOD_S, watch.check)
         self.stop_admission = StopAdmission(timer)
@@ -375,6 +383,7 @@
                     ),
                 ),
                 end_judge,
+                self._pace,
             ),
             self._loads,
             watch,
@@ -395,6 +404,7 @@
             end_judge,
             self.reachability,
             self._peer_relay,
+            self._pace,
             random,
         )
         self.caller_http = CallerHttp(
@@ -603,8 +613,47 @@
         self._loads.remove_server(server_id)
         self.reachability.remove_server(server_id)
         entry = self.view.directory.get(server_id)
+        self._pace.remove_server(server_id)
         if entry is not None:
             self._statements.note_registered(server_id, entry.started_ms)
+            self._pace.note_registered(
+                server_id, entry.service, entry.started_ms
+            )
+
+    def _build_pace(
+        self,
+        timer: TimerService,
+        first_events: FleetFirstEvents,
+        metrics: NodeMetrics,
+    ) -> ServerPace:
+        def log_begun(server_id: str, cause: str) -> None:
+            metrics.slow_starts.labels(cause).inc()
+            log_event(
+                LogEvent.SLOW_START_BEGUN,
+                self._node_id,
+                server=server_id,
+                cause=cause,
+            )
+
+        def log_ended(
+            server_id: str, counts: FirstEventCounts, age_s: float
+        ) -> None:
+            log_event(
+                LogEvent.SLOW_START_ENDED,
+                self._node_id,
+                server=server_id,
+                duration_s=round(age_s, 3),
+                in_time=counts.in_time,
+                troubled=counts.troubled,
+            )
+
+        return ServerPace(
+            self._node_id,
+            timer,
+            first_events.peer_counts,
+            log_begun,
+            log_ended,
+        )
 
     def _may_hold_duties(self) -> bool:
         """Whether this node has the data that the duties need.
--- a/wasabiwing/node_reports.py
+++ b/wasabiwing/node_reports.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass
 from math import inf
 
+from wasabiwing.first_event_counts import FleetFirstEvents
 from wasabiwing.messages import AggregatedReport
 from wasabiwing.messages import Envelope
 from wasabiwing.messages import HeadPush
@@ -91,6 +92,7 @@
     prompts: PromptCacheIndex
     demand: ServerDemand
     store: StoreProgress
+    first_events: FleetFirstEvents
 
 
 class NodeReports:
@@ -244,6 +246,7 @@
             read_loads(report.servers),
         )
         shared.demand.note_peer_demand(envelope.sender, dict(report.demand))
+        shared.first_events.note_node(envelope.sender, report.first_events)
         shared.store.note_peer_revision(
             store_position(report.store_era, report.revision)
         )
@@ -257,8 +260,12 @@
         """Applies the aggregates in a head's push."""
         if push.zone_aggregate is not None:
             self._apply_zone_aggregate(push.zone, push.zone_aggregate, shared)
+            if push.zone != self._heads.zone:
+                shared.first_events.note_zone(push.zone, push.first_events)
         if push.fleet_aggregate is not None:
             self._apply_fleet_aggregate(push.fleet_aggregate, shared)
+            if self._heads.own_rank() is None:
+                shared.first_events.note_fleet(push.first_events)
 
     def aggregate_zone(self, shared: ReportedState) -> AggregatedReport:
         """Returns the aggregated reports of this zone's nodes."""
@@ -331,6 +338,7 @@
         if record is None or record.availability_zone != self._heads.zone:
             return
         used_by_organisation = self._aggregator.note_report(sender, report)
+        shared.first_events.note_node(sender, report.first_events)
         level_by_organisation = {
             use.organisation: use.level for use in report.organisation_usage
         }
@@ -481,6 +489,7 @@
             self._silent_node_windows(shared.windows) if with_windows else (),
             self._age_s(),
             era_of(shared.store.revision),
+            shared.first_events.own_entries(),
         )
 
     def _age_s(self) -> float:
--- a/wasabiwing/server_loads.py
+++ b/wasabiwing/server_loads.py
@@ -190,6 +190,10 @@
             if (count := server.running - len(server.connecting)) > 0
         }
 
+    def own_pending_count(self, server_id: str) -> int:
+        """Returns this node's requests at a server without a first event."""
+        return len(self._server(server_id).pending_by_attempt)
+
     def last_heard_at(self, server_id: str) -> float:
         """Returns the time when a server last sent anything; 0 for never."""
         return self._server(server_id).heard_at
--- a/wasabiwing/server_selection.py
+++ b/wasabiwing/server_selection.py
@@ -38,6 +38,7 @@
 from wasabiwing.server_choice import ServerChoice
 from wasabiwing.server_directory import RegisteredServer
 from wasabiwing.server_loads import ServerLoads
+from wasabiwing.server_pace import ServerPace
 from wasabiwing.server_slots import MAX_AWAITED_S
 from wasabiwing.server_slots import ServerSlots
 from wasabiwing.server_statements import ServerStatements
@@ -91,6 +92,7 @@
         permits: SendPermits,
         is_unreachable: Callable[[str], bool],
         slots: ServerSlots,
+        pace: ServerPace,
     ) -> None:
         self._availability_zone = availability_zone
         self._timer = timer
@@ -104,6 +106,7 @@
         self._permits = permits
         self._is_unreachable = is_unreachable
         self._slots = slots
+        self._pace = pace
         self._cold_rate_limiter = ColdRateLimiter(node_id, timer)
 
     def server_ids(self, service: str) -> frozenset[str]:
@@ -157,8 +160,8 @@
         allowed_servers = [
             item for item in allowed_servers if item.id in allowed_ids
         ]
-        evaluated = self._choose_within_slots(
-            call, allowed_servers, (server.id for server in servers)
+        evaluated = self._choose_within_pace(
+            call, allowed_servers, [server.id for server in servers]
         )
         if isinstance(evaluated, Err):
             return evaluated
@@ -232,6 +235,35 @@
             )
         )
 
+    def _choose_within_pace(
+        self,
+        call: RoutedCall,
+        allowed_servers: list[RegisteredServer],
+        service_ids: Sequence[str],
+    ) -> Result[_Evaluation, Failure]:
+        """Returns the best server, preferably within its slow start.
+
+        A server whose admission window is full is used where the others have
+        no room or would answer too late.
+        """
+        node_ids = self._nodes.node_ids()
+        paced = [
+            server
+            for server in allowed_servers
+            if self._pace.may_send(
+                server.id, self._loads.own_pending_count(server.id), node_ids
+            )
+        ]
+        if paced and len(paced) < len(allowed_servers):
+            evaluated = self._choose_within_slots(call, paced, service_ids)
+            if isinstance(evaluated, Ok):
+                evaluation = evaluated.ok_value
+                if evaluation.failure is None and has_room(
+                    evaluation.candidate
+                ):
+                    return evaluated
+        return self._choose_within_slots(call, allowed_servers, service_ids)
+
     def _choose_within_slots(
         self,
         call: RoutedCall,
