--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -42,6 +42,7 @@
 from wasabiwing.presence import PRESENCE_PERIOD_S
 from wasabiwing.prompt_cache import PromptCacheIndex
 from wasabiwing.restorable_store import RestorableStore
+from wasabiwing.sent_orders import SentOrders
 from wasabiwing.server_demand import ServerDemand
 from wasabiwing.server_directory import RegisteredServer
 from wasabiwing.server_directory import ServerDirectory
@@ -160,6 +161,7 @@
             PromptCacheIndex(),
             ServerDemand(timer),
             progress,
+            SentOrders(timer),
         )
         self.relay = FleetRelay(
             self.id,
--- a/tests/server_fleet.py
+++ b/tests/server_fleet.py
@@ -16,10 +16,13 @@
 from wasabiwing.facts import Facts
 from wasabiwing.fleet_changes import ConfigurationChange
 from wasabiwing.fleet_follower import FleetView
+from wasabiwing.messages import OrderedServers
+from wasabiwing.sent_orders import SentOrders
 from wasabiwing.server_demand import ServerDemand
 from wasabiwing.server_directory import RegisteredServer
 from wasabiwing.server_directory import ServerDirectory
 from wasabiwing.server_limits import ServerLimits
+from wasabiwing.server_need import ServerNeeds
 from wasabiwing.server_statements import ServerStatements
 from wasabiwing.service_configuration import RequestLimits
 from wasabiwing.service_configuration import ScaleLimits
@@ -33,19 +36,22 @@
 
 LIMITS = ScaleLimits(1, 32, 4.0, 0.22, PRICES)
 
-STEP_S = 0.25
+STEP_S = 0.1
 
 # The holder acts once in this many steps.
-DUTY_STEPS = 2
+DUTY_STEPS = 5
 
 # Reports of other nodes arrive after this many steps.
-REPORT_STEPS = 4
+REPORT_STEPS = 10
 
 # Longest queue, in seconds, in which a prompt's first event is on time, and
 # beyond which prompts are refused.
 ON_TIME_S = 0.3
 MAX_QUEUE_S = 1.0
 
+# A node's demand by service, and the orders that it has sent.
+Report = tuple[dict[str, float], tuple[OrderedServers, ...]]
+
 
 @dataclass
 class Server:
@@ -65,6 +71,7 @@
     view: FleetView
     demand: ServerDemand
     orders: Autoscaler
+    sent_orders: SentOrders
 
 
 class Fleet:
@@ -100,8 +107,8 @@
         self._started = 0
         self._steps = 0
         self._fence = 1
-        self._reports: list[dict[str, dict[str, float]]] = []
-        self.nodes = [self._new_node() for _ in range(node_count)]
+        self._reports: list[dict[str, Report]] = []
+        self.nodes = [self._new_node(f"node-{i}") for i in range(node_count)]
 
     @property
     def warm(self) -> int:
@@ -115,14 +122,18 @@
         )
 
     def restart_holder(self) -> None:
-        """Restarts the holder; the next node, or a new one, takes over."""
+        """Restarts the holder; the next node takes over."""
         self._fence += 1
-        self.nodes = [*self.nodes[1:], self._new_node()]
+        restarted = self._new_node(self.nodes[0].name)
+        self.nodes = [*self.nodes[1:], restarted]
+        self.nodes[0].orders.reset()
 
     def start_as_holder(self) -> None:
-        """Starts a node that becomes the holder immediately."""
+        """Restarts a node, which becomes the holder immediately."""
         self._fence += 1
-        self.nodes = [self._new_node(), *self.nodes[1:]]
+        *others, last = self.nodes
+        self.nodes = [self._new_node(last.name), *others]
+        self.nodes[0].orders.reset()
 
     def reclaim(self, zone: str) -> None:
         """Takes all reclaimable servers of a zone; no more are available."""
@@ -146,7 +157,7 @@
             self._report()
             if self._steps % DUTY_STEPS == 0:
                 for node in self.nodes:
-                    node.orders.note_initial_servers()
+                    node.orders.follow_needs()
                 stamp = DutyStamp(self.nodes[0].name, self._fence)
                 (await self.nodes[0].orders.send_orders(stamp)).unwrap()
             self._steps += 1
@@ -222,14 +233,21 @@
     def _report(self) -> None:
         """Delivers the reports of ``REPORT_STEPS`` ago."""
         self._reports.append(
-            {node.name: node.demand.own_by_service() for node in self.nodes}
+            {
+                node.name: (
+                    node.demand.own_by_service(),
+                    node.sent_orders.reported(),
+                )
+                for node in self.nodes
+            }
         )
         if len(self._reports) <= REPORT_STEPS:
             return
-        for name, demand in self._reports[-REPORT_STEPS].items():
+        for name, report in self._reports[-REPORT_STEPS].items():
             for node in self.nodes:
                 if node.name != name:
-                    node.demand.note_peer_demand(name, demand)
+                    node.demand.note_peer_demand(name, report[0])
+                    node.sent_orders.note_reported(report[1])
 
     def _register(self) -> None:
         entries = {
@@ -247,21 +265,25 @@
         for node in self.nodes:
             node.view.directory.replace_all(entries)
 
-    def _new_node(self) -> Node:
-        self._started += 1
-        name = f"node-{self._started}"
+    def _new_node(self, name: str) -> Node:
         view = FleetView(name, ServerDirectory(self.timer))
         demand = ServerDemand(self.timer)
         facts = Facts(self.timer, SilentTransport(), Random(1), tuple)
+        sent_orders = SentOrders(self.timer)
         orders = Autoscaler(
             name,
             self.timer,
             self,
             view,
-            demand,
+            ServerNeeds(
+                self.timer,
+                view,
+                demand,
+                ServerLimits(name, self.timer, facts),
+            ),
             ZONES,
             ServerStatements(name, self.timer, Random(1)),
-            ServerLimits(name, self.timer, facts),
+            sent_orders,
         )
         profile = ServiceProfile("models", 100, 0.0, None, self.limits)
         view.apply(
@@ -271,4 +293,4 @@
                 )
             )
         )
-        return Node(name, view, demand, orders)
+        return Node(name, view, demand, orders, sent_orders)
--- a/tests/test_autoscaler.py
+++ b/tests/test_autoscaler.py
@@ -7,17 +7,19 @@
 from tests.platform_fakes import CloudFake
 from tests.policy_examples import SilentTransport
 from wasabiwing.autoscaler import Autoscaler
-from wasabiwing.autoscaler import NEED_WINDOW_S
 from wasabiwing.capacity_plan import MIN_SERVERS
 from wasabiwing.capacity_plan import presumed_busy_server_count
+from wasabiwing.demand_forecast import NEED_WINDOW_S
 from wasabiwing.duty_port import DutyStamp
 from wasabiwing.facts import Facts
 from wasabiwing.fleet_changes import ConfigurationChange
 from wasabiwing.fleet_follower import FleetView
+from wasabiwing.sent_orders import SentOrders
 from wasabiwing.server_demand import ServerDemand
 from wasabiwing.server_directory import RegisteredServer
 from wasabiwing.server_directory import ServerDirectory
 from wasabiwing.server_limits import ServerLimits
+from wasabiwing.server_need import ServerNeeds
 from wasabiwing.server_statements import ServerStatements
 from wasabiwing.service_configuration import RequestLimits
 from wasabiwing.service_configuration import ScaleLimits
@@ -51,10 +53,10 @@
             self.timer,
             self.cloud,
             self.view,
-            self.demand,
+            ServerNeeds(self.timer, self.view, self.demand, self.limits),
             ZONES,
             self.statements,
-            self.limits,
+            SentOrders(self.timer),
         )
         profile = ServiceProfile("models", 100, 0.0, None, LIMITS)
         self.view.apply(
@@ -82,7 +84,7 @@
         for _ in range(round(seconds / STEP_S)):
             if demand:
                 self.demand.note_work("models", demand * STEP_S)
-            self.orders.note_initial_servers()
+            self.orders.follow_needs()
             (await self.orders.send_orders(STAMP)).unwrap()
             for _, zone, count, kind in self.cloud.orders:
                 self.count_by_kind[(zone, kind)] = count
@@ -143,20 +145,20 @@
             pool.timer,
             pool.cloud,
             pool.view,
-            pool.demand,
+            ServerNeeds(pool.timer, pool.view, pool.demand, pool.limits),
             ZONES,
             pool.statements,
-            pool.limits,
+            SentOrders(pool.timer),
         )
         registered = dict(pool.count_by_kind)
         pool.count_by_kind = dict.fromkeys(registered, 0)
         pool.register()
         for orders in (pool.orders, later):
-            orders.note_initial_servers()
+            orders.follow_needs()
         pool.count_by_kind = registered
         pool.register()
         for orders in (pool.orders, later):
-            orders.note_initial_servers()
+            orders.follow_needs()
         await pool.run(8.0, 0.0)
         pool.orders = later
         assert await pool.run(6.0, 0.0) >= 20
@@ -171,6 +173,7 @@
         pool.cloud.orders.clear()
         await pool.timer.advance(10.0)
         pool.demand.note_work("models", 20.0)
+        pool.orders.follow_needs()
         (await pool.orders.send_orders(STAMP)).unwrap()
         assert pool.cloud.orders
 
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -30,6 +30,7 @@
 from wasabiwing.presence import Presence
 from wasabiwing.prompt_cache import PromptCacheIndex
 from wasabiwing.restorable_store import RestorableStore
+from wasabiwing.sent_orders import SentOrders
 from wasabiwing.server_demand import ServerDemand
 from wasabiwing.server_loads import ServerLoads
 from wasabiwing.store_eras import FIRST_ERA
@@ -77,6 +78,7 @@
             PromptCacheIndex(),
             ServerDemand(timer),
             StoreProgress(timer),
+            SentOrders(timer),
         )
         self.usage = UsageReporter(
             node_id,
--- a/tests/test_node_reports.py
+++ b/tests/test_node_reports.py
@@ -15,6 +15,7 @@
 from wasabiwing.prefill_rates import PrefillRates
 from wasabiwing.prompt_cache import PromptCacheIndex
 from wasabiwing.routed_calls import PromptPart
+from wasabiwing.sent_orders import SentOrders
 from wasabiwing.server_demand import ServerDemand
 from wasabiwing.server_loads import ServerLoads
 from wasabiwing.service_configuration import OrganisationProfile
@@ -50,6 +51,7 @@
             PromptCacheIndex(),
             ServerDemand(timer),
             StoreProgress(timer),
+            SentOrders(timer),
         )
         found.tasks.start_soon(self._receive)
 
--- a/tests/test_recorded_bytes.py
+++ b/tests/test_recorded_bytes.py
@@ -102,12 +102,18 @@
 # Fields with defaults that later builds have added at the end of messages, by
 # tag. Earlier builds ignore further items of an array.
 ADDED_SINCE_LANDING: dict[str, dict[str, object]] = {
-    "101": {"zone_reader": "", "zone_read_age_ms": -1},
+    "100": {"orders": ()},
+    "101": {"zone_reader": "", "zone_read_age_ms": -1, "orders": ()},
 }
 
 ADDED_FIELDS_BY_TAG: dict[str, dict[str, object]] = {
-    "100": {"store_era": 0},
-    "101": {"store_era": 0, "zone_reader": "", "zone_read_age_ms": -1},
+    "100": {"store_era": 0, "orders": ()},
+    "101": {
+        "store_era": 0,
+        "zone_reader": "",
+        "zone_read_age_ms": -1,
+        "orders": (),
+    },
     "102": {"store_era": 0},
     "103": {"store_era": 0},
 }
--- /dev/null
+++ b/tests/test_server_demand.py
@@ -0,0 +1,169 @@
+"""Tests of the demand for servers: measured, queued and expected."""
+
+from random import Random
+
+import pytest
+
+from wasabiwing.demand_forecast import DemandForecast
+from wasabiwing.demand_forecast import NEED_WINDOW_S
+from wasabiwing.demand_forecast import RecentNeed
+from wasabiwing.fleet_changes import ConfigurationChange
+from wasabiwing.fleet_follower import FleetView
+from wasabiwing.prefill_rates import PrefillRates
+from wasabiwing.queued_demand import DRAIN_S
+from wasabiwing.queued_demand import queued_demand
+from wasabiwing.sent_orders import REPORTED_S
+from wasabiwing.sent_orders import SentOrders
+from wasabiwing.server_demand import ServerDemand
+from wasabiwing.server_directory import RegisteredServer
+from wasabiwing.server_directory import ServerDirectory
+from wasabiwing.server_loads import ServerLoads
+from wasabiwing.service_configuration import EngineProfile
+from wasabiwing.service_configuration import RequestLimits
+from wasabiwing.service_configuration import ScaleLimits
+from wasabiwing.service_configuration import ServiceConfiguration
+from wasabiwing.service_configuration import ServiceProfile
+from wasabiwing.timers import FakeTimer
+
+BOOT_S = 4.0
+
+KEY = ("models", "a", True)
+
+
+@pytest.mark.anyio
+class TestMeasuredDemand:
+    """Demand of the prompts that were sent."""
+
+    async def test_the_first_second_is_not_averaged_with_the_idle_time(
+        self,
+    ) -> None:
+        """Guards against a first order that comes seconds after the traffic.
+
+        With an average of 4 s, the first order under the full rate was sent
+        at 3.1 s, for half of the demand.
+        """
+        timer = FakeTimer()
+        demand = ServerDemand(timer)
+        for _ in range(10):
+            demand.note_work("models", 0.8)
+            await timer.advance(0.1)
+        assert demand.total_servers("models") == pytest.approx(8.0, rel=0.15)
+
+
+class TestQueuedDemand:
+    """Demand of what waits, runs or was refused."""
+
+    def setup_method(self) -> None:
+        timer = FakeTimer()
+        rates = PrefillRates()
+        self.token_s = rates.prefill_s_per_token("models")
+        self.loads = ServerLoads(timer, rates)
+        view = FleetView("node", ServerDirectory(timer))
+        profile = ServiceProfile(
+            "models",
+            100,
+            0.0,
+            EngineProfile(32, 100_000),
+            ScaleLimits(1, 32, BOOT_S, 0.22, {}),
+        )
+        view.apply(
+            ConfigurationChange(
+                ServiceConfiguration(
+                    1, (), {"models": profile}, RequestLimits()
+                )
+            )
+        )
+        view.directory.put(
+            RegisteredServer("s", "models", "10.0.0.1:80", "a", "v1", 32)
+        )
+        self.waiting = self.refused_per_s = 0.0
+        self.source = queued_demand(
+            view,
+            self.loads,
+            rates,
+            lambda service: self.waiting,
+            lambda service: self.refused_per_s,
+        )
+
+    def test_without_a_queue_there_is_none(self) -> None:
+        assert self.source() == {"models": 0.0}
+
+    def test_waiting_pending_and_refused_tokens_count(self) -> None:
+        """Guards against demand that falls while the queue grows."""
+        self.loads.note_sent("s", "r1", 0, 4_000)
+        self.waiting = 6_000.0
+        self.refused_per_s = 2_000.0
+        per_s = (4_000 + 6_000) / DRAIN_S + 2_000
+        expected = per_s * self.token_s + 1 / 32
+        assert self.source()["models"] == pytest.approx(expected)
+
+    def test_running_streams_count_by_their_share_of_the_slots(self) -> None:
+        for number in range(16):
+            self.loads.note_sent("s", f"r{number}", 0, 0)
+        assert self.source()["models"] == pytest.approx(0.5)
+
+
+@pytest.mark.anyio
+class TestForecast:
+    """Demand that is expected after the boot time."""
+
+    async def test_a_rise_is_believed_at_once(self) -> None:
+        timer = FakeTimer()
+        forecast = DemandForecast(timer)
+        for _ in range(20):
+            forecast.note("models", 8.0)
+            await timer.advance(0.5)
+        forecast.note("models", 8.0 * 1.7)
+        assert forecast.expected("models", BOOT_S) >= 8.0 * 1.7
+
+    async def test_noise_of_single_requests_is_no_rise(self) -> None:
+        """Guards against servers that are ordered for random peaks."""
+        timer = FakeTimer()
+        forecast = DemandForecast(timer)
+        random = Random(7)
+        highest = 0.0
+        for _ in range(400):
+            forecast.note("models", random.gauss(8.0, 0.5))
+            highest = max(highest, forecast.expected("models", BOOT_S))
+            await timer.advance(0.5)
+        assert highest < 8.0 * 1.1
+
+    async def test_the_highest_need_is_kept_for_the_whole_window(
+        self,
+    ) -> None:
+        timer = FakeTimer()
+        recent = RecentNeed(timer)
+        recent.note("models", 30)
+        await timer.advance(NEED_WINDOW_S - 1.0)
+        assert recent.note("models", 20) == 30
+        await timer.advance(2.0)
+        assert recent.note("models", 10) == 20
+
+
+@pytest.mark.anyio
+class TestSentOrders:
+    """Orders of other holders."""
+
+    async def test_a_later_holder_takes_precedence(self) -> None:
+        """Guards against a stale report that replaces a newer order."""
+        timer = FakeTimer()
+        first, second = SentOrders(timer), SentOrders(timer)
+        first.note_sent(KEY, 1, 17, 5)
+        second.note_reported(first.reported())
+        known = second.get(KEY)
+        assert known is not None
+        assert (known.count, known.present) == (17, 5)
+        second.note_sent(KEY, 2, 9, 5)
+        await timer.advance(1.0)
+        first.note_sent(KEY, 1, 20, 5)
+        second.note_reported(first.reported())
+        known = second.get(KEY)
+        assert known is not None
+        assert known.count == 9
+
+    async def test_orders_are_reported_for_a_while(self) -> None:
+        timer = FakeTimer()
+        orders = SentOrders(timer)
+        orders.note_sent(KEY, 1, 17, 5)
+        await timer.advance(REPORTED_S + 0.1)
+        assert orders.reported() == ()
--- a/wasabiwing/autoscaler.py
+++ b/wasabiwing/autoscaler.py
@@ -2,32 +2,32 @@
 
 The autoscaler compares the capacity plan with the servers that are ordered
 and registered, and sends the missing orders. A zone that refuses reclaimable
-servers counts as exhausted for a while.
+servers counts as exhausted for a while. A holder that knows too little of the
+other nodes' demand releases none.
 """
 
-from dataclasses import dataclass
+from collections.abc import Callable
 from math import inf
 
 from result import Err
 from result import Ok
 from result import Result
 
-from wasabiwing.capacity_plan import busy_server_count
-from wasabiwing.capacity_plan import lost_server_count
 from wasabiwing.capacity_plan import plan_servers
-from wasabiwing.capacity_plan import presumed_busy_server_count
 from wasabiwing.capacity_plan import ServerCount
 from wasabiwing.capacity_plan import ServerOrder
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
-from wasabiwing.deployed_servers import DeployedServers
+from wasabiwing.demand_forecast import NEED_WINDOW_S
 from wasabiwing.duty_port import DutyCalls
 from wasabiwing.duty_port import DutyStamp
 from wasabiwing.events import Event
 from wasabiwing.events import log_event
 from wasabiwing.fleet_follower import FleetView
-from wasabiwing.server_demand import ServerDemand
-from wasabiwing.server_limits import ServerLimits
+from wasabiwing.sent_orders import SentOrder
+from wasabiwing.sent_orders import SentOrders
+from wasabiwing.server_need import ServerNeed
+from wasabiwing.server_need import ServerNeeds
 from wasabiwing.server_statements import ServerStatements
 from wasabiwing.service_configuration import ScaleLimits
 from wasabiwing.timers import TimerService
@@ -43,22 +43,9 @@
 # in seconds.
 REPEAT_DELAY_S = 2.5
 
-# Time for which the highest need is kept, in seconds, so that servers are not
-# released at a low of fluctuating demand and booted again at the next peak.
-NEED_WINDOW_S = 10.0
-
-# Key of an order: service, zone, whether the servers are reclaimable.
-OrderKey = tuple[str, str, bool]
-
-
-@dataclass(frozen=True, slots=True)
-class _SentOrder:
-    """The last order of a service for one kind of servers in a zone."""
-
-    count: int
-    # Servers that were registered when the order was sent.
-    present: int
-    sent_at: float
+# Share of the nodes that a holder has to hear to release servers: the demand
+# of the others is unknown.
+MIN_HEARD_SHARE = 0.8
 
 
 class Autoscaler:
@@ -70,54 +57,51 @@
         timer: TimerService,
         cloud: DutyCalls,
         view: FleetView,
-        demand: ServerDemand,
+        needs: ServerNeeds,
         zones: tuple[str, ...],
         statements: ServerStatements,
-        limits: ServerLimits,
+        sent_orders: SentOrders,
+        heard_share: Callable[[], float] = lambda: 1.0,
+        show_need: Callable[[str, ServerNeed], None] = lambda *need: None,
     ) -> None:
         self._node_id = node_id
         self._timer = timer
         self._cloud = cloud
         self._view = view
-        self._demand = demand
+        self._needs = needs
         self._zones = zones
         self._statements = statements
-        self._limits = limits
-        self._sent_by_key: dict[OrderKey, _SentOrder] = {}
+        # Returns the share of all nodes whose demand this node knows.
+        self._heard_share = heard_share
+        self._show_need = show_need
+        self._need_by_service: dict[str, ServerNeed] = {}
+        # Orders of all holders, as far as they are known here.
+        self._sent_orders = sent_orders
         self._exhausted_until_by_zone: dict[tuple[str, str], float] = {}
         # Last time at which more servers were ordered.
         self._last_growth_at = -inf
-        # Highest need by service, and when it was last seen.
-        self._need_by_service: dict[str, tuple[int, float]] = {}
-        self._deployed = DeployedServers(timer)
         # Time at which this node became holder.
         self._holder_since = timer.now()
 
     def reset(self) -> None:
-        """Forgets earlier orders; called when this node becomes holder."""
-        self._sent_by_key.clear()
+        """Notes that this node has become the holder."""
         self._holder_since = self._timer.now()
 
-    def note_initial_servers(self) -> None:
-        """Counts the servers that the deployment started with.
+    def follow_needs(self) -> None:
+        """Follows the need of all services.
 
-        Called on every node, because any node may become the holder.
+        Called periodically on every node, because any may become the holder.
         """
         configuration = self._view.configuration
         if configuration is None:
             return
         for profile in configuration.service_by_name.values():
+            service = profile.name
             if profile.scale is None:
                 continue
-            service = profile.name
-            servers = self._view.directory.servers_of_service(service)
-            reclaimable = sum(server.reclaimable for server in servers)
-            self._deployed.note(
-                service,
-                len(servers) - reclaimable,
-                reclaimable,
-                self._demand.total_servers(service),
-            )
+            need = self._needs.note(service, profile.scale)
+            if need is not None:
+                self._need_by_service[service] = need
 
     async def send_orders(self, stamp: DutyStamp) -> Result[None, Failure]:
         """Sends the orders of the capacity plan under a duty stamp."""
@@ -125,19 +109,23 @@
         if configuration is None:
             return Ok(None)
         for profile in configuration.service_by_name.values():
-            if profile.scale is None or not self._deployed.is_settled(
-                profile.name
-            ):
+            need = self._need_by_service.get(profile.name)
+            if profile.scale is None or need is None:
                 continue
+            self._show_need(profile.name, need)
             sent = await self._send_for_service(
-                stamp, profile.name, profile.scale
+                stamp, profile.name, profile.scale, need
             )
             if isinstance(sent, Err):
                 return sent
         return Ok(None)
 
     async def _send_for_service(
-        self, stamp: DutyStamp, service: str, limits: ScaleLimits
+        self,
+        stamp: DutyStamp,
+        service: str,
+        limits: ScaleLimits,
+        need: ServerNeed,
     ) -> Result[None, Failure]:
         counts = self._server_counts(service, limits)
         now = self._timer.now()
@@ -151,68 +139,41 @@
             for zone in self._zones
             if zone not in self._view.evacuated_zones
         ]
-        demand = self._demand.total_servers(service)
-        busy = self._highest_recent_need(
-            service, self._busy_servers(service, demand)
-        )
         orders = plan_servers(
-            busy,
+            need.highest,
             zones,
             limits,
             counts,
             exhausted_zones,
-            self._may_shrink(demand),
-            self._deployed.kept_count(service),
+            self._may_shrink(need),
+            need.kept,
         )
         for order in orders:
-            sent = await self._send(stamp, service, order, demand)
+            sent = await self._send(stamp, service, order, need, counts)
             if isinstance(sent, Err):
                 return sent
         return Ok(None)
 
-    def _busy_servers(self, service: str, demand: float) -> int:
-        """Returns the number of busy servers, presumed before any demand."""
-        if demand > 0:
-            return busy_server_count(demand) + self._lost_servers(service)
-        return presumed_busy_server_count(self._deployed.count(service))
-
-    def _may_shrink(self, demand: float) -> bool:
+    def _may_shrink(self, need: ServerNeed) -> bool:
         """Whether servers may be released now.
 
         A new holder does not know the highest need of the last seconds, and
         hears the demand of the other nodes only after some reports.
         """
         now = self._timer.now()
-        if demand > 0 and now - self._holder_since < NEED_WINDOW_S:
+        if not need.idle and now - self._holder_since < NEED_WINDOW_S:
+            return False
+        if self._heard_share() < MIN_HEARD_SHARE:
             return False
         return now - self._last_growth_at > RELEASE_DELAY_S
 
-    def _lost_servers(self, service: str) -> int:
-        """Returns how many servers' capacity is lost to named limits."""
-        limits_per_s = [
-            limit
-            for server in self._view.directory.servers_of_service(service)
-            if (limit := self._limits.limit_per_s(server.id)) is not None
-        ]
-        return lost_server_count(
-            limits_per_s, self._demand.mean_work_s(service)
-        )
-
-    def _highest_recent_need(self, service: str, needed: int) -> int:
-        """Returns the highest number needed in the last ``NEED_WINDOW_S``."""
-        now = self._timer.now()
-        highest, seen_at = self._need_by_service.get(service, (0, now))
-        if needed >= highest or now - seen_at > NEED_WINDOW_S:
-            self._need_by_service[service] = (needed, now)
-            return needed
-        return highest
-
     async def _send(
         self,
         stamp: DutyStamp,
         service: str,
         order: ServerOrder,
-        demand: float,
+        need: ServerNeed,
+        counts: tuple[ServerCount, ...],
     ) -> Result[None, Failure]:
         zone = order.availability_zone
         sent = await self._cloud.order_servers(
@@ -227,9 +188,12 @@
             zone=zone,
             count=order.count,
             reclaimable=order.reclaimable,
-            demand=round(demand, 2),
+            demand=round(need.measured, 2),
+            warm=sum(count.warm for count in counts),
+            present=sum(count.expected for count in counts),
             fence=stamp.fencing_number,
             failure=str(sent.err_value) if isinstance(sent, Err) else "",
+            **need.figures(),
         )
         if isinstance(sent, Err):
             if sent.err_value.code is not ResultCode.CLOUD_REFUSED:
@@ -248,7 +212,9 @@
         key = (service, zone, order.reclaimable)
         if order.count > present:
             self._last_growth_at = now
-        self._sent_by_key[key] = _SentOrder(order.count, present, now)
+        self._sent_orders.note_sent(
+            key, stamp.fencing_number, order.count, present
+        )
         return Ok(None)
 
     def _server_counts(
@@ -276,7 +242,7 @@
                     for server in present_servers
                     if not directory.is_cold(server.id)
                 ]
-                sent = self._sent_by_key.get((service, zone, reclaimable))
+                sent = self._sent_orders.get((service, zone, reclaimable))
                 expected = self._expected_count(
                     len(present_servers), sent, limits
                 )
@@ -286,7 +252,7 @@
         return tuple(counts)
 
     def _expected_count(
-        self, present: int, sent: _SentOrder | None, limits: ScaleLimits
+        self, present: int, sent: SentOrder | None, limits: ScaleLimits
     ) -> int:
         """Returns how many servers are registered or still expected."""
         order_timeout_s = limits.boot_s + REPEAT_DELAY_S
--- a/wasabiwing/duties.py
+++ b/wasabiwing/duties.py
@@ -108,7 +108,7 @@
         if self.stopping:
             return
         if self._autoscaler is not None:
-            self._autoscaler.note_initial_servers()
+            self._autoscaler.follow_needs()
         held = self._usable_lease()
         if held is None:
             return
--- a/wasabiwing/fleet_relay.py
+++ b/wasabiwing/fleet_relay.py
@@ -342,6 +342,7 @@
             era_of(revision),
             self._knowledge.zone_reader,
             _read_age_ms(self._knowledge.zone_read_age_s()),
+            () if zone_aggregate is None else self._shared.orders.reported(),
         )
 
     def _send_push(self, node_id: str, message: HeadPush) -> None:
--- a/wasabiwing/messages.py
+++ b/wasabiwing/messages.py
@@ -533,6 +533,22 @@
     windows: tuple[WindowUsage, ...]
 
 
+class OrderedServers(Struct, frozen=True, array_like=True):
+    """A holder's newest order for servers of one kind in a zone."""
+
+    service: str
+    zone: str
+    reclaimable: bool
+    # Number of servers that the zone should have.
+    count: int
+    # Servers that were registered when the order was sent.
+    present: int
+    # Fencing number of the holder.
+    fence: int
+    # Time since the order was sent, in seconds.
+    age_s: float
+
+
 class NodeReport(Struct, frozen=True, array_like=True, tag=100):
     """A node's report to other nodes, sent several times a second."""
 
@@ -553,6 +569,8 @@
     age_s: float = 0.0
     # Era of the store to which ``revision`` belongs; so in all messages.
     store_era: int = 0
+    # Server orders that this node has sent as holder of the duties.
+    orders: tuple[OrderedServers, ...] = ()
 
 
 class AggregatedReport(Struct, frozen=True, array_like=True):
@@ -605,6 +623,8 @@
     # ago, in milliseconds; -1 for never.
     zone_reader: str = ""
     zone_read_age_ms: int = -1
+    # Sent to other zone heads, as in ``NodeReport``.
+    orders: tuple[OrderedServers, ...] = ()
 
 
 class FleetRequest(Struct, frozen=True, array_like=True, tag=102):
--- a/wasabiwing/metrics.py
+++ b/wasabiwing/metrics.py
@@ -8,6 +8,7 @@
 from prometheus_client import Histogram
 
 from wasabiwing.codes import ResultCode
+from wasabiwing.server_need import ServerNeed
 from wasabiwing.store_eras import era_of
 from wasabiwing.store_eras import revision_of
 
@@ -136,6 +137,12 @@
             "New connections to backend servers.",
             registry=self.registry,
         )
+        self.server_need = Gauge(
+            "wasabiwing_server_need",
+            "Figures from which the holder orders servers, by service.",
+            ("service", "figure"),
+            registry=self.registry,
+        )
         self.platform_calls = Counter(
             "wasabiwing_platform_calls",
             "Calls to the platform's store by kind and result code.",
@@ -176,6 +183,12 @@
         """Counts a value of the store that could not be used."""
         self.unusable_values.labels(kind).inc()
 
+    def set_server_need(self, service: str, need: ServerNeed) -> None:
+        """Shows why the holder of the duties orders so many servers."""
+        figures = need.figures() | {"measured": need.measured}
+        for figure, value in figures.items():
+            self.server_need.labels(service, figure).set(value)
+
     def set_store_position(self, position: int) -> None:
         """Shows the newest state of the store that the node knows."""
         self.store_era.set(era_of(position))
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -66,16 +66,19 @@
 from wasabiwing.presence import PRESENCE_PERIOD_S
 from wasabiwing.prompt_cache import PromptCacheIndex
 from wasabiwing.quarantine import CRASHES_TO_QUARANTINE
+from wasabiwing.queued_demand import queued_demand
 from wasabiwing.relay_peers import RelayPeers
 from wasabiwing.restorable_store import RestorableStore
 from wasabiwing.retry_budgets import ServiceRetryBudgets
 from wasabiwing.routed_calls import CallCodec
 from wasabiwing.send_permits import SendPermits
+from wasabiwing.sent_orders import SentOrders
 from wasabiwing.server_connections import ServerConnections
 from wasabiwing.server_demand import ServerDemand
 from wasabiwing.server_directory import ServerDirectory
 from wasabiwing.server_limits import ServerLimits
 from wasabiwing.server_loads import ServerLoads
+from wasabiwing.server_need import ServerNeeds
 from wasabiwing.server_probe import accepts_any_connection
 from wasabiwing.server_probe import server_listens
 from wasabiwing.server_reachability import ServerReachability
@@ -220,6 +223,7 @@
             self._prompt_cache,
             ServerDemand(timer),
             progress,
+            SentOrders(timer),
         )
         self._fleet_relay = FleetRelay(
             node_id,
@@ -547,15 +551,21 @@
             )
             self._store.eras.subscribe(usage_reporter.note_restore)
         if platform.cloud is not None and settings.runs_autoscaler:
+            demand = self._reported_state.demand
+            demand.add_source(
+                queued_demand(self.view, self._loads, self._prefill_rates)
+            )
             autoscaler = Autoscaler(
                 node_id,
                 self._timer,
                 platform.cloud,
                 self.view,
-                self._reported_state.demand,
+                ServerNeeds(self._timer, self.view, demand, self._limits),
                 settings.availability_zones,
                 self._statements,
-                self._limits,
+                self._reported_state.orders,
+                self._reports.heard_share,
+                self.metrics.set_server_need,
             )
         lease_holder = LeaseHolder(
             node_id,
--- a/wasabiwing/node_reports.py
+++ b/wasabiwing/node_reports.py
@@ -33,6 +33,7 @@
 from wasabiwing.report_aggregation import ReportAggregator
 from wasabiwing.report_aggregation import subtract_own_load
 from wasabiwing.routed_calls import PromptPart
+from wasabiwing.sent_orders import SentOrders
 from wasabiwing.server_demand import ServerDemand
 from wasabiwing.server_loads import NodeLoad
 from wasabiwing.server_loads import ServerLoads
@@ -91,6 +92,7 @@
     prompts: PromptCacheIndex
     demand: ServerDemand
     store: StoreProgress
+    orders: SentOrders
 
 
 class NodeReports:
@@ -217,6 +219,7 @@
         self, envelope: Envelope, report: NodeReport, shared: ReportedState
     ) -> None:
         """Applies another node's report."""
+        shared.orders.note_reported(report.orders)
         if self._heads.uses_heads:
             self._receive_as_head(envelope.sender, report, shared)
             return
@@ -255,6 +258,7 @@
 
     def receive_push(self, push: HeadPush, shared: ReportedState) -> None:
         """Applies the aggregates in a head's push."""
+        shared.orders.note_reported(push.orders)
         if push.zone_aggregate is not None:
             self._apply_zone_aggregate(push.zone, push.zone_aggregate, shared)
         if push.fleet_aggregate is not None:
@@ -481,6 +485,7 @@
             self._silent_node_windows(shared.windows) if with_windows else (),
             self._age_s(),
             era_of(shared.store.revision),
+            shared.orders.reported(),
         )
 
     def _age_s(self) -> float:
--- a/wasabiwing/server_demand.py
+++ b/wasabiwing/server_demand.py
@@ -1,50 +1,117 @@
 """Estimates how many backend servers the recent prompts of a service need.
 
-The computing time of the prompts is averaged over the last seconds. The
-number of backend servers to order follows from it.
+The computing time of the prompts is averaged over the last second. Further
+sources add what waits, runs or was refused. The number of backend servers to
+order follows from it.
 """
 
+from collections.abc import Callable
 from collections.abc import Mapping
 from math import exp
 
 from wasabiwing.timers import TimerService
 
-# Time constant of the average, in seconds: longer than a burst of arrivals,
-# and shorter than a server's boot time and than a wave of traffic.
-AVERAGE_TIME_CONSTANT_S = 4.0
+# Time constant of the demand, in seconds: much shorter than a server's boot
+# time, so that a rise is known at once. The autoscaler averages the sum of all
+# nodes, in which single requests count less.
+DEMAND_TIME_CONSTANT_S = 1.0
+
+# Shortest time over which the first requests after a pause are averaged, in
+# seconds.
+MIN_AVERAGED_S = 0.7
+
+# Time constant of the mean computing time of a request, in seconds.
+MEAN_TIME_CONSTANT_S = 4.0
+
+# Demand, in servers, below which a service counts as idle.
+IDLE_DEMAND = 0.0001
 
 # Seconds for which the last reported demand of another node is used.
 PEER_DEMAND_LIFETIME_S = 5.0
 
 
+class _DecayedSum:
+    """Sum in which earlier amounts count less."""
+
+    def __init__(self, time_constant_s: float) -> None:
+        self._time_constant_s = time_constant_s
+        self._sum = 0.0
+        self._noted_at = 0.0
+
+    def add(self, amount: float, now: float) -> None:
+        """Adds an amount at a monotonic time."""
+        self._sum = self.value(now) + amount
+        self._noted_at = now
+
+    def value(self, now: float) -> float:
+        """Returns the sum at a monotonic time."""
+        age_s = now - self._noted_at
+        return self._sum * exp(-age_s / self._time_constant_s)
+
+
+class _Work:
+    """Computing time and number of one service's requests on one node."""
+
+    def __init__(self) -> None:
+        self._recent_s = _DecayedSum(DEMAND_TIME_CONSTANT_S)
+        self._computing_s = _DecayedSum(MEAN_TIME_CONSTANT_S)
+        self._requests = _DecayedSum(MEAN_TIME_CONSTANT_S)
+        # Time of the first request after a pause.
+        self._began_at = 0.0
+
+    def add(self, computing_s: float, now: float) -> None:
+        """Adds a request."""
+        if self.demand(now) < IDLE_DEMAND:
+            self._began_at = now
+        self._recent_s.add(computing_s, now)
+        self._computing_s.add(computing_s, now)
+        self._requests.add(1.0, now)
+
+    def demand(self, now: float) -> float:
+        """Returns the computing time per second.
+
+        The decayed sum covers only the time since the first request.
+        """
+        averaged_s = max(now - self._began_at, MIN_AVERAGED_S)
+        covered = 1.0 - exp(-averaged_s / DEMAND_TIME_CONSTANT_S)
+        return self._recent_s.value(now) / DEMAND_TIME_CONSTANT_S / covered
+
+    def mean_s(self, now: float) -> float:
+        """Returns the mean computing time of a request; 0 without any."""
+        count = self._requests.value(now)
+        return self._computing_s.value(now) / count if count else 0.0
+
+
 class ServerDemand:
     """Demand of one node and of all others, in backend servers."""
 
     def __init__(self, timer: TimerService) -> None:
         self._timer = timer
-        # Decayed sum of computing seconds, and the time of its last decay, by
-        # service.
-        self._work_by_service: dict[str, tuple[float, float]] = {}
-        # Decayed number of these requests, in the same way.
-        self._requests_by_service: dict[str, tuple[float, float]] = {}
+        self._work_by_service: dict[str, _Work] = {}
         self._demand_by_peer: dict[str, tuple[float, Mapping[str, float]]] = {}
+        self._sources: list[Callable[[], Mapping[str, float]]] = []
+
+    def add_source(self, source: Callable[[], Mapping[str, float]]) -> None:
+        """Registers a source of further demand, in servers by service."""
+        self._sources.append(source)
 
     def note_work(self, service: str, computing_s: float) -> None:
         """Adds the computing time of one request to its service's demand."""
-        now = self._timer.now()
-        work = self._decayed_work_s(service) + computing_s
-        self._work_by_service[service] = (work, now)
-        count, noted_at = self._requests_by_service.get(service, (0.0, now))
-        count *= exp((noted_at - now) / AVERAGE_TIME_CONSTANT_S)
-        self._requests_by_service[service] = (count + 1.0, now)
+        work = self._work_by_service.setdefault(service, _Work())
+        work.add(computing_s, self._timer.now())
 
     def own_by_service(self) -> dict[str, float]:
         """Returns this node's demand in servers, by service."""
+        now = self._timer.now()
+        demand = {
+            service: work.demand(now)
+            for service, work in self._work_by_service.items()
+        }
+        for source in self._sources:
+            for service, servers in source().items():
+                demand[service] = demand.get(service, 0.0) + servers
         return {
-            service: round(
-                self._decayed_work_s(service) / AVERAGE_TIME_CONSTANT_S, 4
-            )
-            for service in self._work_by_service
+            service: round(servers, 4) for service, servers in demand.items()
         }
 
     def mean_work_s(self, service: str) -> float:
@@ -52,9 +119,8 @@
 
         The result is 0 without recent requests.
         """
-        work, _ = self._work_by_service.get(service, (0.0, 0.0))
-        count, _ = self._requests_by_service.get(service, (0.0, 0.0))
-        return work / count if count else 0.0
+        work = self._work_by_service.get(service)
+        return 0.0 if work is None else work.mean_s(self._timer.now())
 
     def note_peer_demand(
         self, peer_id: str, demand: Mapping[str, float]
@@ -70,8 +136,3 @@
             for reported_at, demand in self._demand_by_peer.values()
             if reported_at >= oldest_used
         )
-
-    def _decayed_work_s(self, service: str) -> float:
-        work, noted_at = self._work_by_service.get(service, (0.0, 0.0))
-        age_s = self._timer.now() - noted_at
-        return work * exp(-age_s / AVERAGE_TIME_CONSTANT_S)
--- /dev/null
+++ b/wasabiwing/server_need.py
@@ -0,0 +1,137 @@
+"""Decides how many backend servers each service needs.
+
+Every node follows the need, because any node may become the holder that
+orders servers. Before any demand, the servers that the operator deployed are
+the best estimate. Later the need follows the demand that is expected when a
+server ordered now has booted, the speed of the servers, and the limits that
+they name.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from wasabiwing.capacity_plan import busy_server_count
+from wasabiwing.capacity_plan import lost_server_count
+from wasabiwing.capacity_plan import presumed_busy_server_count
+from wasabiwing.demand_forecast import DemandForecast
+from wasabiwing.demand_forecast import RecentNeed
+from wasabiwing.deployed_servers import DeployedServers
+from wasabiwing.fleet_follower import FleetView
+from wasabiwing.server_demand import IDLE_DEMAND
+from wasabiwing.server_demand import ServerDemand
+from wasabiwing.server_limits import ServerLimits
+from wasabiwing.service_configuration import ScaleLimits
+from wasabiwing.timers import TimerService
+
+# Bounds of a server's slowdown in the need: beyond them, a server counts as
+# failing instead of slow.
+MIN_SLOWDOWN = 0.5
+MAX_SLOWDOWN = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class ServerNeed:
+    """How many servers a service needs, and why."""
+
+    # Demand of the last second in servers' time, and the demand that is
+    # expected after the boot time.
+    measured: float
+    expected: float
+    # Mean factor by which work takes longer at the servers than usual.
+    slowdown: float
+    # Servers whose capacity is lost to limits that they name.
+    lost: int
+    # Servers that can just bear the load: now, and at most in the last
+    # seconds.
+    busy: int
+    highest: int
+    # Servers that the operator deployed and that are kept whatever the load.
+    kept: int
+    # Whether no demand was seen in the last seconds.
+    idle: bool
+
+    def figures(self) -> dict[str, float]:
+        """Returns the figures by name, for log lines and metrics."""
+        return {
+            "expected": round(self.expected, 2),
+            "slowdown": round(self.slowdown, 2),
+            "lost": self.lost,
+            "busy": self.busy,
+            "highest": self.highest,
+            "kept": self.kept,
+        }
+
+
+class ServerNeeds:
+    """The need of all services, as one node knows it."""
+
+    def __init__(
+        self,
+        timer: TimerService,
+        view: FleetView,
+        demand: ServerDemand,
+        limits: ServerLimits,
+        slowdown_of: Callable[[str], float] = lambda server_id: 1.0,
+    ) -> None:
+        self._view = view
+        self._demand = demand
+        self._limits = limits
+        # Returns how much longer work takes at a server than usual.
+        self._slowdown_of = slowdown_of
+        self._forecast = DemandForecast(timer)
+        self._recent_need = RecentNeed(timer)
+        self._deployed = DeployedServers(timer)
+
+    def note(self, service: str, limits: ScaleLimits) -> ServerNeed | None:
+        """Updates and returns a service's need; called periodically.
+
+        Returns ``None`` while servers still register and there is no demand.
+        """
+        measured = self._demand.total_servers(service)
+        servers = self._view.directory.servers_of_service(service)
+        reclaimable = sum(server.reclaimable for server in servers)
+        self._deployed.note(
+            service, len(servers) - reclaimable, reclaimable, measured
+        )
+        self._forecast.note(service, measured)
+        server_ids = [server.id for server in servers]
+        expected = self._forecast.expected(service, limits.boot_s)
+        slowdown = self._mean_slowdown(server_ids)
+        lost = self._lost_servers(service, server_ids)
+        idle = self._forecast.level(service) < IDLE_DEMAND
+        busy = busy_server_count(expected * slowdown) + lost
+        if idle:
+            busy = presumed_busy_server_count(self._deployed.count(service))
+        highest = self._recent_need.note(service, busy)
+        if not self._deployed.is_settled(service):
+            return None
+        return ServerNeed(
+            measured,
+            expected,
+            slowdown,
+            lost,
+            busy,
+            highest,
+            self._deployed.kept_count(service),
+            idle,
+        )
+
+    def _mean_slowdown(self, server_ids: list[str]) -> float:
+        if not server_ids:
+            return 1.0
+        total = sum(
+            min(max(self._slowdown_of(server_id), MIN_SLOWDOWN), MAX_SLOWDOWN)
+            for server_id in server_ids
+        )
+        return total / len(server_ids)
+
+    def _lost_servers(self, service: str, server_ids: list[str]) -> int:
+        """Returns how many servers' capacity is lost to named limits."""
+        limits_per_s = [
+            limit
+            for server_id in server_ids
+            if (limit := self._limits.limit_per_s(server_id)) is not None
+        ]
+        return lost_server_count(
+            limits_per_s, self._demand.mean_work_s(service)
+        )
