--- a/tests/server_fleet.py
+++ b/tests/server_fleet.py
@@ -104,7 +104,8 @@
         self.on_time = 0.0
         self.arrived = 0.0
         self.price = 0.0
-        self._started = 0
+        # Servers that were ordered so far.
+        self.booted = 0
         self._steps = 0
         self._fence = 1
         self._reports: list[dict[str, Report]] = []
@@ -144,15 +145,20 @@
             if server.zone != zone or not server.reclaimable
         ]
 
-    async def run(self, seconds: float, load: Callable[[float], float]) -> int:
+    async def run(
+        self,
+        seconds: float,
+        load: Callable[[float], float],
+        begun_s: float = 0.0,
+    ) -> int:
         """Runs the fleet; returns the lowest number of warm servers.
 
         ``load`` gives the work that arrives, in servers, at a time in seconds
-        since the call.
+        that is ``begun_s`` at the call.
         """
         fewest = self.warm
         for step in range(round(seconds / STEP_S)):
-            self._serve(load(step * STEP_S))
+            self._serve(load(begun_s + step * STEP_S))
             self._register()
             self._report()
             if self._steps % DUTY_STEPS == 0:
@@ -190,13 +196,13 @@
         for server in there[: max(-missing, 0)]:
             self.servers.remove(server)
         for _ in range(missing):
-            self._started += 1
+            self.booted += 1
             self.servers.append(
                 Server(
                     availability_zone,
                     reclaimable,
                     self.timer.now() + self.limits.boot_s,
-                    f"ordered-{self._started}",
+                    f"ordered-{self.booted}",
                 )
             )
         return Ok(None)
--- a/wasabiwing/autoscaler.py
+++ b/wasabiwing/autoscaler.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from math import inf
 
 from result import Err
@@ -36,6 +37,11 @@
 # them, in seconds.
 EXHAUSTED_ZONE_BACKOFF_S = 3.0
 
+# Time without a refusal after which a zone's next refusal counts as the
+# beginning of an outage, in seconds. Reclaims come in waves: at its beginning,
+# more zones may lose their servers.
+OUTAGE_GAP_S = 20.0
+
 # Time after an order for more servers in which none are released, in seconds.
 RELEASE_DELAY_S = 2.0
 
@@ -77,7 +83,10 @@
         self._need_by_service: dict[str, ServerNeed] = {}
         # Orders of all holders, as far as they are known here.
         self._sent_orders = sent_orders
-        self._exhausted_until_by_zone: dict[tuple[str, str], float] = {}
+        # Times of each zone's last refusal, and of the beginning of its
+        # outage, by service and zone.
+        self._refused_at_by_zone: dict[tuple[str, str], float] = {}
+        self._outage_began_at_by_zone: dict[tuple[str, str], float] = {}
         # Last time at which more servers were ordered.
         self._last_growth_at = -inf
         # Time at which this node became holder.
@@ -129,10 +138,15 @@
     ) -> Result[None, Failure]:
         counts = self._server_counts(service, limits)
         now = self._timer.now()
-        exhausted_zones = frozenset(
-            zone
-            for zone in self._zones
-            if self._exhausted_until_by_zone.get((service, zone), -inf) > now
+        # Servers that are ordered against a wave of reclaims are of use only
+        # once they have booted.
+        exhausted_zones = self._zones_since(
+            service,
+            self._outage_began_at_by_zone,
+            now - limits.boot_s - EXHAUSTED_ZONE_BACKOFF_S,
+        )
+        refusing_zones = self._zones_since(
+            service, self._refused_at_by_zone, now - EXHAUSTED_ZONE_BACKOFF_S
         )
         zones = [
             zone
@@ -147,6 +161,7 @@
             exhausted_zones,
             self._may_shrink(need),
             need.kept,
+            refusing_zones,
         )
         for order in orders:
             sent = await self._send(stamp, service, order, need, counts)
@@ -154,6 +169,19 @@
                 return sent
         return Ok(None)
 
+    def _zones_since(
+        self,
+        service: str,
+        time_by_zone: Mapping[tuple[str, str], float],
+        since: float,
+    ) -> frozenset[str]:
+        """Returns the zones of a service whose time is after ``since``."""
+        return frozenset(
+            zone
+            for zone in self._zones
+            if time_by_zone.get((service, zone), -inf) > since
+        )
+
     def _may_shrink(self, need: ServerNeed) -> bool:
         """Whether servers may be released now.
 
@@ -199,9 +227,12 @@
             if sent.err_value.code is not ResultCode.CLOUD_REFUSED:
                 return sent
             if order.reclaimable:
-                self._exhausted_until_by_zone[(service, zone)] = (
-                    now + EXHAUSTED_ZONE_BACKOFF_S
+                refused_at = self._refused_at_by_zone.get(
+                    (service, zone), -inf
                 )
+                if now - refused_at > OUTAGE_GAP_S:
+                    self._outage_began_at_by_zone[(service, zone)] = now
+                self._refused_at_by_zone[(service, zone)] = now
             self._last_growth_at = now
             return Ok(None)
         present = sum(
--- a/wasabiwing/capacity_plan.py
+++ b/wasabiwing/capacity_plan.py
@@ -107,6 +107,17 @@
         )
         return self.total() - sum(at_risk[-zones:])
 
+    def remaining_after_release(self) -> int:
+        """Returns how many warm servers a reclaim leaves after a release.
+
+        The release is that of a reclaimable server in the fullest zone.
+        """
+        at_risk = sorted(
+            self._warm_count(key) for key in self.wanted if key[1]
+        )
+        fullest, second = at_risk[-1], sum(at_risk[-2:-1])
+        return self.warm_total() - 1 - max(fullest - 1, second)
+
     def warm_after_reclaim(self) -> int:
         """Returns how many warm servers remain if a zone is reclaimed."""
         at_risk = [self._warm_count(key) for key in self.wanted if key[1]]
@@ -149,11 +160,13 @@
     exhausted_zones: frozenset[str],
     may_shrink: bool,
     kept: int = 0,
+    refusing_zones: frozenset[str] = frozenset(),
 ) -> tuple[ServerOrder, ...]:
     """Returns orders for the numbers of servers that should change.
 
     ``busy`` is the number of servers that can just bear the load. In
-    ``exhausted_zones`` no more reclaimable servers are available at present.
+    ``exhausted_zones`` reclaimable servers were just lost or refused, so that
+    more may be lost; ``refusing_zones`` have refused them for longer.
     ``kept`` servers remain whatever the load; on-demand ones among them are
     released only when as many reclaimable ones are warm.
     """
@@ -166,9 +179,13 @@
     target = max(total - MIN_ON_DEMAND_SERVERS, kept)
     if limits.reclaimable_price > 0:
         available_zones = [
-            zone for zone in cheapest if zone not in exhausted_zones
+            zone
+            for zone in cheapest
+            if zone not in exhausted_zones | refusing_zones
         ]
         _add_servers(plan, True, available_zones, target, limits)
+        _fill_empty_zones(plan, available_zones, target, limits)
+        _cover_lost_zone(plan, available_zones, needed, limits)
     else:
         _add_servers(plan, False, cheapest, max(total, kept), limits)
     missing = max(
@@ -203,7 +220,10 @@
             True,
             cheapest,
             limits,
-            lambda: plan.warm_reclaimable() > target,
+            lambda: (
+                plan.warm_reclaimable() > target
+                and plan.remaining_after_release() >= needed
+            ),
         )
     return tuple(
         ServerOrder(zone, kind, count)
@@ -212,6 +232,41 @@
     )
 
 
+def _fill_empty_zones(
+    plan: _Plan, zones: Sequence[str], total: int, limits: ScaleLimits
+) -> None:
+    """Adds reclaimable servers where a zone has less than its share.
+
+    After an outage of the zone, the others have more than theirs; they are
+    released when the added ones are warm.
+    """
+    for zone in zones:
+        while (
+            plan.wanted[(zone, True)] < total // len(zones)
+            and plan.in_zone(zone) < limits.max_servers
+        ):
+            plan.wanted[(zone, True)] += 1
+
+
+def _cover_lost_zone(
+    plan: _Plan, zones: Sequence[str], needed: int, limits: ScaleLimits
+) -> None:
+    """Adds reclaimable servers until a zone can be lost, where it is cheaper.
+
+    Of the servers that are spread over some zones, all but one zone's remain:
+    one more server after the loss costs ``count / (count - 1)`` reclaimable
+    servers instead of an on-demand one.
+    """
+    count = len(zones)
+    if count < 2 or limits.reclaimable_price * count / (count - 1) >= 1.0:
+        return
+    while plan.remaining_after_reclaim() < needed:
+        before = plan.total(True)
+        _add_servers(plan, True, zones, before + 1, limits)
+        if plan.total(True) == before:
+            return
+
+
 def _has_substitutes(
     plan: _Plan, zones: Sequence[str], limits: ScaleLimits, kept: int
 ) -> bool:
@@ -253,12 +308,21 @@
     limits: ScaleLimits,
     has_surplus: Callable[[], bool],
 ) -> None:
-    """Releases surplus servers of a kind, in the dearest zones first."""
-    for zone in reversed(cheapest):
-        key = (zone, reclaimable)
-        while (
-            plan.wanted[key] > 0
+    """Releases surplus servers of a kind.
+
+    Reclaimable servers are released in the fullest zone, so that the loss of
+    one zone costs as few as possible; others in the dearest zone.
+    """
+    while has_surplus():
+        zones = [
+            zone
+            for zone in reversed(cheapest)
+            if plan.wanted[(zone, reclaimable)] > 0
             and plan.in_zone(zone) > limits.min_servers
-            and has_surplus()
-        ):
-            plan.wanted[key] -= 1
+        ]
+        if not zones:
+            return
+        zone = zones[0]
+        if reclaimable:
+            zone = max(zones, key=lambda zone: plan.wanted[(zone, True)])
+        plan.wanted[(zone, reclaimable)] -= 1
--- a/wasabiwing/demand_forecast.py
+++ b/wasabiwing/demand_forecast.py
@@ -58,7 +58,13 @@
                 measured, now, measured, now
             )
             return
-        weight = 1.0 - exp((average.noted_at - now) / SLOW_TIME_CONSTANT_S)
+        elapsed_s = now - average.noted_at
+        # A plain mean at first: the first reports of the other nodes arrive
+        # one after the other.
+        weight = max(
+            1.0 - exp(-elapsed_s / SLOW_TIME_CONSTANT_S),
+            elapsed_s / max(now - average.began_at, elapsed_s, 1e-9),
+        )
         average.level += weight * (measured - average.level)
         average.noted_at = now
         average.measured = measured
@@ -77,7 +83,6 @@
         if measured <= RISE_RATIO * level:
             return level
         if average.noted_at - average.began_at < SLOW_TIME_CONSTANT_S:
-            # The first reports of other nodes arrive one after the other.
             return measured
         # The average lags behind a steady rise by its time constant.
         rise_per_s = (measured - level) / SLOW_TIME_CONSTANT_S
