--- a/tests/test_node_reports.py
+++ b/tests/test_node_reports.py
@@ -16,6 +16,7 @@
 from wasabiwing.prefill_rates import PrefillRates
 from wasabiwing.prompt_cache import PromptCacheIndex
 from wasabiwing.routed_calls import PromptPart
+from wasabiwing.sent_orders import SentOrders
 from wasabiwing.server_demand import ServerDemand
 from wasabiwing.server_loads import ServerLoads
 from wasabiwing.service_configuration import OrganisationProfile
@@ -52,6 +53,7 @@
             ServerDemand(timer),
             StoreProgress(timer),
             FleetFirstEvents(timer),
+            SentOrders(timer),
         )
         found.tasks.start_soon(self._receive)
 
--- a/tests/test_recorded_bytes.py
+++ b/tests/test_recorded_bytes.py
@@ -102,17 +102,18 @@
 # Fields with defaults that later builds have added at the end of messages, by
 # tag. Earlier builds ignore further items of an array.
 ADDED_SINCE_LANDING: dict[str, dict[str, object]] = {
-    "100": {"first_events": ()},
-    "101": {"first_events": ()},
+    "100": {"first_events": (), "orders": ()},
+    "101": {"first_events": (), "orders": ()},
 }
 
 ADDED_FIELDS_BY_TAG: dict[str, dict[str, object]] = {
-    "100": {"store_era": 0, "first_events": ()},
+    "100": {"store_era": 0, "first_events": (), "orders": ()},
     "101": {
         "store_era": 0,
         "zone_reader": "",
         "zone_read_age_ms": -1,
         "first_events": (),
+        "orders": (),
     },
     "102": {"store_era": 0},
     "103": {"store_era": 0},
--- a/wasabiwing/fleet_relay.py
+++ b/wasabiwing/fleet_relay.py
@@ -344,6 +344,7 @@
             self._knowledge.zone_reader,
             _read_age_ms(self._knowledge.zone_read_age_s()),
             self._first_events(zone_aggregate, fleet_aggregate),
+            () if zone_aggregate is None else self._shared.orders.reported(),
         )
 
     def _first_events(
--- a/wasabiwing/node_reports.py
+++ b/wasabiwing/node_reports.py
@@ -34,6 +34,7 @@
 from wasabiwing.report_aggregation import ReportAggregator
 from wasabiwing.report_aggregation import subtract_own_load
 from wasabiwing.routed_calls import PromptPart
+from wasabiwing.sent_orders import SentOrders
 from wasabiwing.server_demand import ServerDemand
 from wasabiwing.server_loads import NodeLoad
 from wasabiwing.server_loads import ServerLoads
@@ -93,6 +94,7 @@
     demand: ServerDemand
     store: StoreProgress
     first_events: FleetFirstEvents
+    orders: SentOrders
 
 
 class NodeReports:
@@ -219,6 +221,7 @@
         self, envelope: Envelope, report: NodeReport, shared: ReportedState
     ) -> None:
         """Applies another node's report."""
+        shared.orders.note_reported(report.orders)
         if self._heads.uses_heads:
             self._receive_as_head(envelope.sender, report, shared)
             return
@@ -258,6 +261,7 @@
 
     def receive_push(self, push: HeadPush, shared: ReportedState) -> None:
         """Applies the aggregates in a head's push."""
+        shared.orders.note_reported(push.orders)
         if push.zone_aggregate is not None:
             self._apply_zone_aggregate(push.zone, push.zone_aggregate, shared)
             if push.zone != self._heads.zone:
@@ -490,6 +494,7 @@
             self._age_s(),
             era_of(shared.store.revision),
             shared.first_events.own_entries(),
+            shared.orders.reported(),
         )
 
     def _age_s(self) -> float:
