--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
+from enum import auto
+from enum import Enum
 from random import Random
 
 from wasabiwing.call_refusal import misses_deadline
@@ -22,7 +24,6 @@
 from wasabiwing.report_aggregation import add_load
 from wasabiwing.report_aggregation import subtract_own_load
 from wasabiwing.routed_calls import PromptPart
-from wasabiwing.routed_calls import ServerLoad
 from wasabiwing.routed_calls import URGENCY_CLASSES
 from wasabiwing.server_choice import Candidate
 from wasabiwing.server_choice import choose_server
@@ -30,6 +31,7 @@
 from wasabiwing.server_choice import ServerChoice
 from wasabiwing.server_loads import NodeLoad
 from wasabiwing.server_loads import ServerLoads
+from wasabiwing.server_speeds import ServerSpeeds
 from wasabiwing.timers import FakeTimer
 from wasabiwing_standins.simulated_engine import FIRST_EVENT_DELAY_S
 from wasabiwing_standins.simulated_engine import QueuedPrompt
@@ -47,6 +49,8 @@
 SLOW_SHARE = 0.15
 SLOW_FACTOR = 2.5
 SLOW_PERIOD_S = 0.6
+PROBE_PERIOD_S = 0.2
+PROBED_HELD_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,18 +132,33 @@
     )
 
 
+class Spread(Enum):
+    """How nodes learn the speeds that the engines state."""
+
+    # Not at all; from their own answers; from the answers to all nodes; from
+    # one node that reads each engine's health path periodically.
+    NONE = auto()
+    OWN = auto()
+    ANSWERS = auto()
+    PROBES = auto()
+
+
 class SlowServers:
     """Draws the engines that are slow until the next draw.
 
-    With ``stated``, each answer states the speed of its engine. A number of
-    engines is always slow, whatever they state.
+    A number of engines is always slow, whatever they state.
     """
 
     def __init__(
-        self, seed: int, stated: bool, always_slow: int | None = None
+        self, seed: int, spread: Spread, always_slow: int | None = None
     ) -> None:
-        self.stated = stated
+        self._spread = spread
         self._always_slow = always_slow
+        self._next_probe = 0.0
+        # What the nodes have been told.
+        self._told: ServerSpeeds | None = None
+        # Number of messages that tell one node of a change.
+        self.notices = 0
         self._random = Random(seed)
         self._next_draw = 0.0
 
@@ -154,12 +173,58 @@
                 is_slow = number < self._always_slow
             engine.slowdown = SLOW_FACTOR if is_slow else 1.0
 
+    def note_answer(
+        self,
+        fleet: Sequence["ReplayNode"],
+        node: "ReplayNode",
+        engine: SimulatedEngine,
+    ) -> None:
+        """Tells a node, and perhaps all, what an answer states."""
+        if self._spread is Spread.NONE:
+            return
+        held_s = PROBED_HELD_S if self._spread is Spread.PROBES else 0.0
+        speeds = node.loads.speeds
+        speeds.note_statement(engine.id, engine.slowdown, held_s)
+        if self._spread is not Spread.OWN:
+            self._notify(fleet, engine, held_s)
+
+    def probe(
+        self,
+        fleet: Sequence["ReplayNode"],
+        engines: Sequence[SimulatedEngine],
+        now: float,
+    ) -> None:
+        """Reads all engines' health paths and tells all nodes of changes."""
+        if self._spread is not Spread.PROBES or now < self._next_probe:
+            return
+        self._next_probe = now + PROBE_PERIOD_S
+        for engine in engines:
+            self._notify(fleet, engine, PROBED_HELD_S)
+
+    def _notify(
+        self,
+        fleet: Sequence["ReplayNode"],
+        engine: SimulatedEngine,
+        held_s: float,
+    ) -> None:
+        if self._told is None:
+            self._told = ServerSpeeds(fleet[0].timer)
+        if not self._told.is_change(engine.id, engine.slowdown):
+            return
+        self._told.note_statement(engine.id, engine.slowdown, held_s)
+        self.notices += len(fleet) - 1
+        for node in fleet:
+            node.loads.speeds.note_statement(
+                engine.id, engine.slowdown, held_s
+            )
+
 
 class ReplayNode:
     """What one node knows of the servers."""
 
     def __init__(self, node_id: str, timer: FakeTimer) -> None:
         self.id = node_id
+        self.timer = timer
         self.rates = PrefillRates()
         self.loads = ServerLoads(timer, self.rates)
         self.prompts = PromptCacheIndex()
@@ -364,6 +429,7 @@
             engines_lost_at = None
         if slow_servers is not None:
             slow_servers.redraw(engines, now)
+            slow_servers.probe(fleet, engines, now)
         alive = [engine.id for engine in engines if not engine.failed]
         while pending and pending[0].arrived_at <= now:
             prompt = pending.pop(0)
@@ -383,11 +449,8 @@
             if at <= now and request_id in running:
                 prompt, node, server_id = running.pop(request_id)
                 prompt.first_event_at = at
-                if slow_servers is not None and slow_servers.stated:
-                    node.loads.note_statement(
-                        server_id,
-                        ServerLoad(0, 0, 64, by_id[server_id].slowdown),
-                    )
+                if slow_servers is not None:
+                    slow_servers.note_answer(fleet, node, by_id[server_id])
                 predicted_s, slowdown = prediction_by_id[request_id]
                 if learns_speeds:
                     node.loads.speeds.note_first_event(
--- a/tests/test_server_speeds.py
+++ b/tests/test_server_speeds.py
@@ -4,17 +4,21 @@
 
 from tests.load_replay import arrivals
 from tests.load_replay import least_outstanding
+from tests.load_replay import place_from_candidate_sets
 from tests.load_replay import place_without_refusal
 from tests.load_replay import Policy
 from tests.load_replay import random_policy
 from tests.load_replay import replay
 from tests.load_replay import SlowServers
+from tests.load_replay import Spread
 from wasabiwing.server_choice import Candidate
 from wasabiwing.server_choice import choose_server
 from wasabiwing.server_loads import LoadEstimate
 from wasabiwing.server_speeds import ServerSpeeds
 from wasabiwing.timers import FakeTimer
 
+each_seed = pytest.mark.parametrize("seed", [11, 12, 13])
+
 
 @pytest.mark.anyio
 class TestServerSpeeds:
@@ -121,22 +125,42 @@
 class TestReplay:
     """15% of the servers are slow by 2.5 times, redrawn every 0.6 s."""
 
-    @pytest.mark.parametrize("seed", [11, 12, 13])
-    async def test_utility_is_higher_with_statements(self, seed: int) -> None:
+    @each_seed
+    async def test_utility_is_higher_with_own_statements(
+        self, seed: int
+    ) -> None:
         """Guards against prompts that queue at servers that state slowness."""
         prompts = arrivals(seed, 8.0, lambda kind, now: 6.5)
 
-        async def utility(policy: Policy, stated: bool) -> float:
-            slow = SlowServers(seed, stated)
+        async def utility(policy: Policy, spread: Spread) -> float:
+            slow = SlowServers(seed, spread)
             result = await replay(prompts, policy, 10, slow_servers=slow)
             return result.utility_share()
 
-        own = await utility(place_without_refusal, True)
-        assert own > await utility(place_without_refusal, False)
+        own = await utility(place_without_refusal, Spread.OWN)
+        assert own > await utility(place_without_refusal, Spread.NONE)
         for policy in (random_policy(seed), least_outstanding):
-            assert own > await utility(policy, True)
+            assert own > await utility(policy, Spread.OWN)
+
+    @each_seed
+    async def test_many_nodes_hear_of_changes(self, seed: int) -> None:
+        """Guards against nodes that each get an answer once in seconds."""
+        prompts = arrivals(seed, 8.0, lambda kind, now: 5.0)
+
+        async def in_time(policy: Policy, spread: Spread) -> float:
+            slow = SlowServers(seed, spread)
+            result = await replay(
+                prompts, policy, 10, 40, None, True, slow, True
+            )
+            return result.in_time()
+
+        own = await in_time(place_from_candidate_sets, Spread.OWN)
+        for spread in (Spread.ANSWERS, Spread.PROBES):
+            told = await in_time(place_from_candidate_sets, spread)
+            assert told > own
+        assert own > await in_time(least_outstanding, Spread.PROBES)
 
-    @pytest.mark.parametrize("seed", [11, 12, 13])
+    @each_seed
     async def test_always_slow_servers_are_learnt(self, seed: int) -> None:
         """Guards against prompts that queue at servers of a slower kind."""
         prompts = arrivals(seed, 10.0, lambda kind, now: 5.0)
@@ -146,7 +170,7 @@
                 prompts,
                 policy,
                 10,
-                slow_servers=SlowServers(seed, False, always_slow=3),
+                slow_servers=SlowServers(seed, Spread.NONE, always_slow=3),
                 learns_speeds=learns,
             )
             return result.utility_share()
--- a/wasabiwing/messages.py
+++ b/wasabiwing/messages.py
@@ -787,6 +787,22 @@
     uses: tuple[CapSpent, ...]
 
 
+class StatedSpeed(Struct, frozen=True, array_like=True):
+    """The speed that a backend server has stated."""
+
+    server_id: str
+    # Time for a piece of work, in percent of the usual time.
+    percent: int
+    # Time for which the statement does not lose weight, in milliseconds.
+    held_ms: int = 0
+
+
+class SpeedNotice(Struct, frozen=True, array_like=True, tag=130):
+    """Tells that backend servers have stated another speed."""
+
+    speeds: tuple[StatedSpeed, ...]
+
+
 Message = (
     Ping
     | Ack
@@ -835,6 +851,7 @@
     | CapRequest
     | CapDecision
     | CapSpending
+    | SpeedNotice
 )
 
 M = TypeVar("M", bound=Struct)
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -84,6 +84,9 @@
 from wasabiwing.server_statements import ServerStatements
 from wasabiwing.service_configuration import RequestLimits
 from wasabiwing.service_configuration import ServiceConfiguration
+from wasabiwing.speed_notices import SpeedNotices
+from wasabiwing.speed_prober import PROBE_PERIOD_S
+from wasabiwing.speed_prober import SpeedProber
 from wasabiwing.statement_listener import StatementListener
 from wasabiwing.stop_admission import CLOSING_S
 from wasabiwing.stop_admission import LENIENT_S
@@ -310,6 +313,27 @@
             self._current_era,
         )
         self.connections = ServerConnections(timer, metrics.count_connect)
+        self._speed_prober = SpeedProber(
+            node_id,
+            timer,
+            self.connections,
+            platform.codec,
+            self.view,
+            self._loads.speeds,
+            self.nodes.node_ids,
+            self._loads.note_speed,
+        )
+        self._speed_notices = SpeedNotices(
+            timer,
+            transport,
+            self._loads.speeds,
+            lambda: self.nodes.count,
+            self._reports.live_inboxes,
+            lambda server_id: directory.get(server_id) is not None,
+            self._speed_prober.held_s,
+        )
+        self._loads.on_stated_speed(self._speed_notices.note_statement)
+        timer.subscribe(PROBE_PERIOD_S, self._speed_prober.probe_all)
         watch = AttemptWatch(timer, self._loads)
         self.reachability = ServerReachability(
             node_id,
@@ -475,6 +499,7 @@
         self._cap_admission.register(messages)
         self._permits.register(messages)
         self._slots.register(messages)
+        self._speed_notices.register(messages)
 
     @property
     def limits(self) -> RequestLimits:
@@ -602,6 +627,8 @@
         self._prompt_cache.remove_server(server_id)
         self._loads.remove_server(server_id)
         self.reachability.remove_server(server_id)
+        self._speed_prober.remove_server(server_id)
+        self._speed_notices.remove_server(server_id)
         entry = self.view.directory.get(server_id)
         if entry is not None:
             self._statements.note_registered(server_id, entry.started_ms)
--- a/wasabiwing/server_loads.py
+++ b/wasabiwing/server_loads.py
@@ -96,11 +96,18 @@
         self.speeds = ServerSpeeds(timer)
         self._server_by_id: dict[str, _Server] = {}
         self._on_heard: Callable[[str], None] = lambda server_id: None
+        self._note_speed: Callable[[str, float], None] = (
+            self.speeds.note_statement
+        )
 
     def on_heard(self, listener: Callable[[str], None]) -> None:
         """Registers a listener for the ids of servers that send anything."""
         self._on_heard = listener
 
+    def on_stated_speed(self, listener: Callable[[str, float], None]) -> None:
+        """Lets a listener record the slowdowns that servers state."""
+        self._note_speed = listener
+
     def note_sent(
         self,
         server_id: str,
@@ -163,9 +170,13 @@
         server = self._server(server_id)
         server.statement = load
         if load.slowdown is not None:
-            self.speeds.note_statement(server_id, load.slowdown)
+            self.note_speed(server_id, load.slowdown)
         server.stated_at = self._timer.now()
 
+    def note_speed(self, server_id: str, slowdown: float) -> None:
+        """Records the slowdown that a server stated."""
+        self._note_speed(server_id, slowdown)
+
     def note_peer_loads(
         self, peer_id: str, load_by_server: Mapping[str, NodeLoad]
     ) -> None:
--- a/wasabiwing/service_configuration.py
+++ b/wasabiwing/service_configuration.py
@@ -95,6 +95,8 @@
     engine: EngineProfile | None = None
     # ``None`` for services whose size is fixed.
     scale: ScaleLimits | None = None
+    # Path at which a server answers at once; empty if unknown.
+    health_path: str = ""
 
 
 @dataclass(frozen=True, slots=True)
