--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -369,6 +369,7 @@
             self.reachability.is_unreachable,
             self._slots,
             self._pace,
+            self.connections.has_idle,
         )
         timer.subscribe(WATCH_PERIOD_S, watch.check)
         self.stop_admission = StopAdmission(timer)
--- a/wasabiwing/server_choice.py
+++ b/wasabiwing/server_choice.py
@@ -23,6 +23,10 @@
 # money.
 ZONE_PENALTY_S = 0.008
 
+# Penalty of a server to which this node has no idle connection, in seconds:
+# the round trips of a new one, and the slot that it holds meanwhile.
+CONNECT_PENALTY_S = 0.004
+
 # Penalty of a server whose requests all fail, in seconds; a smaller share of
 # failures counts in proportion.
 FAILURE_PENALTY_S = 4.0
@@ -46,6 +50,8 @@
     load: LoadEstimate
     # Tokens of this prompt that the server would have to compute.
     uncached_tokens: int
+    # Whether a new connection has to be opened first.
+    needs_connection: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,6 +115,8 @@
     score += load.failure_share * FAILURE_PENALTY_S
     if not candidate.same_zone:
         score += ZONE_PENALTY_S
+    if candidate.needs_connection:
+        score += CONNECT_PENALTY_S
     if not has_room(candidate):
         score += UNUSABLE_PENALTY_S
     return score
--- a/wasabiwing/server_connections.py
+++ b/wasabiwing/server_connections.py
@@ -241,6 +241,14 @@
         entry.usable_until = self._timer.now() + usable_s
         self._idle_by_server.setdefault(server_id, []).append(entry)
 
+    def has_idle(self, server_id: str) -> bool:
+        """Whether a connection to a server may be reused."""
+        now = self._timer.now()
+        return any(
+            entry.usable_until > now
+            for entry in self._idle_by_server.get(server_id, ())
+        )
+
     async def close_idle(self, server_id: str) -> None:
         """Closes the idle connections to a server that has ended."""
         for entry in self._idle_by_server.pop(server_id, []):
--- a/wasabiwing/server_selection.py
+++ b/wasabiwing/server_selection.py
@@ -97,6 +97,7 @@
         is_unreachable: Callable[[str], bool],
         slots: ServerSlots,
         pace: ServerPace,
+        has_idle_connection: Callable[[str], bool] = lambda server_id: True,
     ) -> None:
         self._availability_zone = availability_zone
         self._timer = timer
@@ -111,6 +112,7 @@
         self._is_unreachable = is_unreachable
         self._slots = slots
         self._pace = pace
+        self._has_idle_connection = has_idle_connection
         self._cold_rate_limiter = ColdRateLimiter(node_id, timer)
 
     def server_ids(self, service: str) -> frozenset[str]:
@@ -444,7 +446,7 @@
         """
         server_by_id = {server.id: server for server in allowed_servers}
         key = _prompt_key(call)
-        many_nodes = self._nodes.count > MAX_FULL_MESH_NODES
+        many_nodes = self._uses_many_nodes()
         sets: Iterable[list[str]] = [list(server_by_id)]
         if many_nodes:
             sets = candidate_sets(
@@ -498,6 +500,9 @@
             )
         return _Evaluation(choice, chosen, failure)
 
+    def _uses_many_nodes(self) -> bool:
+        return self._nodes.count > MAX_FULL_MESH_NODES
+
     def _running_requests(self, call: RoutedCall, server_id: str) -> int:
         return self._loads.estimate(
             server_id, call.service, call.urgency_class
@@ -548,6 +553,9 @@
             server.slots,
             load,
             uncached,
+            # With few nodes connections are reused anyway.
+            self._uses_many_nodes()
+            and not self._has_idle_connection(server.id),
         )
 
 
