--- a/tests/test_recorded_bytes.py
+++ b/tests/test_recorded_bytes.py
@@ -29,7 +29,9 @@
 from wasabiwing.messages import encode_envelope
 from wasabiwing.messages import Envelope
 from wasabiwing.messages import Message
+from wasabiwing.messages import NodeReport
 from wasabiwing.messages import Ping
+from wasabiwing.messages import with_link_state
 from wasabiwing.pool_servers import VmServer
 from wasabiwing.ports import CacheEvent
 from wasabiwing.ports import EngineOrder
@@ -59,7 +61,12 @@
 )
 
 # Tags of messages that the landing before drops, as it does not know them.
-TAGS_SINCE: set[str] = set()
+TAGS_SINCE: set[str] = {"120"}
+
+# Index of the message in an encoded envelope, and the items with defaults
+# that later builds have added after it.
+BODY = 3
+ADDED_AFTER_BODY = [0, 0, False]
 
 KIND_BY_TAG: dict[str, type[Any]] = {
     str(kind.__struct_config__.tag): kind for kind in get_args(Message)
@@ -128,7 +135,9 @@
     body = sample(KIND_BY_TAG[tag])
     envelope = Envelope("text-a", "text-b", 7, body)
     items = msgpack.decode(encode_envelope(envelope))
-    del items[-1][len(items[-1]) - len(added) :]
+    assert items[BODY + 1 :] == ADDED_AFTER_BODY
+    del items[BODY + 1 :]
+    del items[BODY][len(items[BODY]) - len(added) :]
     assert msgpack.encode(items) == wire
     # A message of the earlier build has the defaults of later fields.
     expected = Envelope("text-a", "text-b", 7, structs.replace(body, **added))
@@ -172,7 +181,7 @@
         """Later builds add items at the end, which this one ignores."""
         envelope = Envelope("text-a", "text-b", 7, sample(KIND_BY_TAG[tag]))
         items = msgpack.decode(encode_envelope(envelope))
-        items[-1].append({"later": [1, None]})
+        items[BODY].append({"later": [1, None]})
         items.append("later")
         decoded = decode_envelope(msgpack.encode(items))
         assert decoded.unwrap() == envelope
@@ -182,10 +191,21 @@
         items = msgpack.decode(
             encode_envelope(Envelope("text-a", "text-b", 7, Ping()))
         )
-        items[-1] = [9999, "later"]
+        items[BODY] = [9999, "later"]
         decoded = decode_envelope(msgpack.encode(items))
         assert decoded.unwrap_err().startswith("text-a: ")
 
+    def test_state_of_a_link_is_all_that_it_adds(self) -> None:
+        """Guards against link states that overwrite a message's end."""
+        envelope = Envelope("text-a", "text-b", 7, sample(NodeReport))
+        wire = with_link_state(encode_envelope(envelope), 60_000, 300, True)
+        assert decode_envelope(wire).unwrap() == structs.replace(
+            envelope, link=60_000, heard_link=300, is_unheard=True
+        )
+        items = msgpack.decode(wire)
+        plain = msgpack.decode(encode_envelope(envelope))
+        assert items[: BODY + 1] == plain[: BODY + 1]
+
 
 class TestRecords:
     """Stored records, settings, traces and documents of other programs."""
--- a/wasabiwing/events.py
+++ b/wasabiwing/events.py
@@ -73,6 +73,8 @@
     MEMBER_LEFT = 403
     MESSAGE_DROPPED = 404
     NODE_ISOLATED = 405
+    LINK_SILENT = 406
+    LINK_HEARD = 407
     # 5xx: slots and backend servers.
     LIMIT_CHANGED = 500
     SERVER_COLD = 501
@@ -287,6 +289,12 @@
     Event.USAGE_REPORTED: "The usage of a window was reported.",
     Event.PRESENCE_FAILED: "The node's entry was not written or removed.",
     Event.USAGE_WITHHELD: "The usage of a window was not reported, and why.",
+    Event.LINK_SILENT: (
+        "A process acknowledges no messages and is connected to anew."
+    ),
+    Event.LINK_HEARD: (
+        "A process acknowledges messages again, with the time it did not."
+    ),
 }
 
 
--- a/wasabiwing/fleet_relay.py
+++ b/wasabiwing/fleet_relay.py
@@ -123,7 +123,7 @@
             zone_aggregate,
         )
         for zone, heads in self._heads.heads_by_zone().items():
-            for node_id in heads:
+            for node_id in self._heads.push_receivers(zone):
                 self._send_push(node_id, to_heads)
             if zone != self._heads.zone:
                 continue
--- a/wasabiwing/messages.py
+++ b/wasabiwing/messages.py
@@ -787,6 +787,13 @@
     uses: tuple[CapSpent, ...]
 
 
+class LinkState(Struct, frozen=True, array_like=True, tag=120):
+    """Carries acknowledgements of a process that has nothing else to send."""
+
+    # Whether the receiver is to acknowledge it.
+    is_probe: bool = False
+
+
 Message = (
     Ping
     | Ack
@@ -835,6 +842,7 @@
     | CapRequest
     | CapDecision
     | CapSpending
+    | LinkState
 )
 
 M = TypeVar("M", bound=Struct)
@@ -850,6 +858,14 @@
     # Number that matches a reply to its request; 0 for none.
     correlation_id: int
     body: Message
+    # Number of the sender's connection on which this is sent; 0 from a build
+    # that acknowledges nothing.
+    link: int = 0
+    # Number of the receiver's connection on which the sender has heard
+    # something since its last message to the receiver; 0 for nothing.
+    heard_link: int = 0
+    # Whether the sender's messages to the receiver stay unacknowledged.
+    is_unheard: bool = False
 
 
 class _RawEnvelope(Struct, frozen=True, array_like=True):
@@ -865,12 +881,28 @@
 _DECODER = Decoder(Envelope)
 _RAW_DECODER = Decoder(_RawEnvelope)
 
+# The encoded defaults of ``link``, ``heard_link`` and ``is_unheard``.
+_NO_LINK_STATE = b"\x00\x00\xc2"
+
 
 def encode_envelope(envelope: Envelope) -> bytes:
     """Encodes an envelope for sending."""
     return _ENCODER.encode(envelope)
 
 
+def with_link_state(
+    data: bytes, link: int, heard_link: int, is_unheard: bool
+) -> bytes:
+    """Sets the last fields of an encoded envelope that has their defaults."""
+    return data[: -len(_NO_LINK_STATE)] + b"".join(
+        (
+            _ENCODER.encode(link),
+            _ENCODER.encode(heard_link),
+            _ENCODER.encode(is_unheard),
+        )
+    )
+
+
 def decode_envelope(data: bytes) -> Result[Envelope, str]:
     """Decodes an envelope; the error says why it must be dropped."""
     try:
--- a/wasabiwing/nng_transport.py
+++ b/wasabiwing/nng_transport.py
@@ -2,16 +2,16 @@
 
 Each process has one pull socket as its inbox, and one push socket and one
 task for each destination. A destination that is unreachable never blocks the
-sender: its queue is bounded and the oldest message is dropped.
+sender: its queue is bounded and the oldest message is dropped. A connection
+on which nothing is acknowledged is closed and dialled anew.
 """
 
-from collections import deque
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from random import random
 
 from anyio import create_task_group
-from anyio import Event
-from anyio import move_on_after
+from anyio import current_time
 from anyio import sleep
 from anyio.abc import TaskGroup
 from pynng import NNGException
@@ -22,52 +22,25 @@
 
 from wasabiwing.events import Event as LogEvent
 from wasabiwing.events import log_event
+from wasabiwing.message_links import CHECK_PERIOD_S
+from wasabiwing.message_links import MessageLinks
+from wasabiwing.message_links import OutgoingLink
+from wasabiwing.message_links import QueuedMessage
 from wasabiwing.messages import decode_envelope
 from wasabiwing.messages import encode_envelope
 from wasabiwing.messages import Envelope
+from wasabiwing.messages import LinkState
 from wasabiwing.messages import Message
 
-QUEUE_LENGTH = 1024
-
 SEND_TIMEOUT_MS = 1000
 
 # Largest message, in bytes; a configuration chunk stays below 1 MB.
 MAX_MESSAGE_BYTES = 4_000_000
 
-# Seconds without messages after which a destination's socket and task end.
-# Destinations change as members join and leave, 2,700 a day at the target
-# scale.
-IDLE_CLOSE_S = 60.0
-
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 1000
 
 
-class _Outbox:
-    """The queue of messages to one destination."""
-
-    def __init__(self) -> None:
-        self._queue: deque[bytes] = deque(maxlen=QUEUE_LENGTH)
-        self._filled = Event()
-
-    def push(self, data: bytes) -> bool:
-        """Queues a message; returns whether an older one was dropped."""
-        dropped = len(self._queue) == QUEUE_LENGTH
-        self._queue.append(data)
-        self._filled.set()
-        return dropped
-
-    async def pop(self) -> bytes | None:
-        """Waits for a message; ``None`` after ``IDLE_CLOSE_S`` seconds."""
-        while not self._queue:
-            self._filled = Event()
-            with move_on_after(IDLE_CLOSE_S) as scope:
-                await self._filled.wait()
-            if scope.cancelled_caught and not self._queue:
-                return None
-        return self._queue.popleft()
-
-
 class NngTransport:
     """Sends to any number of destinations and receives from all."""
 
@@ -78,7 +51,7 @@
         self._inbox = inbox
         self._address = address
         self._tasks = tasks
-        self._outbox_by_address: dict[str, _Outbox] = {}
+        self._links = MessageLinks(node_id, random, current_time())
         # The last message with its correlation id and encoded envelope: one
         # message often goes to many destinations.
         self._last_encoded: tuple[Message, int, bytes] | None = None
@@ -93,13 +66,17 @@
     def send(
         self, address: str, message: Message, correlation_id: int = 0
     ) -> None:
-        data = self._encode(message, correlation_id)
-        outbox = self._outbox_by_address.get(address)
-        if outbox is None:
-            outbox = _Outbox()
-            self._outbox_by_address[address] = outbox
-            self._tasks.start_soon(self._serve_destination, address, outbox)
-        if outbox.push(data):
+        now = current_time()
+        queued = QueuedMessage(
+            self._encode(message, correlation_id),
+            only_acknowledges=message == LinkState(),
+            is_probe=message == LinkState(is_probe=True),
+        )
+        link = self._links.link_by_address.get(address)
+        if link is None:
+            link = self._links.open(address, now)
+            self._tasks.start_soon(self._serve_destination, link)
+        if link.push(queued, now):
             self.dropped_messages += 1
 
     async def receive(self) -> Envelope:
@@ -110,7 +87,32 @@
             if isinstance(decoded, Err):
                 self._report_drop("undecodable", decoded.err_value)
                 continue
-            return decoded.ok_value
+            envelope = decoded.ok_value
+            self._links.note_received(envelope, current_time())
+            if not isinstance(envelope.body, LinkState):
+                return envelope
+
+    async def check_links(self) -> None:
+        """Replaces silent connections and acknowledges, until cancelled."""
+        while True:
+            await sleep(CHECK_PERIOD_S)
+            for address, message in self._links.check(current_time()):
+                self.send(address, message)
+
+    @property
+    def silent_links(self) -> int:
+        """Number of destinations that acknowledge nothing."""
+        return len(self._links.silences_s(current_time()))
+
+    @property
+    def longest_silence_s(self) -> float:
+        """Longest time for which a destination acknowledges nothing."""
+        return max(self._links.silences_s(current_time()), default=0.0)
+
+    @property
+    def silent_connections(self) -> int:
+        """Number of connections that were replaced because of silence."""
+        return self._links.silent_connections
 
     def _encode(self, message: Message, correlation_id: int) -> bytes:
         last = self._last_encoded
@@ -122,32 +124,48 @@
         self._last_encoded = (message, correlation_id, data)
         return data
 
-    async def _serve_destination(self, address: str, outbox: _Outbox) -> None:
+    async def _serve_destination(self, link: OutgoingLink) -> None:
+        """Sends to one destination until it is idle or unusable."""
+        while True:
+            self._links.note_dialled(link, current_time())
+            is_usable = await self._serve_connection(link)
+            if not is_usable or link.is_idle:
+                self._links.close(link)
+                return
+
+    async def _serve_connection(self, link: OutgoingLink) -> bool:
+        """Sends until the connection is to be replaced or is idle.
+
+        Returns whether the address can be connected to at all.
+        """
         with Push0(
             send_timeout=SEND_TIMEOUT_MS,
             reconnect_time_min=RECONNECT_MIN_MS,
             reconnect_time_max=RECONNECT_MAX_MS,
         ) as socket:
             try:
-                socket.dial(address, block=False)
+                socket.dial(link.address, block=False)
             except NNGException as error:
-                self._report_drop("unusable address", f"{address}: {error}")
-                del self._outbox_by_address[address]
-                return
-            while True:
-                data = await outbox.pop()
-                if data is None:
-                    del self._outbox_by_address[address]
-                    return
+                self._report_drop(
+                    "unusable address", f"{link.address}: {error}"
+                )
+                return False
+            while (queued := await link.pop()) is not None:
+                data = self._links.envelope_to_send(
+                    link, queued, current_time()
+                )
                 try:
                     await socket.asend(data)
                 except Timeout:
-                    self._report_drop("unreachable", address)
+                    self._report_drop("unreachable", link.address)
                 except NNGException as error:
-                    self._report_drop("send failed", f"{address}: {error}")
+                    self._report_drop(
+                        "send failed", f"{link.address}: {error}"
+                    )
                     await sleep(RECONNECT_MAX_MS / 1000)
                 else:
                     self.sent_bytes += len(data)
+        return True
 
     def _report_drop(self, reason: str, detail: str) -> None:
         self.dropped_messages += 1
@@ -171,5 +189,7 @@
         listener = inbox.listen(inbox_address)
         address = f"tcp://{listener.local_address}"
         async with create_task_group() as tasks:
-            yield NngTransport(node_id, inbox, address, tasks)
+            transport = NngTransport(node_id, inbox, address, tasks)
+            tasks.start_soon(transport.check_links)
+            yield transport
             tasks.cancel_scope.cancel()
--- a/wasabiwing/zone_heads.py
+++ b/wasabiwing/zone_heads.py
@@ -128,6 +128,19 @@
             for zone in sorted(self._nodes.ids_by_zone().keys() | {self.zone})
         }
 
+    def push_receivers(self, zone: str) -> tuple[str, ...]:
+        """Returns the nodes of a zone that get this head's aggregates.
+
+        The first nodes of the ranking are included while they are silent:
+        heads of two zones that skip each other would never be heard again.
+        """
+        heads = self.heads_of_zone(zone)
+        first = self._ranking(zone)[:HEADS_PER_ZONE]
+        return (
+            *heads,
+            *(node_id for node_id in first if node_id not in heads),
+        )
+
     def inbox(self, node_id: str) -> str | None:
         """Returns the address for messages to a node."""
         record = self._nodes.get(node_id)
