--- a/tests/silent_links.py
+++ b/tests/silent_links.py
@@ -57,7 +57,8 @@
     # Number of the node that listens.
     target: int
     silent: bool = False
-    closed: bool = False
+    # Number of ends that have closed it.
+    closed_ends: int = 0
 
 
 class Forwarders:
@@ -82,7 +83,6 @@
                 async with create_task_group() as both:
                     both.start_soon(_pass_on, client, far, found, both)
                     both.start_soon(_pass_on, far, client, found, both)
-            found.closed = True
 
         self._tasks.start_soon(listener.serve, forward)
         return f"{HOST}:{port}"
@@ -105,6 +105,7 @@
             if not connection.silent:
                 await target.send(data)
     except ENDED:
+        connection.closed_ends += 1
         if not connection.silent:
             both.cancel_scope.cancel()
 
--- a/tests/test_silent_links.py
+++ b/tests/test_silent_links.py
@@ -28,6 +28,11 @@
     return found.target % 2 == 0
 
 
+# Time in which silent connections are replaced, and from then on closed at
+# both ends, in seconds.
+REPLACED_S = 4.0
+
+
 class TestUsageOverSilentLinks:
     """Usage of windows while connections between nodes are silent."""
 
@@ -55,3 +60,37 @@
             while windows.window_now() <= last + DUE_WINDOWS:
                 await sleep(0.1)
             assert found.wrong_windows(first, last) == []
+
+    async def test_windows_are_right_once_new_connections_work(self) -> None:
+        """Guards against waits that grow too long to be right in time."""
+        async with linked_nodes(7, 1, WINDOW_S) as found:
+            await sleep(START_S)
+            found.forwarders.starts_silent = lambda target: True
+            found.forwarders.silence(lambda connection: True)
+            await sleep(REPLACED_S)
+            found.forwarders.starts_silent = lambda target: False
+            windows = found.nodes[0].windows
+            # Up to 6 s go by until the next connection.
+            first = windows.window_now() + 3
+            while windows.window_now() <= first + DUE_WINDOWS:
+                await sleep(0.1)
+            assert found.wrong_windows(first, first) == []
+
+
+class TestSilentConnections:
+    """What becomes of connections that are silent."""
+
+    async def test_both_ends_close_them(self) -> None:
+        """Guards against descriptors of connections whose end is lost."""
+        async with linked_nodes(4, 1, WINDOW_S) as found:
+            await sleep(START_S)
+            found.forwarders.silence(lambda connection: True)
+            silent = tuple(found.forwarders.connections)
+            assert len(silent) == 12
+            await sleep(REPLACED_S)
+            assert {found.closed_ends for found in silent} == {2}
+
+    async def test_connections_with_answers_are_not_replaced(self) -> None:
+        async with linked_nodes(4, 1, WINDOW_S) as found:
+            await sleep(START_S + REPLACED_S)
+            assert len(found.forwarders.connections) == 12
--- a/wasabiwing/controller.py
+++ b/wasabiwing/controller.py
@@ -39,6 +39,7 @@
 from wasabiwing.messages import GatewayList
 from wasabiwing.messages import ServerNotice
 from wasabiwing.metrics import ControllerMetrics
+from wasabiwing.metrics import show_links
 from wasabiwing.nng_transport import NngTransport
 from wasabiwing.nng_transport import open_transport
 from wasabiwing.notice_poller import NoticePoller
@@ -345,6 +346,7 @@
         open_transport(settings.node_id, settings.inbox_address) as transport,
         create_task_group() as tasks,
     ):
+        show_links(metrics.registry, transport)
         addresses = ControllerAddresses(
             transport.address, listener_address(listener)
         )
--- a/wasabiwing/gateway.py
+++ b/wasabiwing/gateway.py
@@ -51,6 +51,7 @@
 from wasabiwing.messages import ServerNotice
 from wasabiwing.messages import ServerReport
 from wasabiwing.metrics import GatewayMetrics
+from wasabiwing.metrics import show_links
 from wasabiwing.model_dispatch import ModelDispatcher
 from wasabiwing.nng_transport import open_transport
 from wasabiwing.openai_engine import OpenAiEngine
@@ -548,6 +549,7 @@
             client,
             listener_address(listener),
         )
+        show_links(gateway.metrics.registry, transport)
         engine.observe_answers(gateway.answer_heads.observe)
         service.observe_answers(gateway.answer_heads.observe)
         tasks.start_soon(timer.run)
--- a/wasabiwing/message_links.py
+++ b/wasabiwing/message_links.py
@@ -37,6 +37,11 @@
 MAX_LINK_NUMBER = 65_535
 
 
+def is_later_link(link: int, other: int) -> bool:
+    """Whether a process opened one of two connections after the other."""
+    return 0 < (link - other) % MAX_LINK_NUMBER < MAX_LINK_NUMBER // 2
+
+
 @dataclass(frozen=True, slots=True)
 class QueuedMessage:
     """An encoded envelope without the state of the link."""
--- a/wasabiwing/metrics.py
+++ b/wasabiwing/metrics.py
@@ -1,6 +1,7 @@
 """Prometheus metrics of one process, in a registry of its own."""
 
 from collections.abc import Callable
+from typing import Protocol
 
 from prometheus_client import CollectorRegistry
 from prometheus_client import Counter
@@ -14,6 +15,22 @@
 FIRST_TOKEN_BUCKETS_S = (0.05, 0.1, 0.2, 0.42, 0.8, 1.6, 3.2, 6.4)
 
 
+class LinkCounts(Protocol):
+    """What the transport counts of its connections."""
+
+    @property
+    def silent_links(self) -> int:
+        """Number of destinations that acknowledge nothing."""
+
+    @property
+    def longest_silence_s(self) -> float:
+        """Longest time for which one of them acknowledges nothing."""
+
+    @property
+    def silent_connections(self) -> int:
+        """Number of connections that were replaced because of silence."""
+
+
 class GatewayMetrics:
     """Metrics of the data path."""
 
@@ -196,3 +213,26 @@
     def count_store_call(self, kind: str, code: ResultCode) -> None:
         """Counts a call to the store of the platform."""
         self.platform_calls.labels(kind, code.name).inc()
+
+
+def show_links(registry: CollectorRegistry, links: LinkCounts) -> None:
+    """Shows connections to other processes that are silent, when scraped."""
+    for name, help_text, read in (
+        (
+            "wasabiwing_silent_links",
+            "Processes that acknowledge no messages of this one.",
+            lambda: links.silent_links,
+        ),
+        (
+            "wasabiwing_longest_link_silence_seconds",
+            "Longest time for which one of them acknowledges nothing.",
+            lambda: links.longest_silence_s,
+        ),
+        (
+            "wasabiwing_silent_connections",
+            "Connections to processes that were replaced after a silence.",
+            lambda: links.silent_connections,
+        ),
+    ):
+        gauge = Gauge(name, help_text, registry=registry)
+        gauge.set_function(read)
--- a/wasabiwing/nng_transport.py
+++ b/wasabiwing/nng_transport.py
@@ -8,6 +8,8 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from contextlib import suppress
+from dataclasses import dataclass
 from random import random
 
 from anyio import create_task_group
@@ -15,6 +17,7 @@
 from anyio import sleep
 from anyio.abc import TaskGroup
 from pynng import NNGException
+from pynng import Pipe
 from pynng import Pull0
 from pynng import Push0
 from pynng import Timeout
@@ -23,6 +26,8 @@
 from wasabiwing.events import Event as LogEvent
 from wasabiwing.events import log_event
 from wasabiwing.message_links import CHECK_PERIOD_S
+from wasabiwing.message_links import IDLE_CLOSE_S
+from wasabiwing.message_links import is_later_link
 from wasabiwing.message_links import MessageLinks
 from wasabiwing.message_links import OutgoingLink
 from wasabiwing.message_links import QueuedMessage
@@ -41,6 +46,15 @@
 RECONNECT_MAX_MS = 1000
 
 
+@dataclass(slots=True)
+class _Received:
+    """The latest connection of another process to this one."""
+
+    link: int
+    pipe: Pipe
+    heard_at: float
+
+
 class NngTransport:
     """Sends to any number of destinations and receives from all."""
 
@@ -52,6 +66,7 @@
         self._address = address
         self._tasks = tasks
         self._links = MessageLinks(node_id, random, current_time())
+        self._received_by_sender: dict[str, _Received] = {}
         # The last message with its correlation id and encoded envelope: one
         # message often goes to many destinations.
         self._last_encoded: tuple[Message, int, bytes] | None = None
@@ -81,7 +96,8 @@
 
     async def receive(self) -> Envelope:
         while True:
-            data = await self._inbox.arecv()
+            received = await self._inbox.arecv_msg()
+            data = received.bytes
             self.received_bytes += len(data)
             decoded = decode_envelope(data)
             if isinstance(decoded, Err):
@@ -89,15 +105,21 @@
                 continue
             envelope = decoded.ok_value
             self._links.note_received(envelope, current_time())
+            if envelope.link:
+                self._close_replaced(envelope, received.pipe)
             if not isinstance(envelope.body, LinkState):
                 return envelope
 
     async def check_links(self) -> None:
         """Replaces silent connections and acknowledges, until cancelled."""
+        forget_at = current_time() + IDLE_CLOSE_S
         while True:
             await sleep(CHECK_PERIOD_S)
             for address, message in self._links.check(current_time()):
                 self.send(address, message)
+            if current_time() >= forget_at:
+                forget_at = current_time() + IDLE_CLOSE_S
+                self._forget_senders()
 
     @property
     def silent_links(self) -> int:
@@ -167,6 +189,34 @@
                     self.sent_bytes += len(data)
         return True
 
+    def _close_replaced(self, envelope: Envelope, pipe: Pipe | None) -> None:
+        """Closes a sender's earlier connection once it uses a later one.
+
+        The end of a silent connection never arrives, so that its descriptor
+        would stay open.
+        """
+        if pipe is None:
+            return
+        now = current_time()
+        known = self._received_by_sender.get(envelope.reply_to)
+        if known is None:
+            found = _Received(envelope.link, pipe, now)
+            self._received_by_sender[envelope.reply_to] = found
+            return
+        known.heard_at = now
+        if is_later_link(envelope.link, known.link):
+            earlier, known.pipe = known.pipe, pipe
+            known.link = envelope.link
+            with suppress(NNGException):
+                earlier.close()
+
+    def _forget_senders(self) -> None:
+        """Forgets processes that have closed their connections."""
+        oldest = current_time() - 2 * IDLE_CLOSE_S
+        for sender, received in list(self._received_by_sender.items()):
+            if received.heard_at < oldest:
+                del self._received_by_sender[sender]
+
     def _report_drop(self, reason: str, detail: str) -> None:
         self.dropped_messages += 1
         log_event(
--- a/wasabiwing/node_program.py
+++ b/wasabiwing/node_program.py
@@ -17,6 +17,7 @@
 from wasabiwing.header_timeout import PipelineProtocol
 from wasabiwing.message_router import MessageRouter
 from wasabiwing.metrics import NodeMetrics
+from wasabiwing.metrics import show_links
 from wasabiwing.nng_transport import open_transport
 from wasabiwing.node import Node
 from wasabiwing.node import NodePlatform
@@ -55,6 +56,7 @@
         open_transport(settings.node_id, inbox) as transport,
         create_task_group() as tasks,
     ):
+        show_links(metrics.registry, transport)
         node = Node(settings, platform, timer, transport, metrics)
         messages = MessageRouter(settings.node_id, transport)
         node.register(messages)
