--- a/wasabiwing/metrics.py
+++ b/wasabiwing/metrics.py
@@ -217,22 +217,21 @@
 
 def show_links(registry: CollectorRegistry, links: LinkCounts) -> None:
     """Shows connections to other processes that are silent, when scraped."""
-    for name, help_text, read in (
-        (
-            "wasabiwing_silent_links",
-            "Processes that acknowledge no messages of this one.",
-            lambda: links.silent_links,
-        ),
-        (
-            "wasabiwing_longest_link_silence_seconds",
-            "Longest time for which one of them acknowledges nothing.",
-            lambda: links.longest_silence_s,
-        ),
-        (
-            "wasabiwing_silent_connections",
-            "Connections to processes that were replaced after a silence.",
-            lambda: links.silent_connections,
-        ),
-    ):
-        gauge = Gauge(name, help_text, registry=registry)
-        gauge.set_function(read)
+    silent = Gauge(
+        "wasabiwing_silent_links",
+        "Processes that acknowledge no messages of this one.",
+        registry=registry,
+    )
+    silent.set_function(lambda: links.silent_links)
+    longest = Gauge(
+        "wasabiwing_longest_link_silence_seconds",
+        "Longest time for which one of them acknowledges nothing.",
+        registry=registry,
+    )
+    longest.set_function(lambda: links.longest_silence_s)
+    replaced = Gauge(
+        "wasabiwing_silent_connections",
+        "Connections to processes that were replaced after a silence.",
+        registry=registry,
+    )
+    replaced.set_function(lambda: links.silent_connections)
