--- a/tests/server_fleet.py
+++ b/tests/server_fleet.py
@@ -136,6 +136,12 @@
         self.nodes = [self._new_node(last.name), *others]
         self.nodes[0].orders.reset()
 
+    def restart_all(self) -> None:
+        """Restarts all nodes at once, as after a power cut."""
+        self._fence += 1
+        self._reports.clear()
+        self.nodes = [self._new_node(node.name) for node in self.nodes]
+
     def reclaim(self, zone: str) -> None:
         """Takes all reclaimable servers of a zone; no more are available."""
         self.exhausted_zones.add(zone)
--- a/tests/test_server_demand.py
+++ b/tests/test_server_demand.py
@@ -1,12 +1,16 @@
 """Tests of the demand for servers: measured, queued and expected."""
 
+from math import ceil
 from random import Random
 
 import pytest
 
+from tests.policy_examples import SilentTransport
+from wasabiwing.capacity_plan import TARGET_UTILISATION
 from wasabiwing.demand_forecast import DemandForecast
 from wasabiwing.demand_forecast import NEED_WINDOW_S
 from wasabiwing.demand_forecast import RecentNeed
+from wasabiwing.facts import Facts
 from wasabiwing.fleet_changes import ConfigurationChange
 from wasabiwing.fleet_follower import FleetView
 from wasabiwing.prefill_rates import PrefillRates
@@ -17,12 +21,21 @@
 from wasabiwing.server_demand import ServerDemand
 from wasabiwing.server_directory import RegisteredServer
 from wasabiwing.server_directory import ServerDirectory
+from wasabiwing.server_limits import ServerLimits
 from wasabiwing.server_loads import ServerLoads
+from wasabiwing.server_need import MAX_SLOWDOWN
+from wasabiwing.server_need import ServerNeed
+from wasabiwing.server_need import ServerNeeds
 from wasabiwing.service_configuration import EngineProfile
 from wasabiwing.service_configuration import RequestLimits
+from wasabiwing.service_configuration import RouteKind
 from wasabiwing.service_configuration import ScaleLimits
 from wasabiwing.service_configuration import ServiceConfiguration
 from wasabiwing.service_configuration import ServiceProfile
+from wasabiwing.service_configuration import ServiceRoute
+from wasabiwing.service_configuration import WeightedService
+from wasabiwing.target_utilisation import MAX_UTILISATION
+from wasabiwing.target_utilisation import target_utilisation
 from wasabiwing.timers import FakeTimer
 
 BOOT_S = 4.0
@@ -103,6 +116,89 @@
         assert self.source()["models"] == pytest.approx(0.5)
 
 
+class TestTargetUtilisation:
+    """How busy servers may be."""
+
+    def test_short_prompts_and_long_targets_allow_busy_servers(self) -> None:
+        utilisation = target_utilisation(0.5, 0.045, 0.0025)
+        assert utilisation == MAX_UTILISATION
+
+    def test_it_falls_as_prompts_take_longer(self) -> None:
+        found = [
+            target_utilisation(0.6, mean_s, 2.0 * mean_s**2)
+            for mean_s in (0.04, 0.06, 0.08, 0.3)
+        ]
+        assert found == sorted(found, reverse=True)
+        assert found[0] > found[1] > found[-1]
+
+    def test_it_is_never_below_that_of_earlier_deployments(self) -> None:
+        assert target_utilisation(0.2, 0.3, 0.1) == TARGET_UTILISATION
+        assert target_utilisation(0.2, 0.0, 0.0) == TARGET_UTILISATION
+
+
+class TestNeed:
+    """Servers that a demand needs."""
+
+    def setup_method(self) -> None:
+        self.timer = FakeTimer()
+        self.view = FleetView("node", ServerDirectory(self.timer))
+        limits = ScaleLimits(1, 32, BOOT_S, 0.22, {})
+        self.profile = ServiceProfile("models", 100, scale=limits)
+        route = ServiceRoute(
+            "chat",
+            "host",
+            "/",
+            RouteKind.STREAM,
+            (WeightedService("models", 1.0),),
+            10.0,
+            0.5,
+            0,
+            3,
+        )
+        self.view.apply(
+            ConfigurationChange(
+                ServiceConfiguration(
+                    1, (route,), {"models": self.profile}, RequestLimits()
+                )
+            )
+        )
+        self.view.directory.put(
+            RegisteredServer("s", "models", "10.0.0.1:80", "a", "v1", 32)
+        )
+        self.demand = ServerDemand(self.timer)
+        for _ in range(100):
+            self.demand.note_work("models", 0.05)
+
+    def need(self, slowdown: float) -> ServerNeed:
+        """Returns the need at servers of a speed."""
+        assert self.profile.scale is not None
+        facts = Facts(self.timer, SilentTransport(), Random(1), tuple)
+        needs = ServerNeeds(
+            self.timer,
+            self.view,
+            self.demand,
+            ServerLimits("node", self.timer, facts),
+            lambda server_id: slowdown,
+        )
+        need = needs.note("models", self.profile.scale)
+        assert need is not None
+        return need
+
+    def test_servers_of_unknown_speed_are_no_busier_than_before(self) -> None:
+        """Guards against fewer servers in deployments that state no speed."""
+        need = self.need(1.0)
+        assert need.utilisation == TARGET_UTILISATION
+        assert need.busy == ceil(need.expected / TARGET_UTILISATION)
+
+    def test_the_demand_grows_with_the_time_that_work_takes(self) -> None:
+        usual, slow = self.need(1.01), self.need(2.0)
+        assert slow.busy >= 1.9 * usual.busy
+        assert usual.utilisation > TARGET_UTILISATION
+
+    def test_a_failing_server_does_not_count_as_endlessly_slow(self) -> None:
+        assert self.need(100.0).slowdown == MAX_SLOWDOWN
+
+
 @pytest.mark.anyio
 class TestForecast:
     """Demand that is expected after the boot time."""
--- a/tests/test_server_orders.py
+++ b/tests/test_server_orders.py
@@ -171,3 +171,24 @@
         fleet.exhausted_zones.clear()
         await fleet.run(40.0, usual_load)
         assert fleet.count(reclaimable=False) <= MIN_ON_DEMAND_SERVERS + 1
+
+
+@pytest.mark.anyio
+class TestPowerCut:
+    """All nodes restart at once."""
+
+    @pytest.mark.parametrize("pause_s", [0.0, 3.0])
+    async def test_servers_are_kept_while_nodes_know_no_demand(
+        self, pause_s: float
+    ) -> None:
+        """Guards against a second collapse some seconds after a power cut.
+
+        Nodes that knew one on-demand server and no demand presumed the least
+        need and released the reclaimable servers.
+        """
+        fleet = await settled_fleet()
+        before = fleet.warm
+        fleet.restart_all()
+        assert await fleet.run(pause_s, no_load) >= before
+        assert await fleet.run(10.0, usual_load) >= before
+        assert fleet.on_time == fleet.arrived
--- a/wasabiwing/capacity_plan.py
+++ b/wasabiwing/capacity_plan.py
@@ -127,9 +127,11 @@
         return min(self.ready[key], self.wanted[key])
 
 
-def busy_server_count(demand: float) -> int:
+def busy_server_count(
+    demand: float, utilisation: float = TARGET_UTILISATION
+) -> int:
     """Returns how many servers a demand, in servers' time, keeps busy."""
-    return ceil(demand / TARGET_UTILISATION)
+    return ceil(demand / utilisation)
 
 
 def lost_server_count(limits_per_s: Iterable[float], work_s: float) -> int:
--- a/wasabiwing/server_demand.py
+++ b/wasabiwing/server_demand.py
@@ -55,6 +55,7 @@
     def __init__(self) -> None:
         self._recent_s = _DecayedSum(DEMAND_TIME_CONSTANT_S)
         self._computing_s = _DecayedSum(MEAN_TIME_CONSTANT_S)
+        self._squares_s2 = _DecayedSum(MEAN_TIME_CONSTANT_S)
         self._requests = _DecayedSum(MEAN_TIME_CONSTANT_S)
         # Time of the first request after a pause.
         self._began_at = 0.0
@@ -65,6 +66,7 @@
             self._began_at = now
         self._recent_s.add(computing_s, now)
         self._computing_s.add(computing_s, now)
+        self._squares_s2.add(computing_s * computing_s, now)
         self._requests.add(1.0, now)
 
     def demand(self, now: float) -> float:
@@ -81,6 +83,11 @@
         count = self._requests.value(now)
         return self._computing_s.value(now) / count if count else 0.0
 
+    def mean_square_s2(self, now: float) -> float:
+        """Returns the mean square of these times; 0 without any."""
+        count = self._requests.value(now)
+        return self._squares_s2.value(now) / count if count else 0.0
+
 
 class ServerDemand:
     """Demand of one node and of all others, in backend servers."""
@@ -122,6 +129,11 @@
         work = self._work_by_service.get(service)
         return 0.0 if work is None else work.mean_s(self._timer.now())
 
+    def mean_square_work_s2(self, service: str) -> float:
+        """Returns the mean square of these computing times."""
+        work = self._work_by_service.get(service)
+        return 0.0 if work is None else work.mean_square_s2(self._timer.now())
+
     def note_peer_demand(
         self, peer_id: str, demand: Mapping[str, float]
     ) -> None:
--- a/wasabiwing/server_need.py
+++ b/wasabiwing/server_need.py
@@ -13,6 +13,7 @@
 from wasabiwing.capacity_plan import busy_server_count
 from wasabiwing.capacity_plan import lost_server_count
 from wasabiwing.capacity_plan import presumed_busy_server_count
+from wasabiwing.capacity_plan import TARGET_UTILISATION
 from wasabiwing.demand_forecast import DemandForecast
 from wasabiwing.demand_forecast import RecentNeed
 from wasabiwing.deployed_servers import DeployedServers
@@ -21,6 +22,7 @@
 from wasabiwing.server_demand import ServerDemand
 from wasabiwing.server_limits import ServerLimits
 from wasabiwing.service_configuration import ScaleLimits
+from wasabiwing.target_utilisation import target_utilisation
 from wasabiwing.timers import TimerService
 
 # Bounds of a server's slowdown in the need: beyond them, a server counts as
@@ -39,6 +41,8 @@
     expected: float
     # Mean factor by which work takes longer at the servers than usual.
     slowdown: float
+    # Highest share of the servers' time that prompts may take.
+    utilisation: float
     # Servers whose capacity is lost to limits that they name.
     lost: int
     # Servers that can just bear the load: now, and at most in the last
@@ -55,6 +59,7 @@
         return {
             "expected": round(self.expected, 2),
             "slowdown": round(self.slowdown, 2),
+            "utilisation": round(self.utilisation, 2),
             "lost": self.lost,
             "busy": self.busy,
             "highest": self.highest,
@@ -81,6 +86,9 @@
         self._forecast = DemandForecast(timer)
         self._recent_need = RecentNeed(timer)
         self._deployed = DeployedServers(timer)
+        # Kept while this node itself gets no requests. Services without an
+        # entry have servers of unknown speed.
+        self._utilisation_by_service: dict[str, float] = {}
 
     def note(self, service: str, limits: ScaleLimits) -> ServerNeed | None:
         """Updates and returns a service's need; called periodically.
@@ -98,8 +106,9 @@
         expected = self._forecast.expected(service, limits.boot_s)
         slowdown = self._mean_slowdown(server_ids)
         lost = self._lost_servers(service, server_ids)
+        utilisation = self._utilisation(service, slowdown)
         idle = self._forecast.level(service) < IDLE_DEMAND
-        busy = busy_server_count(expected * slowdown) + lost
+        busy = busy_server_count(expected * slowdown, utilisation) + lost
         if idle:
             busy = presumed_busy_server_count(self._deployed.count(service))
         highest = self._recent_need.note(service, busy)
@@ -109,6 +118,7 @@
             measured,
             expected,
             slowdown,
+            utilisation,
             lost,
             busy,
             highest,
@@ -125,6 +135,37 @@
         )
         return total / len(server_ids)
 
+    def _utilisation(self, service: str, slowdown: float) -> float:
+        """Returns how busy a service's servers may be.
+
+        Servers whose speed is unknown get no more than before: the nodes
+        cannot avoid those that are slow.
+        """
+        known = self._utilisation_by_service.get(service)
+        if known is None and slowdown == 1.0:
+            return TARGET_UTILISATION
+        mean_s = self._demand.mean_work_s(service) * slowdown
+        target_s = self._shortest_target_s(service)
+        if mean_s <= 0.0 or target_s is None:
+            return TARGET_UTILISATION if known is None else known
+        square_s2 = self._demand.mean_square_work_s2(service) * slowdown**2
+        utilisation = target_utilisation(target_s, mean_s, square_s2)
+        self._utilisation_by_service[service] = utilisation
+        return utilisation
+
+    def _shortest_target_s(self, service: str) -> float | None:
+        configuration = self._view.configuration
+        if configuration is None:
+            return None
+        return min(
+            (
+                route.latency_target_s
+                for route in configuration.routes
+                if any(target.service == service for target in route.targets)
+            ),
+            default=None,
+        )
+
     def _lost_servers(self, service: str, server_ids: list[str]) -> int:
         """Returns how many servers' capacity is lost to named limits."""
         limits_per_s = [
