--- a/tests/silent_links.py
+++ b/tests/silent_links.py
@@ -24,6 +24,7 @@
 from anyio.abc import TaskGroup
 from pynng import Pull0
 
+from wasabiwing.first_event_counts import FleetFirstEvents
 from wasabiwing.messages import AggregatedReport
 from wasabiwing.messages import HeadPush
 from wasabiwing.messages import NodeReport
@@ -36,6 +37,7 @@
 from wasabiwing.node_reports import ReportedState
 from wasabiwing.prefill_rates import PrefillRates
 from wasabiwing.prompt_cache import PromptCacheIndex
+from wasabiwing.sent_orders import SentOrders
 from wasabiwing.server_demand import ServerDemand
 from wasabiwing.server_loads import ServerLoads
 from wasabiwing.store_progress import StoreProgress
@@ -138,6 +140,8 @@
             PromptCacheIndex(),
             ServerDemand(timer),
             StoreProgress(timer),
+            FleetFirstEvents(timer),
+            SentOrders(timer),
         )
         # Requests of this node by window.
         self.counted: dict[int, int] = {}
