--- a/tests/test_server_demand.py
+++ b/tests/test_server_demand.py
@@ -180,7 +180,8 @@
             ServerLimits("node", self.timer, facts),
             lambda server_id: slowdown,
         )
-        need = needs.note("models", self.profile.scale)
+        needs.follow("models")
+        need = needs.need("models", self.profile.scale)
         assert need is not None
         return need
 
--- a/wasabiwing/autoscaler.py
+++ b/wasabiwing/autoscaler.py
@@ -80,7 +80,6 @@
         # Returns the share of all nodes whose demand this node knows.
         self._heard_share = heard_share
         self._show_need = show_need
-        self._need_by_service: dict[str, ServerNeed] = {}
         # Orders of all holders, as far as they are known here.
         self._sent_orders = sent_orders
         # Times of each zone's last refusal, and of the beginning of its
@@ -97,7 +96,7 @@
         self._holder_since = self._timer.now()
 
     def follow_needs(self) -> None:
-        """Follows the need of all services.
+        """Follows the demand for all services.
 
         Called periodically on every node, because any may become the holder.
         """
@@ -105,12 +104,8 @@
         if configuration is None:
             return
         for profile in configuration.service_by_name.values():
-            service = profile.name
-            if profile.scale is None:
-                continue
-            need = self._needs.note(service, profile.scale)
-            if need is not None:
-                self._need_by_service[service] = need
+            if profile.scale is not None:
+                self._needs.follow(profile.name)
 
     async def send_orders(self, stamp: DutyStamp) -> Result[None, Failure]:
         """Sends the orders of the capacity plan under a duty stamp."""
@@ -118,8 +113,10 @@
         if configuration is None:
             return Ok(None)
         for profile in configuration.service_by_name.values():
-            need = self._need_by_service.get(profile.name)
-            if profile.scale is None or need is None:
+            if profile.scale is None:
+                continue
+            need = self._needs.need(profile.name, profile.scale)
+            if need is None:
                 continue
             self._show_need(profile.name, need)
             sent = await self._send_for_service(
--- a/wasabiwing/demand_forecast.py
+++ b/wasabiwing/demand_forecast.py
@@ -74,6 +74,11 @@
         average = self._average_by_service.get(service)
         return 0.0 if average is None else average.level
 
+    def measured(self, service: str) -> float:
+        """Returns the last measurement of the demand."""
+        average = self._average_by_service.get(service)
+        return 0.0 if average is None else average.measured
+
     def expected(self, service: str, boot_s: float) -> float:
         """Returns the demand that is expected after the boot time."""
         average = self._average_by_service.get(service)
--- a/wasabiwing/server_need.py
+++ b/wasabiwing/server_need.py
@@ -90,11 +90,8 @@
         # entry have servers of unknown speed.
         self._utilisation_by_service: dict[str, float] = {}
 
-    def note(self, service: str, limits: ScaleLimits) -> ServerNeed | None:
-        """Updates and returns a service's need; called periodically.
-
-        Returns ``None`` while servers still register and there is no demand.
-        """
+    def follow(self, service: str) -> None:
+        """Follows a service's demand; called periodically on every node."""
         measured = self._demand.total_servers(service)
         servers = self._view.directory.servers_of_service(service)
         reclaimable = sum(server.reclaimable for server in servers)
@@ -102,6 +99,15 @@
             service, len(servers) - reclaimable, reclaimable, measured
         )
         self._forecast.note(service, measured)
+
+    def need(self, service: str, limits: ScaleLimits) -> ServerNeed | None:
+        """Returns a service's need; called by the holder after ``follow``.
+
+        Returns ``None`` while servers still register and there is no demand.
+        """
+        if not self._deployed.is_settled(service):
+            return None
+        servers = self._view.directory.servers_of_service(service)
         server_ids = [server.id for server in servers]
         expected = self._forecast.expected(service, limits.boot_s)
         slowdown = self._mean_slowdown(server_ids)
@@ -111,17 +117,14 @@
         busy = busy_server_count(expected * slowdown, utilisation) + lost
         if idle:
             busy = presumed_busy_server_count(self._deployed.count(service))
-        highest = self._recent_need.note(service, busy)
-        if not self._deployed.is_settled(service):
-            return None
         return ServerNeed(
-            measured,
+            self._forecast.measured(service),
             expected,
             slowdown,
             utilisation,
             lost,
             busy,
-            highest,
+            self._recent_need.note(service, busy),
             self._deployed.kept_count(service),
             idle,
         )
