--- a/tests/test_recorded_bytes.py
+++ b/tests/test_recorded_bytes.py
@@ -110,6 +110,7 @@
 # tag. Earlier builds ignore further items of an array.
 ADDED_SINCE_LANDING: dict[str, dict[str, object]] = {
     "101": {"zone_reader": "", "zone_read_age_ms": -1},
+    "118": {"start": 0, "totals": ()},
 }
 
 ADDED_FIELDS_BY_TAG: dict[str, dict[str, object]] = {
--- a/wasabiwing/cap_admission.py
+++ b/wasabiwing/cap_admission.py
@@ -31,6 +31,8 @@
 from wasabiwing.ports import Transport
 from wasabiwing.rendezvous import rank_members
 from wasabiwing.service_configuration import OrganisationProfile
+from wasabiwing.spending_totals import ReceivedTotals
+from wasabiwing.spending_totals import StatedTotals
 from wasabiwing.timers import TimerService
 from wasabiwing.usage_caps import CapRefusal
 from wasabiwing.usage_caps import CapTolerance
@@ -200,6 +202,8 @@
         # Amounts and late refunds that an issuer is still to be told, by
         # issuer and organisation.
         self._untold: dict[str, dict[str, tuple[float, float]]] = {}
+        self._stated_totals = StatedTotals(random.randrange(1, 2**31))
+        self._received_totals = ReceivedTotals()
         # Ranking of the nodes by organisation.
         self._ranking_by_organisation: dict[str, list[str]] = {}
 
@@ -277,18 +281,24 @@
         """
         self._direct_share = self._measure_direct_share()
         self._issuer.refill()
+        now = self._timer.now()
+        self._received_totals.forget(now)
         untold, self._untold = self._untold, {}
-        inbox_by_id = self._members() if untold else {}
-        for issuer_id, amounts in untold.items():
-            spending = CapSpending(
-                tuple(
-                    CapSpent(self._cap_by_organisation[name], amount, refund)
-                    for name, (amount, refund) in amounts.items()
-                )
+        own = untold.pop(self._node_id, {})
+        self._issuer.note_spent(
+            CapSpent(self._cap_by_organisation[name], amount, refund)
+            for name, (amount, refund) in own.items()
+        )
+        told = untold.keys() | self._stated_totals.issuers_to_repeat(now)
+        inbox_by_id = self._members() if told else {}
+        for issuer_id in told & inbox_by_id.keys():
+            spending = self._stated_totals.statement(
+                issuer_id,
+                untold.get(issuer_id, {}),
+                self._cap_by_organisation,
+                now,
             )
-            if issuer_id == self._node_id:
-                self._issuer.note_spent(spending.uses)
-            elif issuer_id in inbox_by_id:
+            if spending is not None:
                 self._transport.send(inbox_by_id[issuer_id], spending)
 
     def log_states(self) -> None:
@@ -620,6 +630,9 @@
         self, envelope: Envelope, spending: CapSpending
     ) -> None:
         self._note_heard(envelope.sender)
-        self._issuer.note_spent(spending.uses)
-        for use in spending.uses:
+        uses = self._received_totals.new_uses(
+            envelope.sender, spending, self._timer.now()
+        )
+        self._issuer.note_spent(uses)
+        for use in uses:
             self._ask_level(self._ranking(use.cap.organisation), use.cap)
--- a/wasabiwing/messages.py
+++ b/wasabiwing/messages.py
@@ -785,6 +785,11 @@
     """States what the sender admitted without the receiver's decision."""
 
     uses: tuple[CapSpent, ...]
+    # Number of this start of the sender, and the totals of amounts and late
+    # refunds since then that belong to ``uses``; 0 and empty for a build
+    # that states none.
+    start: int = 0
+    totals: tuple[tuple[int, int], ...] = ()
 
 
 class LinkState(Struct, frozen=True, array_like=True, tag=120):
