--- a/tests/test_recorded_bytes.py
+++ b/tests/test_recorded_bytes.py
@@ -111,6 +111,7 @@
 ADDED_SINCE_LANDING: dict[str, dict[str, object]] = {
     "100": {"first_events": (), "orders": ()},
     "101": {"first_events": (), "orders": ()},
+    "118": {"start": 0, "totals": ()},
 }
 
 ADDED_FIELDS_BY_TAG: dict[str, dict[str, object]] = {
