--- a/tests/test_server_demand.py
+++ b/tests/test_server_demand.py
@@ -62,6 +62,19 @@
             await timer.advance(0.1)
         assert demand.total_servers("models") == pytest.approx(8.0, rel=0.15)
 
+    async def test_demand_of_rare_requests_is_not_overstated(self) -> None:
+        """Guards against 1.7 times the demand where nodes get few requests."""
+        timer = FakeTimer()
+        demand = ServerDemand(timer)
+        total = 0.0
+        for step in range(3_000):
+            if step % 150 == 0:
+                demand.note_work("models", 1.0)
+            if step >= 150:
+                total += 0.1 * demand.total_servers("models")
+            await timer.advance(0.1)
+        assert total / 285.0 == pytest.approx(1.0 / 15.0, rel=0.1)
+
 
 class TestQueuedDemand:
     """Demand of what waits, runs or was refused."""
--- a/tests/test_server_orders.py
+++ b/tests/test_server_orders.py
@@ -68,6 +68,31 @@
         assert fleet.count(reclaimable=False) == MIN_ON_DEMAND_SERVERS
         assert fleet.count(reclaimable=True) == DEPLOYED
 
+    async def test_servers_of_an_earlier_load_are_released_when_idle(
+        self,
+    ) -> None:
+        """Guards against a large fleet that is kept after its load has ended.
+
+        A node that starts then cannot tell it from a deployment, but for the
+        time without demand.
+        """
+        fleet = await settled_fleet()
+        fleet.restart_all()
+        await fleet.run(5.0, no_load)
+        await fleet.timer.advance(MAX_IDLE_S)
+        await fleet.run(15.0, no_load)
+        assert fleet.warm < DEPLOYED / 2
+
+    async def test_servers_that_restart_all_the_time_delay_no_orders(
+        self,
+    ) -> None:
+        """Guards against a large deployment that never settles."""
+        fleet = Fleet(DEPLOYED)
+        for number in range(20):
+            fleet.servers[number % DEPLOYED].ready_at = fleet.timer.now() + 0.5
+            await fleet.run(0.6, no_load)
+        assert fleet.booted
+
     async def test_an_idle_deployment_is_reduced_at_last(self) -> None:
         fleet = Fleet(DEPLOYED, node_count=1)
         await fleet.run(20.0, no_load)
--- a/wasabiwing/deployed_servers.py
+++ b/wasabiwing/deployed_servers.py
@@ -24,6 +24,10 @@
 # acts on it without demand, in seconds: servers register one after the other.
 SETTLE_S = 1.0
 
+# Time after which a node acts in any case, in seconds: in a large deployment
+# some server restarts at any time.
+MAX_SETTLE_S = 5.0
+
 
 @dataclass(slots=True)
 class _Deployment:
@@ -33,8 +37,10 @@
     present: int
     # Time of the last change of ``present`` before any demand.
     changed_at: float
-    # Most servers of one kind that were seen before any demand.
+    # Most servers of one kind, and most on-demand servers, that were seen
+    # before any demand.
     count: int = 0
+    on_demand: int = 0
     # Time of the first demand; ``None`` before it.
     demand_since: float | None = None
 
@@ -70,11 +76,16 @@
             known.present = present
             known.changed_at = now
         known.count = max(known.count, on_demand, reclaimable)
+        known.on_demand = max(known.on_demand, on_demand)
+
+    def on_demand_count(self, service: str) -> int:
+        """Returns the largest number of on-demand servers before demand.
 
-    def count(self, service: str) -> int:
-        """Returns the number of servers that the operator deployed."""
+        Unlike the reclaimable ones that a node finds when it starts, these
+        are no servers that an earlier load has called for.
+        """
         known = self._deployment_by_service.get(service)
-        return 0 if known is None else known.count
+        return 0 if known is None else known.on_demand
 
     def kept_count(self, service: str) -> int:
         """Returns how many servers are kept whatever the demand."""
@@ -97,4 +108,8 @@
             return False
         if known.demand_since is not None:
             return True
-        return self._timer.now() - known.changed_at >= SETTLE_S
+        now = self._timer.now()
+        return (
+            now - known.changed_at >= SETTLE_S
+            or now - known.first_seen_at >= MAX_SETTLE_S
+        )
--- a/wasabiwing/server_demand.py
+++ b/wasabiwing/server_demand.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from math import exp
+from math import inf
 
 from wasabiwing.timers import TimerService
 
@@ -20,6 +21,11 @@
 # seconds.
 MIN_AVERAGED_S = 0.7
 
+# Time without requests that counts as a pause, in seconds: much longer than
+# the time between two requests of a node that gets few, whose demand would be
+# overstated.
+PAUSE_S = 60.0
+
 # Time constant of the mean computing time of a request, in seconds.
 MEAN_TIME_CONSTANT_S = 4.0
 
@@ -57,13 +63,15 @@
         self._computing_s = _DecayedSum(MEAN_TIME_CONSTANT_S)
         self._squares_s2 = _DecayedSum(MEAN_TIME_CONSTANT_S)
         self._requests = _DecayedSum(MEAN_TIME_CONSTANT_S)
-        # Time of the first request after a pause.
+        # Times of the first request after a pause, and of the last one.
         self._began_at = 0.0
+        self._last_at = -inf
 
     def add(self, computing_s: float, now: float) -> None:
         """Adds a request."""
-        if self.demand(now) < IDLE_DEMAND:
+        if now - self._last_at > PAUSE_S:
             self._began_at = now
+        self._last_at = now
         self._recent_s.add(computing_s, now)
         self._computing_s.add(computing_s, now)
         self._squares_s2.add(computing_s * computing_s, now)
--- a/wasabiwing/server_need.py
+++ b/wasabiwing/server_need.py
@@ -116,7 +116,9 @@
         idle = self._forecast.level(service) < IDLE_DEMAND
         busy = busy_server_count(expected * slowdown, utilisation) + lost
         if idle:
-            busy = presumed_busy_server_count(self._deployed.count(service))
+            busy = presumed_busy_server_count(
+                self._deployed.on_demand_count(service)
+            )
         return ServerNeed(
             self._forecast.measured(service),
             expected,
