--- a/tests/test_capacity_plan.py
+++ b/tests/test_capacity_plan.py
@@ -35,6 +35,8 @@
     exhausted_zones: frozenset[str] = frozenset(),
     limits: ScaleLimits = LIMITS,
     may_shrink: bool = True,
+    kept: int = 0,
+    refusing_zones: frozenset[str] = frozenset(),
 ) -> Counts:
     """Returns the numbers after the plan, by zone and kind."""
     counts = []
@@ -47,7 +49,14 @@
             counts.append(ServerCount(zone, kind, warm, expected))
             result[key] = expected
     orders = plan_servers(
-        needed, ZONES, limits, counts, exhausted_zones, may_shrink
+        needed,
+        ZONES,
+        limits,
+        counts,
+        exhausted_zones,
+        may_shrink,
+        kept,
+        refusing_zones,
     )
     for order in orders:
         result[(order.availability_zone, order.reclaimable)] = order.count
@@ -202,3 +211,71 @@
     def test_reclaimable_servers_return_when_they_can_be_had(self) -> None:
         wanted = settled(3, {("a", True): 1, ("b", False): 2})
         assert total(wanted, False) == MIN_ON_DEMAND_SERVERS
+
+
+class TestKeptServers:
+    """Servers that remain whatever the load."""
+
+    def test_on_demand_servers_wait_for_as_many_warm_reclaimable_ones(
+        self,
+    ) -> None:
+        """Guards against release of deployed servers before traffic."""
+        deployed: Counts = {(zone, False): 4 for zone in ZONES}
+        booting: Counts = {(zone, True): 4 for zone in ZONES}
+        wanted = plan(3, deployed, booting, limits=LARGE_LIMITS, kept=12)
+        assert total(wanted, False) == 12
+        assert total(wanted, True) == 12
+        warm = plan(3, deployed | booting, limits=LARGE_LIMITS, kept=12)
+        assert total(warm, False) == MIN_ON_DEMAND_SERVERS
+        assert total(warm, True) == 12
+
+    def test_full_zones_replace_them_step_by_step(self) -> None:
+        """Guards against zones without room that keep the full price."""
+        ready: Counts = {(zone, False): 3 for zone in ZONES}
+        for _ in range(20):
+            ready = plan(3, ready, kept=8)
+            assert total(ready) >= 8
+        assert total(ready, False) <= MIN_ON_DEMAND_SERVERS
+
+
+class TestEvenZones:
+    """Reclaimable servers after the loss of a zone, and after its return."""
+
+    def test_surplus_is_released_in_the_fullest_zone(self) -> None:
+        """Guards against zones that have to be covered by on-demand servers.
+
+        All surplus was released in the dearest zone: 14, 14 and 3 servers
+        were left of 41.
+        """
+        ready: Counts = {("a", True): 14, ("b", True): 13, ("c", True): 14}
+        ready[("a", False)] = 1
+        wanted = plan(21, ready, limits=LARGE_LIMITS)
+        counts = [wanted[(zone, True)] for zone in ZONES]
+        assert max(counts) - min(counts) <= 1
+        assert total(wanted, False) == MIN_ON_DEMAND_SERVERS
+
+    def test_two_zones_cover_each_other_while_one_refuses(self) -> None:
+        """Guards against on-demand servers where others cost less."""
+        ready: Counts = {("a", True): 11, ("c", True): 11, ("a", False): 1}
+        wanted = plan(
+            22,
+            ready,
+            limits=LARGE_LIMITS,
+            refusing_zones=frozenset(("b",)),
+        )
+        assert wanted[("b", True)] == 0
+        for zone in ("a", "c"):
+            assert total(wanted) - wanted[(zone, True)] >= 22
+        # One in each zone is the least number of the configuration.
+        assert total(wanted, False) <= MIN_ON_DEMAND_SERVERS + 1
+
+    def test_a_zone_that_returns_gets_its_share_first(self) -> None:
+        ready: Counts = {("a", True): 21, ("c", True): 21, ("a", False): 1}
+        wanted = plan(22, ready, limits=LARGE_LIMITS)
+        assert wanted[("b", True)] >= 10
+        assert wanted[("a", True)] == wanted[("c", True)] == 21
+        settled_again = plan(22, wanted, limits=LARGE_LIMITS)
+        assert total(settled_again, True) < total(wanted, True)
+        for zone in ZONES:
+            left = total(settled_again) - settled_again[(zone, True)]
+            assert left >= 22
