--- a/wasabiwing/server_need.py
+++ b/wasabiwing/server_need.py
@@ -7,6 +7,7 @@
 they name.
 """
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -94,9 +95,16 @@
         """Follows a service's demand; called periodically on every node."""
         measured = self._demand.total_servers(service)
         servers = self._view.directory.servers_of_service(service)
-        reclaimable = sum(server.reclaimable for server in servers)
+        reclaimable_by_zone = Counter(
+            server.availability_zone
+            for server in servers
+            if server.reclaimable
+        )
         self._deployed.note(
-            service, len(servers) - reclaimable, reclaimable, measured
+            service,
+            len(servers) - reclaimable_by_zone.total(),
+            reclaimable_by_zone,
+            measured,
         )
         self._forecast.note(service, measured)
 
