--- a/wasabiwing/events.py
+++ b/wasabiwing/events.py
@@ -282,7 +282,7 @@
     Event.LEASE_GAINED: "The node holds a lease.",
     Event.LEASE_LOST: "The node no longer holds a lease.",
     Event.VM_NOTICE_ENDED: "A VM under notice is gone or stays.",
-    Event.SERVERS_ORDERED: "A number of backend servers was ordered.",
+    Event.SERVERS_ORDERED: "Backend servers were ordered, with the need.",
     Event.SERVERS_REFUSED: "An order for backend servers was refused.",
     Event.USAGE_REPORTED: "The usage of a window was reported.",
     Event.PRESENCE_FAILED: "The node's entry was not written or removed.",
