--- a/tests/test_server_demand.py
+++ b/tests/test_server_demand.py
@@ -226,6 +226,24 @@
         forecast.note("models", 8.0 * 1.7)
         assert forecast.expected("models", BOOT_S) >= 8.0 * 1.7
 
+    async def test_a_new_holder_takes_what_it_now_hears_for_no_rise(
+        self,
+    ) -> None:
+        """Guards against 1.3 times the servers at each change of the holder.
+
+        A node that becomes zone head knew only its own demand before.
+        """
+        timer = FakeTimer()
+        forecast = DemandForecast(timer)
+        for _ in range(20):
+            forecast.note("models", 0.2)
+            await timer.advance(0.5)
+        forecast.begin_anew()
+        for _ in range(20):
+            forecast.note("models", 8.0)
+            assert forecast.expected("models", BOOT_S) <= 8.0
+            await timer.advance(0.5)
+
     async def test_noise_of_single_requests_is_no_rise(self) -> None:
         """Guards against servers that are ordered for random peaks."""
         timer = FakeTimer()
--- a/wasabiwing/autoscaler.py
+++ b/wasabiwing/autoscaler.py
@@ -93,6 +93,7 @@
 
     def reset(self) -> None:
         """Notes that this node has become the holder."""
+        self._needs.reset()
         self._holder_since = self._timer.now()
 
     def follow_needs(self) -> None:
--- a/wasabiwing/demand_forecast.py
+++ b/wasabiwing/demand_forecast.py
@@ -69,6 +69,12 @@
         average.noted_at = now
         average.measured = measured
 
+    def begin_anew(self) -> None:
+        """Drops the averages, which may lack the demand of other nodes."""
+        for average in self._average_by_service.values():
+            average.level = average.measured
+            average.began_at = self._timer.now()
+
     def level(self, service: str) -> float:
         """Returns the average demand of the last seconds."""
         average = self._average_by_service.get(service)
--- a/wasabiwing/server_need.py
+++ b/wasabiwing/server_need.py
@@ -91,6 +91,13 @@
         # entry have servers of unknown speed.
         self._utilisation_by_service: dict[str, float] = {}
 
+    def reset(self) -> None:
+        """Forgets the demand that this node knew before it became holder.
+
+        In a fleet with zone heads, only these hear the other nodes' demand.
+        """
+        self._forecast.begin_anew()
+
     def follow(self, service: str) -> None:
         """Follows a service's demand; called periodically on every node."""
         measured = self._demand.total_servers(service)
