--- a/tests/test_server_demand.py
+++ b/tests/test_server_demand.py
@@ -62,6 +62,19 @@
             await timer.advance(0.1)
         assert demand.total_servers("models") == pytest.approx(8.0, rel=0.15)
 
+    async def test_demand_of_rare_requests_is_not_overstated(self) -> None:
+        """Guards against 1.7 times the demand where nodes get few requests."""
+        timer = FakeTimer()
+        demand = ServerDemand(timer)
+        total = 0.0
+        for step in range(3_000):
+            if step % 150 == 0:
+                demand.note_work("models", 1.0)
+            if step >= 150:
+                total += 0.1 * demand.total_servers("models")
+            await timer.advance(0.1)
+        assert total / 285.0 == pytest.approx(1.0 / 15.0, rel=0.1)
+
 
 class TestQueuedDemand:
     """Demand of what waits, runs or was refused."""
@@ -213,6 +226,24 @@
         forecast.note("models", 8.0 * 1.7)
         assert forecast.expected("models", BOOT_S) >= 8.0 * 1.7
 
+    async def test_a_new_holder_takes_what_it_now_hears_for_no_rise(
+        self,
+    ) -> None:
+        """Guards against 1.3 times the servers at each change of the holder.
+
+        A node that becomes zone head knew only its own demand before.
+        """
+        timer = FakeTimer()
+        forecast = DemandForecast(timer)
+        for _ in range(20):
+            forecast.note("models", 0.2)
+            await timer.advance(0.5)
+        forecast.begin_anew()
+        for _ in range(20):
+            forecast.note("models", 8.0)
+            assert forecast.expected("models", BOOT_S) <= 8.0
+            await timer.advance(0.5)
+
     async def test_noise_of_single_requests_is_no_rise(self) -> None:
         """Guards against servers that are ordered for random peaks."""
         timer = FakeTimer()
--- a/wasabiwing/deployed_servers.py
+++ b/wasabiwing/deployed_servers.py
@@ -7,8 +7,10 @@
 a node that starts later counts what earlier holders have kept.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 
+from wasabiwing.capacity_plan import MIN_ON_DEMAND_SERVERS
 from wasabiwing.timers import TimerService
 
 # Time after the first demand for which the deployed servers are kept, in
@@ -24,6 +26,10 @@
 # acts on it without demand, in seconds: servers register one after the other.
 SETTLE_S = 1.0
 
+# Time after which a node acts in any case, in seconds: in a large deployment
+# some server restarts at any time.
+MAX_SETTLE_S = 5.0
+
 
 @dataclass(slots=True)
 class _Deployment:
@@ -33,8 +39,10 @@
     present: int
     # Time of the last change of ``present`` before any demand.
     changed_at: float
-    # Most servers of one kind that were seen before any demand.
+    # Most servers of one kind that the loss of a zone leaves, and most
+    # on-demand servers, that were seen before any demand.
     count: int = 0
+    on_demand: int = 0
     # Time of the first demand; ``None`` before it.
     demand_since: float | None = None
 
@@ -47,16 +55,24 @@
         self._deployment_by_service: dict[str, _Deployment] = {}
 
     def note(
-        self, service: str, on_demand: int, reclaimable: int, demand: float
+        self,
+        service: str,
+        on_demand: int,
+        reclaimable_by_zone: Mapping[str, int],
+        demand: float,
     ) -> None:
         """Counts the registered servers; called periodically.
 
-        While on-demand servers are replaced by reclaimable ones, both are
-        there. The larger kind is the deployment, so that the replacement is
-        not counted twice.
+        Reclaimable servers count as many as the loss of a zone leaves,
+        because so many more are ordered in place of on-demand ones. While
+        both are there, the larger kind is the deployment, so that nothing is
+        counted twice.
         """
         now = self._timer.now()
+        reclaimable = sum(reclaimable_by_zone.values())
         present = on_demand + reclaimable
+        left = reclaimable - max(reclaimable_by_zone.values(), default=0)
+        left += min(on_demand, MIN_ON_DEMAND_SERVERS)
         known = self._deployment_by_service.get(service)
         if known is None:
             known = _Deployment(now, present, now)
@@ -69,12 +85,17 @@
         if present != known.present:
             known.present = present
             known.changed_at = now
-        known.count = max(known.count, on_demand, reclaimable)
+        known.count = max(known.count, on_demand, left)
+        known.on_demand = max(known.on_demand, on_demand)
+
+    def on_demand_count(self, service: str) -> int:
+        """Returns the largest number of on-demand servers before demand.
 
-    def count(self, service: str) -> int:
-        """Returns the number of servers that the operator deployed."""
+        Unlike the reclaimable ones that a node finds when it starts, these
+        are no servers that an earlier load has called for.
+        """
         known = self._deployment_by_service.get(service)
-        return 0 if known is None else known.count
+        return 0 if known is None else known.on_demand
 
     def kept_count(self, service: str) -> int:
         """Returns how many servers are kept whatever the demand."""
@@ -97,4 +118,8 @@
             return False
         if known.demand_since is not None:
             return True
-        return self._timer.now() - known.changed_at >= SETTLE_S
+        now = self._timer.now()
+        return (
+            now - known.changed_at >= SETTLE_S
+            or now - known.first_seen_at >= MAX_SETTLE_S
+        )
--- a/wasabiwing/server_need.py
+++ b/wasabiwing/server_need.py
@@ -7,6 +7,7 @@
 they name.
 """
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -90,13 +91,27 @@
         # entry have servers of unknown speed.
         self._utilisation_by_service: dict[str, float] = {}
 
+    def reset(self) -> None:
+        """Forgets the demand that this node knew before it became holder.
+
+        In a fleet with zone heads, only these hear the other nodes' demand.
+        """
+        self._forecast.begin_anew()
+
     def follow(self, service: str) -> None:
         """Follows a service's demand; called periodically on every node."""
         measured = self._demand.total_servers(service)
         servers = self._view.directory.servers_of_service(service)
-        reclaimable = sum(server.reclaimable for server in servers)
+        reclaimable_by_zone = Counter(
+            server.availability_zone
+            for server in servers
+            if server.reclaimable
+        )
         self._deployed.note(
-            service, len(servers) - reclaimable, reclaimable, measured
+            service,
+            len(servers) - reclaimable_by_zone.total(),
+            reclaimable_by_zone,
+            measured,
         )
         self._forecast.note(service, measured)
 
@@ -116,7 +131,9 @@
         idle = self._forecast.level(service) < IDLE_DEMAND
         busy = busy_server_count(expected * slowdown, utilisation) + lost
         if idle:
-            busy = presumed_busy_server_count(self._deployed.count(service))
+            busy = presumed_busy_server_count(
+                self._deployed.on_demand_count(service)
+            )
         return ServerNeed(
             self._forecast.measured(service),
             expected,
