--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -18,6 +18,8 @@
 from wasabiwing.call_refusal import misses_latency_target
 from wasabiwing.candidate_sets import candidate_sets
 from wasabiwing.candidate_sets import expected_cached_tokens
+from wasabiwing.candidate_sets import prompt_group_size
+from wasabiwing.candidate_sets import PROMPT_SET_SIZE
 from wasabiwing.candidate_sets import search_candidate_sets
 from wasabiwing.prefill_rates import PrefillRates
 from wasabiwing.prompt_cache import PromptCacheIndex
@@ -32,6 +34,7 @@
 from wasabiwing.server_loads import NodeLoad
 from wasabiwing.server_loads import ServerLoads
 from wasabiwing.server_speeds import ServerSpeeds
+from wasabiwing.shared_part_loads import SharedPartLoads
 from wasabiwing.timers import FakeTimer
 from wasabiwing_standins.simulated_engine import FIRST_EVENT_DELAY_S
 from wasabiwing_standins.simulated_engine import QueuedPrompt
@@ -222,7 +225,11 @@
 class ReplayNode:
     """What one node knows of the servers."""
 
-    def __init__(self, node_id: str, timer: FakeTimer) -> None:
+    def __init__(
+        self, node_id: str, timer: FakeTimer, node_count: int
+    ) -> None:
+        self.node_count = node_count
+        self.part_loads = SharedPartLoads(timer)
         self.id = node_id
         self.timer = timer
         self.rates = PrefillRates()
@@ -297,18 +304,36 @@
     node: ReplayNode, prompt: Prompt, servers: Sequence[str], now: float
 ) -> str | None:
     """Chooses from candidate sets, as one of many nodes; refuses nothing."""
+    return _place_from_sets(node, prompt, servers, PROMPT_SET_SIZE)
+
+
+def place_from_groups(
+    node: ReplayNode, prompt: Prompt, servers: Sequence[str], now: float
+) -> str | None:
+    """Chooses from sets that grow with the load of the shared part."""
+    part = prompt.parts[-2].id
+    load = node.part_loads.load(part) * node.node_count
+    node.part_loads.note_request(part, prompt.parts[-1].tokens / TOKENS_PER_S)
+    size = prompt_group_size(load, len(servers))
+    return _place_from_sets(node, prompt, servers, size)
+
+
+def _place_from_sets(
+    node: ReplayNode, prompt: Prompt, servers: Sequence[str], group_size: int
+) -> str | None:
     shared = sum(part.tokens for part in prompt.parts[:-1])
 
     def candidate_of(server_id: str, place: int | None) -> Candidate:
         [found] = node.candidates(prompt, [server_id])
         if place is None:
             return found
+        place = 0 if group_size > PROMPT_SET_SIZE else place
         expected = expected_cached_tokens(place, shared)
         uncached = min(found.uncached_tokens, prompt.tokens - expected)
         return replace(found, uncached_tokens=max(uncached, 1))
 
     placement = search_candidate_sets(
-        candidate_sets(prompt.parts[-2].id, prompt.id, servers),
+        candidate_sets(prompt.parts[-2].id, prompt.id, servers, group_size),
         candidate_of,
         lambda candidates: _choose(prompt, candidates),
         lambda placement: placement.first_event_s <= prompt.kind.target_s,
@@ -405,7 +430,9 @@
         SimulatedEngine(f"server-{number}") for number in range(servers)
     ]
     by_id = {engine.id: engine for engine in engines}
-    fleet = [ReplayNode(f"node-{number}", timer) for number in range(nodes)]
+    fleet = [
+        ReplayNode(f"node-{number}", timer, nodes) for number in range(nodes)
+    ]
     result = Result([], 0)
     random = Random(7)
     running: dict[str, tuple[Prompt, ReplayNode, str]] = {}
--- a/tests/test_load_replay.py
+++ b/tests/test_load_replay.py
@@ -8,6 +8,7 @@
 from tests.load_replay import least_outstanding
 from tests.load_replay import NOTES
 from tests.load_replay import place_from_candidate_sets
+from tests.load_replay import place_from_groups
 from tests.load_replay import place_without_refusal
 from tests.load_replay import prefix_only
 from tests.load_replay import product_policy
@@ -15,6 +16,12 @@
 from tests.load_replay import QUOTE
 from tests.load_replay import random_policy
 from tests.load_replay import replay
+from wasabiwing.candidate_sets import candidate_sets
+from wasabiwing.candidate_sets import prompt_group_size
+from wasabiwing.rendezvous import rank_members
+from wasabiwing.shared_part_loads import MAX_PARTS
+from wasabiwing.shared_part_loads import SharedPartLoads
+from wasabiwing.timers import FakeTimer
 
 SEEDS = (11, 12, 13)
 
@@ -98,6 +105,74 @@
         assert own.computed_tokens < other.computed_tokens
 
 
+@pytest.mark.anyio
+class TestFrequentParts:
+    """Forty nodes, and a part that 60% of the largest prompts share."""
+
+    @each_seed
+    async def test_frequent_part_is_kept_by_more_servers(
+        self, seed: int
+    ) -> None:
+        """Guards against two servers that queue what all others could do."""
+        prompts = arrivals(seed, 5.0, lambda kind, now: 17.0, 0.6)
+        own = await replay(prompts, place_from_groups, 30, 40, None, True)
+        for policy in (place_from_candidate_sets, least_outstanding):
+            other = await replay(prompts, policy, 30, 40, None, True)
+            assert own.in_time() > other.in_time()
+            assert own.utility_share() > other.utility_share()
+
+    @each_seed
+    async def test_rare_parts_stay_at_two_servers(self, seed: int) -> None:
+        """Guards against shared parts that each server computes."""
+        prompts = arrivals(seed, 5.0, lambda kind, now: 18.0)
+        own = await replay(prompts, place_from_groups, 30, 40, None, True)
+        before = await replay(
+            prompts, place_from_candidate_sets, 30, 40, None, True
+        )
+        assert own.computed_tokens < before.computed_tokens * 1.01
+        assert own.utility_share() > before.utility_share() - 0.005
+        other = await replay(prompts, random_policy(seed), 30, 40, None, True)
+        assert own.utility_share() > other.utility_share()
+
+    async def test_load_is_forgotten(self) -> None:
+        timer = FakeTimer(0.0)
+        loads = SharedPartLoads(timer)
+        for _ in range(20):
+            loads.note_request("part", 0.05)
+            await timer.advance(0.1)
+        assert 0.2 < loads.load("part") < 0.5
+        await timer.advance(10.0)
+        assert loads.load("part") == loads.load("other") == 0.0
+        for number in range(MAX_PARTS + 1):
+            loads.note_request(f"part-{number}", 1.0)
+        assert loads.load("part-0") == 0.0 < loads.load("part-1")
+
+
+class TestCandidateSets:
+    """Sets of servers for prompts whose part is kept by a group."""
+
+    def test_group_grows_with_load_up_to_half_of_the_servers(self) -> None:
+        sizes = [prompt_group_size(load, 30) for load in (0.0, 0.2, 0.55, 9.0)]
+        assert sizes == [2, 2, 6, 15]
+        assert prompt_group_size(9.0, 1) == 2
+
+    @pytest.mark.parametrize("size", [2, 3, 6])
+    def test_first_candidates_are_of_the_group(self, size: int) -> None:
+        """Guards against requests that all get the same of many servers."""
+        servers = [f"server-{number}" for number in range(20)]
+        group = set(rank_members("part", servers)[:size])
+        firsts = set()
+        for number in range(200):
+            sets = list(
+                candidate_sets("part", f"request-{number}", servers, size)
+            )
+            assert len(sets[0]) == 2 and set(sets[0]) <= group
+            assert set(sets[0]) < set(sets[1]) and len(sets[1]) == 4
+            assert sorted(sets[-1]) == sorted(servers)
+            firsts |= set(sets[0])
+        assert firsts == group
+
+
 @pytest.mark.anyio
 class TestRefusal:
     """Refusal on arrival when there is more work than capacity."""
--- a/wasabiwing/server_selection.py
+++ b/wasabiwing/server_selection.py
@@ -21,6 +21,8 @@
 from wasabiwing.call_refusal import misses_latency_target
 from wasabiwing.candidate_sets import candidate_sets
 from wasabiwing.candidate_sets import expected_cached_tokens
+from wasabiwing.candidate_sets import prompt_group_size
+from wasabiwing.candidate_sets import PROMPT_SET_SIZE
 from wasabiwing.candidate_sets import search_candidate_sets
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
@@ -42,6 +44,7 @@
 from wasabiwing.server_slots import ServerSlots
 from wasabiwing.server_statements import ServerStatements
 from wasabiwing.server_statements import WithholdReason
+from wasabiwing.shared_part_loads import SharedPartLoads
 from wasabiwing.suspect_isolation import SuspectIsolation
 from wasabiwing.timers import TimerService
 from wasabiwing.zone_heads import MAX_FULL_MESH_NODES
@@ -109,6 +112,7 @@
         self._is_unreachable = is_unreachable
         self._slots = slots
         self._cold_rate_limiter = ColdRateLimiter(node_id, timer)
+        self._part_loads = SharedPartLoads(timer)
 
     def server_ids(self, service: str) -> frozenset[str]:
         """Returns the ids of the servers that may get a service's requests."""
@@ -178,6 +182,7 @@
         configuration = self._view.configuration
         if self._view.directory.is_cold(server.id):
             self._cold_rate_limiter.take_token(server.id)
+        self._note_part_load(call)
         self._permits.note_sent(call.service, server.id, call.request_id)
         self._slots.note_sent(call.service, server.id, call.request_id)
         return Ok(
@@ -414,14 +419,26 @@
         key = _prompt_key(call)
         many_nodes = self._nodes.count > MAX_FULL_MESH_NODES
         sets: Iterable[list[str]] = [list(server_by_id)]
+        group_size = PROMPT_SET_SIZE
         if many_nodes:
+            group_size = prompt_group_size(
+                self._part_loads.load(key) * self._nodes.count,
+                len(server_by_id),
+            )
             sets = candidate_sets(
-                key, call.head.attempt_id, list(server_by_id)
+                key, call.head.attempt_id, list(server_by_id), group_size
             )
+
+        def position_of(position: int | None) -> int | None:
+            # All servers of a large group keep the shared part.
+            if position is None or not many_nodes:
+                return None
+            return 0 if group_size > PROMPT_SET_SIZE else position
+
         evaluation = search_candidate_sets(
             sets,
             lambda server_id, position: self._candidate(
-                call, server_by_id[server_id], position if many_nodes else None
+                call, server_by_id[server_id], position_of(position)
             ),
             lambda candidates: self._evaluate(call, key, candidates),
             lambda evaluation: (
@@ -466,6 +483,15 @@
             )
         return _Evaluation(choice, chosen, failure)
 
+    def _note_part_load(self, call: RoutedCall) -> None:
+        """Adds a request to the load of the part that it shares."""
+        parts = call.head.prompt_parts
+        if len(parts) >= 2:
+            token_s = self._rates.prefill_s_per_token(call.service)
+            self._part_loads.note_request(
+                _prompt_key(call), parts[-1].tokens * token_s
+            )
+
     def _running_requests(self, call: RoutedCall, server_id: str) -> int:
         return self._loads.estimate(
             server_id, call.service, call.urgency_class
