--- a/wasabiwing/answer_relay.py
+++ b/wasabiwing/answer_relay.py
@@ -212,6 +212,7 @@
         body = await answer.read()
         # The server has done its part.
         watched.held = True
+        answer_s = self._timer.now() - watched.sent_at
         if isinstance(body, Err):
             return body.err_value
         framing = _framing(call, answer)
@@ -254,6 +255,8 @@
             )
         if answer.status in SUCCESS_STATUSES:
             self._note_answer_began(call)
+            if call.route.kind is not RouteKind.STREAM:
+                self._note_prediction(call, placed, 0, answer_s)
         await send_whole(output, whole_answer)
         return None
 
@@ -375,20 +378,31 @@
         self._count_run(call, progress)
         first_event_s = self._timer.now() - watched.sent_at
         computed_tokens = round(placed.queued_tokens) + placed.uncached_tokens
+        self._note_prediction(call, placed, computed_tokens, first_event_s)
+        self._metrics.first_token.labels(call.route.name).observe(
+            self._timer.now() - call.received_at
+        )
+
+    def _note_prediction(
+        self,
+        call: RoutedCall,
+        placed: SelectedServer,
+        computed_tokens: int,
+        observed_s: float,
+    ) -> None:
+        """Compares the time until a first event or answer with the prediction.
+
+        ``computed_tokens`` is 0 for a plain answer.
+        """
         self._loads.speeds.note_first_event(
             placed.server.id,
             placed.choice.first_event_s,
-            first_event_s,
+            observed_s,
             placed.slowdown,
         )
         # The rate of a service is that of its servers at their usual speed.
         self._rates.observe(
-            call.service,
-            computed_tokens,
-            first_event_s / placed.stated_slowdown,
-        )
-        self._metrics.first_token.labels(call.route.name).observe(
-            self._timer.now() - call.received_at
+            call.service, computed_tokens, observed_s / placed.stated_slowdown
         )
 
     def _count_run(self, call: RoutedCall, progress: CallProgress) -> None:
--- a/wasabiwing/prefill_rates.py
+++ b/wasabiwing/prefill_rates.py
@@ -61,6 +61,9 @@
             sums.token_seconds * DECAY_FACTOR + tokens * first_token_s
         )
         variance = sums.tokens_squared - sums.tokens**2 / sums.weight
+        if sums.weight >= MIN_WEIGHT and sums.tokens == 0.0:
+            # Plain requests have no prompt.
+            self._base_by_pool[pool_id] = sums.seconds / sums.weight
         if sums.weight < MIN_WEIGHT or variance < sums.weight:
             return
         covariance = (
--- a/wasabiwing/server_choice.py
+++ b/wasabiwing/server_choice.py
@@ -68,12 +68,13 @@
     """Returns the best server of at least one candidate.
 
     ``token_s`` is the time to compute a prompt token and ``base_s`` the time
-    until the first event without a queue and a prompt, in seconds.
-    ``affinity_key`` identifies the shared part of the prompt; servers with
-    equal scores are ranked by it.
+    until the first event without a queue and a prompt, in seconds; for plain
+    requests it is that of the whole answer. ``affinity_key`` identifies the
+    shared part of the prompt; servers with equal scores are ranked by it.
     """
     score_by_id = {
-        candidate.id: _score(candidate, token_s) for candidate in candidates
+        candidate.id: _score(candidate, token_s, base_s)
+        for candidate in candidates
     }
     best_score = min(score_by_id.values())
     equal = [
@@ -85,7 +86,8 @@
     by_id = {candidate.id: candidate for candidate in candidates}
     return ServerChoice(
         chosen,
-        base_s + first_event_work_s(by_id[chosen], token_s),
+        _base_s(by_id[chosen], base_s)
+        + first_event_work_s(by_id[chosen], token_s),
         tuple(sorted(score_by_id.items(), key=lambda item: item[1])),
     )
 
@@ -102,9 +104,20 @@
     return tokens * token_s * candidate.load.slowdown
 
 
-def _score(candidate: Candidate, token_s: float) -> float:
+def _base_s(candidate: Candidate, base_s: float) -> float:
+    """Returns the time until the first event without queue and prompt.
+
+    For a plain request it is all of a server's work, which takes longer at a
+    slow server.
+    """
+    is_plain = candidate.uncached_tokens == 0
+    return base_s * candidate.load.slowdown if is_plain else base_s
+
+
+def _score(candidate: Candidate, token_s: float, base_s: float) -> float:
     load = candidate.load
     score = first_event_work_s(candidate, token_s)
+    score += _base_s(candidate, base_s)
     score += load.running * RUNNING_PENALTY_S * load.slowdown
     score += load.failure_share * FAILURE_PENALTY_S
     if not candidate.same_zone:
