--- a/tests/test_recorded_bytes.py
+++ b/tests/test_recorded_bytes.py
@@ -59,7 +59,7 @@
 )
 
 # Tags of messages that the landing before drops, as it does not know them.
-TAGS_SINCE: set[str] = {"130"}
+TAGS_SINCE: set[str] = {"130", "131", "132"}
 
 KIND_BY_TAG: dict[str, type[Any]] = {
     str(kind.__struct_config__.tag): kind for kind in get_args(Message)
--- a/wasabiwing/messages.py
+++ b/wasabiwing/messages.py
@@ -803,6 +803,35 @@
     speeds: tuple[StatedSpeed, ...]
 
 
+class ServerFirstEvents(Struct, frozen=True, array_like=True):
+    """Lateness of the first events that a node got from a server."""
+
+    server_id: str
+    count: int
+    # Sum of the logarithms of observed over predicted times, in hundredths.
+    log_sum: int
+
+
+class FirstEventReport(Struct, frozen=True, array_like=True, tag=131):
+    """Reports first events since the last report to the servers' collector."""
+
+    events: tuple[ServerFirstEvents, ...]
+
+
+class LearnedSpeed(Struct, frozen=True, array_like=True):
+    """The speed of a backend server that follows from its first events."""
+
+    server_id: str
+    # Time for a piece of work, in percent of that of other servers.
+    percent: int
+
+
+class LearnedSpeedNotice(Struct, frozen=True, array_like=True, tag=132):
+    """Tells which backend servers are slower or faster than others."""
+
+    speeds: tuple[LearnedSpeed, ...]
+
+
 Message = (
     Ping
     | Ack
@@ -852,6 +881,8 @@
     | CapDecision
     | CapSpending
     | SpeedNotice
+    | FirstEventReport
+    | LearnedSpeedNotice
 )
 
 M = TypeVar("M", bound=Struct)
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -38,6 +38,8 @@
 from wasabiwing.fleet_follower import FleetView
 from wasabiwing.fleet_relay import FleetRelay
 from wasabiwing.fleet_relay import PUSH_PERIOD_S
+from wasabiwing.learned_speeds import LearnedSpeeds
+from wasabiwing.learned_speeds import LEARNING_PERIOD_S
 from wasabiwing.leases import LeaseHolder
 from wasabiwing.message_router import MessageRouter
 from wasabiwing.messages import Envelope
@@ -334,6 +336,16 @@
         )
         self._loads.on_stated_speed(self._speed_notices.note_statement)
         timer.subscribe(PROBE_PERIOD_S, self._speed_prober.probe_all)
+        self._learned_speeds = LearnedSpeeds(
+            node_id,
+            timer,
+            transport,
+            self._loads.speeds,
+            self.nodes.node_ids,
+            self._reports.live_inboxes,
+            lambda server_id: directory.get(server_id) is not None,
+        )
+        timer.subscribe(LEARNING_PERIOD_S, self._learned_speeds.exchange)
         watch = AttemptWatch(timer, self._loads)
         self.reachability = ServerReachability(
             node_id,
@@ -500,6 +512,7 @@
         self._permits.register(messages)
         self._slots.register(messages)
         self._speed_notices.register(messages)
+        self._learned_speeds.register(messages)
 
     @property
     def limits(self) -> RequestLimits:
@@ -629,6 +642,7 @@
         self.reachability.remove_server(server_id)
         self._speed_prober.remove_server(server_id)
         self._speed_notices.remove_server(server_id)
+        self._learned_speeds.remove_server(server_id)
         entry = self.view.directory.get(server_id)
         if entry is not None:
             self._statements.note_registered(server_id, entry.started_ms)
--- a/wasabiwing/server_speeds.py
+++ b/wasabiwing/server_speeds.py
@@ -44,6 +44,9 @@
 # Number of first events as predicted that a server counts as having had.
 PRIOR_EVENTS = 6.0
 
+# Time for which a slowdown that another node has learned is used, in seconds.
+TOLD_LIFETIME_S = 60.0
+
 # Bound of one first event's lateness, as a natural logarithm: a factor of 4.5.
 MAX_LOG_LATENESS = 1.5
 
@@ -85,6 +88,11 @@
         self._statement_by_server: dict[str, _Statement] = {}
         self._lateness_by_server: dict[str, _Lateness] = {}
         self._fleet_lateness = _Lateness()
+        # Number and lateness of this node's first events since the last
+        # ``take_events``.
+        self._new_events_by_server: dict[str, tuple[int, float]] = {}
+        # Slowdown that another node has learned, and its time.
+        self._told_by_server: dict[str, tuple[float, float]] = {}
 
     def note_statement(
         self, server_id: str, slowdown: float, held_s: float = 0.0
@@ -128,8 +136,42 @@
         lateness = self._lateness_by_server.setdefault(server_id, _Lateness())
         self._reduce_weight(lateness)
         lateness.add(bounded, DECAY_FACTOR)
+        count, log_sum = self._new_events_by_server.get(server_id, (0, 0.0))
+        self._new_events_by_server[server_id] = (count + 1, log_sum + bounded)
         self._fleet_lateness.add(bounded, FLEET_DECAY_FACTOR)
 
+    def take_events(self) -> dict[str, tuple[int, float]]:
+        """Returns and forgets the new first events, by server.
+
+        They are the number of the events and the sum of the logarithms of
+        their lateness.
+        """
+        events_by_server = self._new_events_by_server
+        self._new_events_by_server = {}
+        return events_by_server
+
+    def note_peer_events(
+        self, server_id: str, count: int, log_sum: float
+    ) -> None:
+        """Adds first events of another node.
+
+        They leave out the mean of all servers, which follows from this node's
+        own first events: others report only on some servers.
+        """
+        lateness = self._lateness_by_server.setdefault(server_id, _Lateness())
+        self._reduce_weight(lateness)
+        bound = count * MAX_LOG_LATENESS
+        mean = min(max(log_sum, -bound), bound) / count
+        for _ in range(count):
+            lateness.add(mean, DECAY_FACTOR)
+
+    def note_learned(self, server_id: str, slowdown: float) -> None:
+        """Records the slowdown that another node has learned from all."""
+        self._told_by_server[server_id] = (
+            min(max(slowdown, MIN_SLOWDOWN), MAX_SLOWDOWN),
+            self._timer.now(),
+        )
+
     def slowdown(self, server_id: str) -> float:
         """Returns the expected slowdown of a server at this moment."""
         learned = self._learned_slowdown(server_id)
@@ -151,8 +193,16 @@
         """Removes a server that is gone."""
         self._statement_by_server.pop(server_id, None)
         self._lateness_by_server.pop(server_id, None)
+        self._new_events_by_server.pop(server_id, None)
+        self._told_by_server.pop(server_id, None)
 
     def _learned_slowdown(self, server_id: str) -> float:
+        told, told_at = self._told_by_server.get(server_id, (0.0, 0.0))
+        if told > 0.0 and self._timer.now() - told_at < TOLD_LIFETIME_S:
+            return told
+        return self.observed_slowdown(server_id)
+
+    def observed_slowdown(self, server_id: str) -> float:
         """Returns how much later a server's first events are than others'.
 
         Predictions that are wrong for all servers alike, as with many nodes
@@ -163,9 +213,8 @@
             return USUAL_SLOWDOWN
         self._reduce_weight(lateness)
         fleet = self._fleet_lateness
-        excess = lateness.log_sum - lateness.weight * (
-            fleet.log_sum / fleet.weight
-        )
+        mean = fleet.log_sum / fleet.weight if fleet.weight > 0.0 else 0.0
+        excess = lateness.log_sum - lateness.weight * mean
         learned = exp(excess / (lateness.weight + PRIOR_EVENTS))
         return min(max(learned, MIN_SLOWDOWN), MAX_SLOWDOWN)
 
