--- a/wasabiwing/answer_relay.py
+++ b/wasabiwing/answer_relay.py
@@ -215,6 +215,7 @@
         body = await answer.read()
         # The server has done its part.
         watched.held = True
+        answer_s = self._timer.now() - watched.sent_at
         if isinstance(body, Err):
             return body.err_value
         framing = _framing(call, answer)
@@ -257,6 +258,8 @@
             )
         if answer.status in SUCCESS_STATUSES:
             self._note_answer_began(call)
+            if call.route.kind is not RouteKind.STREAM:
+                self._note_prediction(call, placed, 0, answer_s)
         await send_whole(output, whole_answer)
         return None
 
@@ -378,18 +381,7 @@
         self._count_run(call, progress)
         first_event_s = self._timer.now() - watched.sent_at
         computed_tokens = round(placed.queued_tokens) + placed.uncached_tokens
-        self._loads.speeds.note_first_event(
-            placed.server.id,
-            placed.choice.first_event_s,
-            first_event_s,
-            placed.slowdown,
-        )
-        # The rate of a service is that of its servers at their usual speed.
-        self._rates.observe(
-            call.service,
-            computed_tokens,
-            first_event_s / placed.stated_slowdown,
-        )
+        self._note_prediction(call, placed, computed_tokens, first_event_s)
         self._pace.note_first_event(
             placed.server.id,
             call.service,
@@ -400,6 +392,28 @@
             self._timer.now() - call.received_at
         )
 
+    def _note_prediction(
+        self,
+        call: RoutedCall,
+        placed: SelectedServer,
+        computed_tokens: int,
+        observed_s: float,
+    ) -> None:
+        """Compares the time until a first event or answer with the prediction.
+
+        ``computed_tokens`` is 0 for a plain answer.
+        """
+        self._loads.speeds.note_first_event(
+            placed.server.id,
+            placed.choice.first_event_s,
+            observed_s,
+            placed.slowdown,
+        )
+        # The rate of a service is that of its servers at their usual speed.
+        self._rates.observe(
+            call.service, computed_tokens, observed_s / placed.stated_slowdown
+        )
+
     def _count_run(self, call: RoutedCall, progress: CallProgress) -> None:
         """Counts the request for the usage report, once."""
         if not progress.usage_counted:
