--- a/wasabiwing/call_forwarding.py
+++ b/wasabiwing/call_forwarding.py
@@ -22,7 +22,6 @@
 from wasabiwing.attempt_watch import WatchedAttempt
 from wasabiwing.call_refusal import caller_retry_after_s
 from wasabiwing.call_refusal import failure_status
-from wasabiwing.call_refusal import max_wait_for_server_s
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
@@ -38,7 +37,6 @@
 from wasabiwing.quarantine import request_digest
 from wasabiwing.relay_peers import is_relay_due
 from wasabiwing.relay_peers import may_relay_refusal
-from wasabiwing.relay_peers import MOST_UNREACHABLE
 from wasabiwing.relay_peers import UNHEARD_S
 from wasabiwing.retry_budgets import ServiceRetryBudgets
 from wasabiwing.routed_calls import CallCodec
@@ -54,6 +52,7 @@
 from wasabiwing.server_selection import SelectedServer
 from wasabiwing.server_selection import ServerSelector
 from wasabiwing.server_statements import ServerStatements
+from wasabiwing.server_wait import ServerWait
 from wasabiwing.service_configuration import RouteKind
 from wasabiwing.silent_attempts import KEPT_BUDGET_SHARE
 from wasabiwing.silent_attempts import Prospects
@@ -67,14 +66,6 @@
 # states that it has not run the request.
 MAX_REFUSED_ATTEMPTS = 3
 
-# Period in seconds at which a waiting request looks for a server with room.
-SERVER_POLL_S = 0.015
-
-# Longest wait in seconds for a server by a request that is suspected of a
-# crash: until the crash is attributed to a request, or until the same request
-# has ended elsewhere in this node.
-SUSPECT_WAIT_S = 0.5
-
 # A repeatable stream is sent to another server when its server has been silent
 # for this multiple of the predicted time to the first event, and for at least
 # this many seconds.
@@ -149,6 +140,13 @@
         self._peer_relay = peer_relay
         self._random = random
         self._running = RunningCalls()
+        self._server_wait = ServerWait(
+            timer,
+            placement,
+            quarantine,
+            self._stop_refusal,
+            self._unreachable_share,
+        )
 
     def log_unfinished(self) -> None:
         """Logs the requests that are running when the process is killed."""
@@ -250,7 +248,7 @@
             placed = (
                 next_server.pop()
                 if next_server
-                else await self._wait_for_server(call, progress)
+                else await self._server_wait.wait(call, progress)
             )
             if isinstance(placed, Failure) and self._may_relay_refusal(
                 call, progress, placed
@@ -363,42 +361,6 @@
             call.head.answer_tokens,
         )
 
-    async def _wait_for_server(
-        self, call: RoutedCall, progress: CallProgress
-    ) -> SelectedServer | Failure:
-        """Returns a server for the next attempt, or why there is none.
-
-        While no server has room, the request waits for a short time.
-        """
-        if (
-            progress.relayed
-            and self._unreachable_share(call) >= MOST_UNREACHABLE
-        ):
-            return Failure(ResultCode.CONNECT_FAILED, "few servers reached")
-        wait_s = max_wait_for_server_s(call.route.latency_target_s)
-        if self._quarantine.suspect_digest(call):
-            wait_s = SUSPECT_WAIT_S
-        wait_until = self._timer.now() + wait_s
-        refusal = self._stop_refusal(call, progress.came_at)
-        if refusal is not None:
-            return refusal
-        while True:
-            placed = self._placement.choose_server(
-                call, frozenset(progress.tried_server_ids)
-            )
-            if isinstance(placed, Err) and progress.silent_server_ids:
-                # Those that took over have refused.
-                tried = progress.tried_server_ids - progress.silent_server_ids
-                placed = self._placement.choose_server(call, frozenset(tried))
-            if not isinstance(placed, Err):
-                return placed.ok_value
-            failure = placed.err_value
-            waiting_helps = failure.code is ResultCode.OVERLOADED
-            if not waiting_helps or self._timer.now() >= wait_until:
-                self._placement.give_up(call)
-                return failure
-            await self._placement.wait_for_room(SERVER_POLL_S)
-
     def _may_move(
         self,
         call: RoutedCall,
