--- a/tests/test_load_replay.py
+++ b/tests/test_load_replay.py
@@ -14,6 +14,7 @@
 from tests.load_replay import PromptKind
 from tests.load_replay import QUOTE
 from tests.load_replay import random_policy
+from tests.load_replay import refusing_policy
 from tests.load_replay import replay
 
 SEEDS = (11, 12, 13)
@@ -127,6 +128,25 @@
         refused = [p for p in own.prompts if p.refused_at is not None]
         assert refused == []
 
+    @each_seed
+    async def test_late_work_costs_more_urgent_work_little(
+        self, seed: int
+    ) -> None:
+        """Guards against late answers at the cost of answers in time."""
+        prompts = arrivals(seed, 12.0, burst_of_all)
+        own = await replay(prompts, product_policy, 3, callers_return=True)
+        refusing = await replay(
+            prompts, refusing_policy, 3, callers_return=True
+        )
+        assert any(prompt.late for prompt in own.prompts)
+        assert own.in_time() > refusing.in_time() - 0.02
+        assert own.utility_share() > refusing.utility_share() - 0.02
+        answered = [p for p in own.prompts if p.first_event_at is not None]
+        answered_before = [
+            p for p in refusing.prompts if p.first_event_at is not None
+        ]
+        assert len(answered) > len(answered_before)
+
     @each_seed
     async def test_no_kind_starves(self, seed: int) -> None:
         prompts = arrivals(seed, 12.0, burst_of_all)
--- a/wasabiwing/call_forwarding.py
+++ b/wasabiwing/call_forwarding.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from dataclasses import replace
 from functools import partial
 from math import inf
 from random import Random
@@ -22,6 +23,7 @@
 from wasabiwing.attempt_watch import WatchedAttempt
 from wasabiwing.call_refusal import caller_retry_after_s
 from wasabiwing.call_refusal import failure_status
+from wasabiwing.call_refusal import is_lack_of_capacity
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
@@ -38,6 +40,7 @@
 from wasabiwing.relay_peers import is_relay_due
 from wasabiwing.relay_peers import may_relay_refusal
 from wasabiwing.relay_peers import UNHEARD_S
+from wasabiwing.request_queue import RequestQueues
 from wasabiwing.retry_budgets import ServiceRetryBudgets
 from wasabiwing.routed_calls import CallCodec
 from wasabiwing.routed_calls import RoutedCall
@@ -79,6 +82,9 @@
 # Failures of requests of which no byte was sent.
 NOT_SENT_CODES = (ResultCode.CONNECT_FAILED, ResultCode.SERVER_UNWILLING)
 
+# Time in seconds of which the refused requests are spread at their returns.
+REFUSED_SPAN_S = 1.0
+
 # Number of requests that one log line names.
 MAX_LOGGED_REQUESTS = 20
 
@@ -115,6 +121,7 @@
         end_judge: EndJudge[RegisteredServer],
         reachability: ServerReachability,
         peer_relay: PeerRelay,
+        queues: RequestQueues,
         random: Random,
     ) -> None:
         self._node_id = node_id
@@ -138,12 +145,16 @@
         self._end_judge = end_judge
         self._reachability = reachability
         self._peer_relay = peer_relay
+        self._queues = queues
         self._random = random
         self._running = RunningCalls()
         self._server_wait = ServerWait(
+            node_id,
             timer,
             placement,
-            quarantine,
+            queues,
+            metrics,
+            quarantine.suspect_digest,
             self._stop_refusal,
             self._unreachable_share,
         )
@@ -265,7 +276,11 @@
                     else _final_failure(progress)
                 )
             failure = await self._attempt(
-                call, placed, progress, output, next_server
+                replace(call, late=True) if placed.late else call,
+                placed,
+                progress,
+                output,
+                next_server,
             )
             if failure is None:
                 self._quarantine.note_success(call)
@@ -618,6 +633,8 @@
         self, call: RoutedCall, placed: SelectedServer, progress: CallProgress
     ) -> None:
         server_id = placed.server.id
+        if placed.late:
+            self._metrics.late_requests.labels(call.service).inc()
         if _is_first_attempt(progress, server_id):
             self._retry_budgets.note_first_attempt(call.service)
             self._note_demand(call, placed)
@@ -639,6 +656,7 @@
             uncached_tokens=placed.uncached_tokens,
             queued_tokens=round(placed.queued_tokens),
             first_event_s=round(placed.choice.first_event_s, 3),
+            urgency=_urgency(call),
             scores={
                 name: round(score, 3)
                 for name, score in placed.choice.score_by_server
@@ -686,9 +704,20 @@
             await send_whole(output, progress.fallback_answer)
             return
         remaining_s = max(call.deadline - self._timer.now(), 0.0)
+        spread_s = 0.0
+        if is_lack_of_capacity(failure):
+            self._queues.note_refused(call)
+            refused_tokens = self._queues.refused_tokens_per_s(call.service)
+            spread_s = self._placement.fleet_work_s(
+                call.service, refused_tokens * REFUSED_SPAN_S
+            )
         retry_after_s = caller_retry_after_s(
-            failure, remaining_s, self._random.random()
+            failure, remaining_s, self._random.random(), spread_s
         )
+        if failure.run_state is RunState.NOT_RUN:
+            self._metrics.refusals.labels(
+                call.service, failure.code.name
+            ).inc()
         await output.refuse(failure_status(failure), failure, retry_after_s)
 
     def _log_end(
--- a/wasabiwing/call_refusal.py
+++ b/wasabiwing/call_refusal.py
@@ -4,7 +4,9 @@
 retry at once, and servers that all refuse requests for a while. A request
 whose caller would give up before the answer is refused before it is sent. Its
 ``Retry-After`` follows from the length of the queue or of the servers' pause,
-with jitter so that the callers do not retry all at the same time.
+with jitter so that the callers do not retry all at the same time. A request
+that would only be late is sent as late work, which servers run after all
+other work; a late answer is worth a little, and a refused request nothing.
 """
 
 from wasabiwing.codes import Failure
@@ -21,6 +23,12 @@
 # predicted; predictions leave out the work that other nodes send meanwhile.
 DEADLINE_SHARE = 0.7
 
+# Share of the caller's remaining time within which the first event of late
+# work must be predicted. It is half of ``DEADLINE_SHARE``, because requests
+# that arrive later overtake late work: where they take half of a server, late
+# work waits twice as long as predicted.
+LATE_DEADLINE_SHARE = 0.35
+
 # Multiple of the remaining time to the latency target beyond which a predicted
 # first event counts as late; a smaller excess may be an error of prediction.
 LATENCY_TARGET_FACTOR = 1.3
@@ -47,6 +55,15 @@
     return first_event_s > remaining_s * DEADLINE_SHARE
 
 
+def misses_deadline_as_late(first_event_s: float, remaining_s: float) -> bool:
+    """Whether late work is predicted to begin too late to be worth running.
+
+    Both times are in seconds from now; ``first_event_s`` is predicted behind
+    the work of all urgency classes and the late work.
+    """
+    return first_event_s > remaining_s * LATE_DEADLINE_SHARE
+
+
 def misses_latency_target(
     first_event_s: float, target_left_s: float, load: LoadEstimate
 ) -> bool:
@@ -65,16 +82,25 @@
     )
 
 
-def retry_after_s(queue_s: float, remaining_s: float, draw: float) -> float:
+def retry_after_s(
+    queue_s: float, remaining_s: float, draw: float, spread_s: float = 0.0
+) -> float:
     """Returns the seconds after which a refused request may be retried.
 
     ``queue_s`` is the predicted time until a server has room, and ``draw`` a
-    random number from 0 to 1 for the jitter. The result is at most a third of
+    random number from 0 to 1 for the jitter. ``spread_s`` is the time that
+    the servers need for what was refused lately; the returns are spread over
+    it, so that they do not collide again. The result is at most a third of
     the caller's remaining time, but at least half of ``MIN_RETRY_S``.
     """
     bounded_s = min(max(queue_s, MIN_RETRY_S), MAX_RETRY_S)
     jittered_s = bounded_s * (1.0 + JITTER_SHARE * (draw - 0.5))
-    return max(min(jittered_s, remaining_s / 3.0), MIN_RETRY_S / 2.0)
+    jittered_s += min(spread_s, MAX_RETRY_S) * draw
+    latest_s = remaining_s / 3.0
+    if spread_s > 0.0 and jittered_s > latest_s:
+        # Otherwise all returns that are limited by it would coincide.
+        jittered_s = latest_s * (1.0 - JITTER_SHARE * draw)
+    return max(min(jittered_s, latest_s), MIN_RETRY_S / 2.0)
 
 
 def retry_after_pause_s(
@@ -92,10 +118,12 @@
 
 
 def caller_retry_after_s(
-    failure: Failure, remaining_s: float, draw: float
+    failure: Failure, remaining_s: float, draw: float, spread_s: float = 0.0
 ) -> float | None:
     """Returns the seconds after which the caller of a failure may retry.
 
+    ``spread_s`` is the time that the servers need for what was refused.
+
     The result is ``None`` if a retry would not help or might run the request
     a second time.
     """
@@ -106,7 +134,17 @@
     wait_s = failure.retry_after_s or 0.0
     if failure.code is ResultCode.NO_BACKEND_SERVER and wait_s:
         return retry_after_pause_s(wait_s, remaining_s, draw)
-    return retry_after_s(wait_s, remaining_s, draw)
+    return retry_after_s(wait_s, remaining_s, draw, spread_s)
+
+
+def is_lack_of_capacity(failure: Failure) -> bool:
+    """Whether a request is refused because the servers have too much work."""
+    return failure.run_state is RunState.NOT_RUN and failure.code in (
+        ResultCode.OVERLOADED,
+        ResultCode.DEADLINE_UNREACHABLE,
+        ResultCode.DEADLINE_EXCEEDED,
+        ResultCode.SERVER_REFUSED,
+    )
 
 
 def failure_status(failure: Failure) -> int:
--- a/wasabiwing/fair_queue.py
+++ b/wasabiwing/fair_queue.py
@@ -21,6 +21,9 @@
 from wasabiwing.calls import Call
 from wasabiwing.calls import ServerAssignment
 from wasabiwing.codes import Failure
+from wasabiwing.queue_order import finish_tag
+from wasabiwing.queue_order import head_key
+from wasabiwing.queue_order import start_tag
 
 # What distinguishes waiting requests for which the router may decide
 # differently: the ids of the servers tried before, whether the prompt is long,
@@ -124,7 +127,7 @@
             virtual_time = self._virtual_time_by_class[
                 waiter.call.route.priority_class
             ]
-            flow.start_tag = max(virtual_time, flow.finish_tag)
+            flow.start_tag = start_tag(virtual_time, flow.finish_tag)
         heap = flow.heap_by_kind.setdefault(waiter.kind, [])
         heappush(heap, (waiter.call.deadline, next(self._sequence), waiter))
         flow.count += 1
@@ -135,8 +138,10 @@
         """Charges the tokens of a call that did not wait to its flow."""
         flow = self._flow(call)
         priority = call.route.priority_class
-        start_tag = max(self._virtual_time_by_class[priority], flow.finish_tag)
-        self._advance(priority, flow, start_tag, total_tokens(call))
+        start = start_tag(
+            self._virtual_time_by_class[priority], flow.finish_tag
+        )
+        self._advance(priority, flow, start, total_tokens(call))
 
     def remove(self, waiter: Waiter) -> None:
         """Removes a request from the queue without charging its tokens."""
@@ -157,12 +162,12 @@
     def remove_served(self, waiter: Waiter) -> None:
         """Removes a request that got a slot and charges its tokens."""
         flow = self._flow(waiter.call)
-        start_tag = flow.start_tag
+        start = flow.start_tag
         self.remove(waiter)
         self._advance(
             waiter.call.route.priority_class,
             flow,
-            start_tag,
+            start,
             waiter.total_tokens,
         )
 
@@ -173,21 +178,21 @@
         """
         for priority in sorted(self._flows_by_class):
             heads = [
-                (flow.start_tag, heap[0][0], heap[0][1], heap[0][2])
+                (head_key(flow.start_tag, *heap[0][:2]), heap[0][2])
                 for flow in self._flows_by_class[priority].values()
                 for heap in flow.heap_by_kind.values()
             ]
-            heads.sort(key=lambda head: head[:3])
-            for head in heads:
-                yield head[3]
+            heads.sort(key=lambda head: head[0])
+            for _, waiter in heads:
+                yield waiter
 
     def _advance(
-        self, priority: int, flow: _Flow, start_tag: float, tokens: int
+        self, priority: int, flow: _Flow, start: float, tokens: int
     ) -> None:
         self._virtual_time_by_class[priority] = max(
-            self._virtual_time_by_class[priority], start_tag
+            self._virtual_time_by_class[priority], start
         )
-        flow.finish_tag = start_tag + tokens / flow.weight
+        flow.finish_tag = finish_tag(start, tokens, flow.weight)
         flow.start_tag = flow.finish_tag
 
     def _flow(self, call: Call) -> _Flow:
--- a/wasabiwing/fleet_follower.py
+++ b/wasabiwing/fleet_follower.py
@@ -114,6 +114,7 @@
             Callable[[ServiceConfiguration], None]
         ] = []
         self._server_listeners: list[Callable[[str], None]] = []
+        self._on_new_server: Callable[[], None] = lambda: None
         self._problem_by_server = KnownProblems()
 
     @property
@@ -133,6 +134,10 @@
         """Registers a listener for ids of restarted and removed servers."""
         self._server_listeners.append(listener)
 
+    def on_new_server(self, listener: Callable[[], None]) -> None:
+        """Registers a listener for servers that are added or restarted."""
+        self._on_new_server = listener
+
     def servers(self, service: str) -> list[RegisteredServer]:
         """Returns the servers that may get new requests of a service."""
         return [
@@ -218,6 +223,8 @@
             )
             if restarted:
                 self._notify_server_listeners(change.server_id)
+            if restarted or before is None:
+                self._on_new_server()
         if has_left:
             log_event(
                 Event.SERVER_LEAVING,
--- a/wasabiwing/metrics.py
+++ b/wasabiwing/metrics.py
@@ -11,6 +11,7 @@
 from wasabiwing.store_eras import era_of
 from wasabiwing.store_eras import revision_of
 
+WAIT_BUCKETS_S = (0.01, 0.05, 0.15, 0.5, 1.5, 5.0)
 FIRST_TOKEN_BUCKETS_S = (0.05, 0.1, 0.2, 0.42, 0.8, 1.6, 3.2, 6.4)
 
 
@@ -73,6 +74,36 @@
             registry=self.registry,
         )
 
+        self.queue_length = Gauge(
+            "wasabiwing_queue_length",
+            "Requests that wait for a server, by service.",
+            ("service",),
+            registry=self.registry,
+        )
+        self.queue_wait = Histogram(
+            "wasabiwing_queue_wait_seconds",
+            "Time that requests have waited for a server, by service.",
+            ("service",),
+            buckets=WAIT_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.late_requests = Counter(
+            "wasabiwing_late_requests",
+            "Requests that were sent as late work, by service.",
+            ("service",),
+            registry=self.registry,
+        )
+        self.refusals = Counter(
+            "wasabiwing_refusals",
+            "Requests that were refused as not run, by service and reason.",
+            ("service", "reason"),
+            registry=self.registry,
+        )
+
+    def show_queue_length(self, service: str, length: int) -> None:
+        """Shows how many requests of a service wait for a server."""
+        self.queue_length.labels(service).set(length)
+
     def count_part_refusal(self, part: str) -> None:
         """Counts a refusal for a quarantined part of a prompt."""
         self.part_refusals.labels(part).inc()
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -67,6 +67,7 @@
 from wasabiwing.prompt_cache import PromptCacheIndex
 from wasabiwing.quarantine import CRASHES_TO_QUARANTINE
 from wasabiwing.relay_peers import RelayPeers
+from wasabiwing.request_queue import RequestQueues
 from wasabiwing.restorable_store import RestorableStore
 from wasabiwing.retry_budgets import ServiceRetryBudgets
 from wasabiwing.routed_calls import CallCodec
@@ -346,6 +347,9 @@
             RelayPeers(timer, self._relay_inboxes, random),
             ServerConnections(timer, lambda node_id: None),
         )
+        self.queues = RequestQueues(timer, metrics.gateway.show_queue_length)
+        self._loads.on_room(self.queues.note_room)
+        self.view.on_new_server(self.queues.note_room)
         self._has_relay = settings.relay_endpoint is not None
         self.forwarder = CallForwarder(
             node_id,
@@ -395,6 +399,7 @@
             end_judge,
             self.reachability,
             self._peer_relay,
+            self.queues,
             random,
         )
         self.caller_http = CallerHttp(
--- /dev/null
+++ b/wasabiwing/queue_order.py
@@ -0,0 +1,143 @@
+"""Decides the order of waiting requests and the longest wait of each.
+
+Load patterns: the first seconds with too few servers, a burst of 1.7 times
+the usual rate, one organisation that sends 7.5 times its usual rate, and
+callers that return at once after a refusal. More urgent requests go first.
+Within an urgency each organisation gets its share (start-time fair queueing),
+so that one that sends more than usual delays its own requests. Then the one
+that is due first goes first, and of those due at the same time one whose
+caller has been refused before. Late work is last: it can only lose a little.
+The queues of gateway and node both use these rules.
+"""
+
+from math import floor
+
+from wasabiwing.call_refusal import LATE_DEADLINE_SHARE
+from wasabiwing.routed_calls import RoutedCall
+
+# Requests that are due within the same step, in seconds, count as equal.
+DUE_STEP_S = 0.1
+
+# Rates assumed for organisations without a usage cap, per second.
+UNCAPPED_TOKENS_PER_S = 10_000.0
+UNCAPPED_REQUESTS_PER_S = 10.0
+
+# Share of its latency target by which a request has to get a server to be
+# answered in time; the rest is for its own work.
+START_SHARE = 0.7
+
+# Multiple of the predicted time until there is room for which a request
+# waits; the prediction leaves out more urgent requests that arrive later.
+ROOM_FACTOR = 1.5
+
+# Key by which waiting requests at the heads of their flows are ordered.
+HeadKey = tuple[float, int, bool, float, int]
+
+# Late work or not, priority of the organisation, and urgency class.
+Level = tuple[bool, int, int]
+
+
+def start_tag(virtual_time: float, finish_tag: float) -> float:
+    """Returns the virtual time at which a flow's next request starts.
+
+    ``finish_tag`` is that at which the flow's last request has ended. A flow
+    gets no credit for the time in which it had no requests.
+    """
+    return max(virtual_time, finish_tag)
+
+
+def finish_tag(start: float, cost: float, weight: float = 1.0) -> float:
+    """Returns the virtual time at which a request that starts then ends."""
+    return start + cost / weight
+
+
+def head_key(
+    start: float, due_at: float, sequence: int, returned: bool = False
+) -> HeadKey:
+    """Returns the key of a waiting request; the lowest is served next.
+
+    ``start`` is the start tag of its flow, ``due_at`` the time in seconds at
+    which it should be answered, and ``sequence`` the number of its arrival.
+    ``returned`` says that its caller comes back after a refusal.
+    """
+    return start, floor(due_at / DUE_STEP_S), not returned, due_at, sequence
+
+
+def queue_level(call: RoutedCall, now: float) -> Level:
+    """Returns the level of a waiting request; the lowest is served first.
+
+    The priority of the organisation goes before that of the route.
+    """
+    return is_late(call, now), call.organisation_priority, call.urgency_class
+
+
+def is_late(call: RoutedCall, now: float) -> bool:
+    """Whether a request that gets a server now is answered too late.
+
+    Requests that are served in the order of their due times would otherwise
+    all be served a little too late under overload.
+    """
+    return call.late or now > start_by(call)
+
+
+def start_by(call: RoutedCall) -> float:
+    """Returns the time by which a request has to get a server."""
+    target_s = call.route.latency_target_s
+    if target_s <= 0.0:
+        return call.deadline
+    return min(call.received_at + target_s * START_SHARE, call.deadline)
+
+
+def due_at(call: RoutedCall, now: float) -> float:
+    """Returns the time by which a waiting request should get a server."""
+    return call.deadline if is_late(call, now) else start_by(call)
+
+
+def fair_cost(call: RoutedCall) -> float:
+    """Returns the seconds of its organisation's usage cap that a call uses.
+
+    The cap stands for the usual size of an organisation: a large one may have
+    more requests served at its usual rate than a small one.
+    """
+    organisation = call.organisation
+    tokens = call.total_tokens
+    if organisation is None or organisation.rate_per_s <= 0.0:
+        if tokens is None:
+            return 1.0 / UNCAPPED_REQUESTS_PER_S
+        return tokens / UNCAPPED_TOKENS_PER_S
+    if not organisation.counts_tokens:
+        return 1.0 / organisation.rate_per_s
+    if tokens is None:
+        tokens = organisation.default_tokens
+    return tokens / organisation.rate_per_s
+
+
+def predicted_room_s(ahead: int, served_per_s: float) -> float | None:
+    """Returns the seconds until a request is served from its queue.
+
+    ``ahead`` is the number of requests before it. The result is ``None`` if
+    the queue has served none recently, so that nothing can be predicted.
+    """
+    return (ahead + 1) / served_per_s if served_per_s > 0.0 else None
+
+
+def longest_wait_s(
+    short_s: float, remaining_s: float, room_s: float | None
+) -> float:
+    """Returns the seconds that a request waits for a server at most.
+
+    ``short_s`` is a wait that does the caller no harm if a refusal follows,
+    ``remaining_s`` the time until its deadline, and ``room_s`` the predicted
+    time until there is room. A request waits longer than ``short_s`` only for
+    room that is predicted early enough, and not at all for what comes after
+    its deadline.
+    """
+    short_s = min(short_s, remaining_s)
+    if room_s is None:
+        return short_s
+    if room_s > remaining_s:
+        return 0.0
+    usable_s = remaining_s * LATE_DEADLINE_SHARE
+    if room_s > usable_s:
+        return short_s
+    return max(short_s, min(room_s * ROOM_FACTOR, usable_s))
--- a/wasabiwing/report_aggregation.py
+++ b/wasabiwing/report_aggregation.py
@@ -17,7 +17,7 @@
 from wasabiwing.messages import AggregatedReport
 from wasabiwing.messages import NodeReport
 from wasabiwing.messages import ServerLoadEntry
-from wasabiwing.routed_calls import URGENCY_CLASSES
+from wasabiwing.routed_calls import LOAD_CLASSES
 from wasabiwing.server_loads import NodeLoad
 from wasabiwing.timers import TimerService
 
@@ -235,8 +235,8 @@
 
     Another release may have more or fewer classes of urgency.
     """
-    missing = (0,) * URGENCY_CLASSES
-    pending = (*item.pending_by_class, *missing)[:URGENCY_CLASSES]
+    missing = (0,) * LOAD_CLASSES
+    pending = (*item.pending_by_class, *missing)[:LOAD_CLASSES]
     return NodeLoad(pending, item.running)
 
 
--- a/wasabiwing/routed_calls.py
+++ b/wasabiwing/routed_calls.py
@@ -17,6 +17,11 @@
 # Number of urgency classes; a server computes prompts of the lowest one first.
 URGENCY_CLASSES = 3
 
+# Class of late work, which servers compute after the work of all urgency
+# classes, and the number of classes by which loads are counted.
+LATE_CLASS = URGENCY_CLASSES
+LOAD_CLASSES = URGENCY_CLASSES + 1
+
 
 @dataclass(frozen=True, slots=True)
 class PromptPart:
@@ -65,6 +70,9 @@
     # Monotonic times in seconds of the arrival and of the caller's deadline.
     received_at: float
     deadline: float
+    # Whether the answer will begin after the route's latency target, so that
+    # servers compute the request after all others.
+    late: bool = False
 
     @property
     def organisation_name(self) -> str:
@@ -108,7 +116,12 @@
 
     @property
     def urgency_class(self) -> int:
-        """Urgency class of the route; the lowest is served first."""
+        """Urgency class of the route; the lowest is served first.
+
+        Late work has a class of its own after those of all routes.
+        """
+        if self.late:
+            return LATE_CLASS
         return min(max(self.route.priority, 0), URGENCY_CLASSES - 1)
 
     @property
--- a/wasabiwing/send_permits.py
+++ b/wasabiwing/send_permits.py
@@ -291,6 +291,11 @@
         )
         return PermitOutlook(answer_awaited=awaits)
 
+    def is_wanted(self, service: str, request_id: str) -> bool:
+        """Whether a request wants a permit."""
+        state = self._state_by_service.get(service)
+        return state is not None and request_id in state.wish_by_request
+
     async def wait(self, seconds: float) -> None:
         """Waits until permits are granted, for ``seconds`` at most."""
         with move_on_after(seconds):
--- a/wasabiwing/server_loads.py
+++ b/wasabiwing/server_loads.py
@@ -12,8 +12,8 @@
 from dataclasses import field
 
 from wasabiwing.prefill_rates import PrefillRates
+from wasabiwing.routed_calls import LOAD_CLASSES
 from wasabiwing.routed_calls import ServerLoad
-from wasabiwing.routed_calls import URGENCY_CLASSES
 from wasabiwing.timers import TimerService
 
 # Weight of the newest outcome in the moving average of a server's failures.
@@ -91,11 +91,16 @@
         self._rates = rates
         self._server_by_id: dict[str, _Server] = {}
         self._on_heard: Callable[[str], None] = lambda server_id: None
+        self._on_room: Callable[[], None] = lambda: None
 
     def on_heard(self, listener: Callable[[str], None]) -> None:
         """Registers a listener for the ids of servers that send anything."""
         self._on_heard = listener
 
+    def on_room(self, listener: Callable[[], None]) -> None:
+        """Registers a listener for changes after which there may be room."""
+        self._on_room = listener
+
     def note_sent(
         self,
         server_id: str,
@@ -125,6 +130,7 @@
         server = self._server(server_id)
         server.pending_by_attempt.pop(attempt_id, None)
         self.note_heard(server_id)
+        self._on_room()
 
     def note_heard(self, server_id: str) -> None:
         """Records that a server has sent something."""
@@ -147,6 +153,7 @@
             change = FAILURE_WEIGHT * (float(failed) - current)
             server.failure_share = current + change
             server.failure_share_at = self._timer.now()
+        self._on_room()
 
     def note_unreachable(self, server_id: str) -> None:
         """Records that a server did not accept a connection."""
@@ -158,6 +165,7 @@
         server = self._server(server_id)
         server.statement = load
         server.stated_at = self._timer.now()
+        self._on_room()
 
     def note_peer_loads(
         self, peer_id: str, load_by_server: Mapping[str, NodeLoad]
@@ -168,6 +176,7 @@
             server.load_by_peer.pop(peer_id, None)
         for server_id, load in load_by_server.items():
             self._server(server_id).load_by_peer[peer_id] = (now, load)
+        self._on_room()
 
     def replace_peer_loads(
         self, load_by_server_by_peer: Mapping[str, Mapping[str, NodeLoad]]
@@ -179,6 +188,7 @@
         for peer_id, load_by_server in load_by_server_by_peer.items():
             for server_id, load in load_by_server.items():
                 self._server(server_id).load_by_peer[peer_id] = (now, load)
+        self._on_room()
 
     def own_load_by_server(self) -> dict[str, NodeLoad]:
         """Returns this node's requests in flight, for its reports."""
@@ -199,6 +209,8 @@
     ) -> LoadEstimate:
         """Returns the estimated state of a server for an urgency class.
 
+        ``LATE_CLASS`` counts the work of all classes and the late work.
+
         Prompt tokens in other nodes' reports count less with the age of the
         report, because the server computes them meanwhile. Those of this
         node's requests count until the first event.
@@ -246,7 +258,7 @@
 def _pending_by_class(
     server: _Server, left_out: Collection[str] = ()
 ) -> tuple[int, ...]:
-    tokens = [0] * URGENCY_CLASSES
+    tokens = [0] * LOAD_CLASSES
     for attempt_id, (urgency, count) in server.pending_by_attempt.items():
         if attempt_id not in left_out:
             tokens[urgency] += count
--- a/wasabiwing/server_selection.py
+++ b/wasabiwing/server_selection.py
@@ -18,6 +18,7 @@
 
 from wasabiwing.call_refusal import max_wait_for_server_s
 from wasabiwing.call_refusal import misses_deadline
+from wasabiwing.call_refusal import misses_deadline_as_late
 from wasabiwing.call_refusal import misses_latency_target
 from wasabiwing.candidate_sets import candidate_sets
 from wasabiwing.candidate_sets import expected_cached_tokens
@@ -61,6 +62,8 @@
     version: int
     # Digest of a request that is suspected of crashes; empty for others.
     suspect_digest: str = ""
+    # Whether the request is to be sent as late work.
+    late: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,6 +113,12 @@
         """Returns the ids of the servers that may get a service's requests."""
         return frozenset(server.id for server in self._view.servers(service))
 
+    def fleet_work_s(self, service: str, tokens: float) -> float:
+        """Returns how long the servers compute some tokens of each node."""
+        count = max(len(self._view.servers(service)), 1)
+        token_s = self._rates.prefill_s_per_token(service)
+        return tokens * token_s * self._nodes.count / count
+
     def choose_server(
         self,
         call: RoutedCall,
@@ -122,9 +131,10 @@
         without a free slot is chosen only if not ``needs_room``. The error
         ``NO_BACKEND_SERVER`` says that no other server may take the request,
         ``OVERLOADED`` that none has room at this moment,
-        ``DEADLINE_UNREACHABLE`` that the answer would begin after the
-        caller's deadline or far after the route's latency target, and
-        ``QUARANTINED`` that the request crashes servers.
+        ``DEADLINE_UNREACHABLE`` that the answer would begin too late for the
+        caller's deadline, and ``QUARANTINED`` that the request crashes
+        servers. If it would begin far after the route's latency target but
+        early enough for the caller, the server gets it as late work.
         """
         refusal = self._isolation.refusal(call)
         if refusal is not None:
@@ -163,8 +173,12 @@
         if isinstance(evaluated, Err):
             return evaluated
         evaluation = evaluated.ok_value
+        late = None
         if evaluation.failure is not None:
-            return Err(evaluation.failure)
+            late = None if needs_room else self._late(call, allowed_servers)
+            if late is None:
+                return Err(evaluation.failure)
+            evaluation = late
         choice, chosen = evaluation.choice, evaluation.candidate
         if needs_room and not has_room(chosen):
             return Err(Failure(ResultCode.OVERLOADED, f"full: {chosen.id}"))
@@ -184,9 +198,31 @@
                 chosen.load.pending_tokens,
                 0 if configuration is None else configuration.version,
                 digest,
+                late is not None,
             )
         )
 
+    def _late(
+        self, call: RoutedCall, servers: list[RegisteredServer]
+    ) -> _Evaluation | None:
+        """Returns the best server for a request that is sent as late work.
+
+        The result is ``None`` if none is predicted to begin it early enough.
+        Brittle servers and those without a permit are left to other requests.
+        """
+        brittle = self._slots.brittle_servers(
+            call.service, (server.id for server in servers)
+        )
+        usable = [
+            server
+            for server in self._permitted_servers(call, servers)
+            if server.id not in brittle
+        ]
+        if not usable:
+            return None
+        found = self._choose_from_sets(replace(call, late=True), usable)
+        return found if found.failure is None else None
+
     def _accepting_servers(
         self, call: RoutedCall, servers: list[RegisteredServer]
     ) -> Result[list[RegisteredServer], Failure]:
@@ -378,8 +414,14 @@
             )
         )
 
-    async def wait_for_room(self, seconds: float) -> None:
-        """Waits until a server may have room, for ``seconds`` at most."""
+    def awaits_grant(self, call: RoutedCall) -> bool:
+        """Whether a request awaits a permit or a slot that is its own."""
+        return self._slots.is_wanted(
+            call.service, call.request_id
+        ) or self._permits.is_wanted(call.service, call.request_id)
+
+    async def wait_for_grant(self, seconds: float) -> None:
+        """Waits until a permit or a slot comes, for ``seconds`` at most."""
         if self._slots.is_awaited:
             await self._slots.wait(seconds)
         else:
@@ -444,12 +486,15 @@
         remaining_s = call.deadline - now
         target_left_s = call.route.latency_target_s - (now - call.received_at)
         failure = None
-        if chosen.uncached_tokens and (
-            misses_deadline(choice.first_event_s, remaining_s)
-            or misses_latency_target(
+        if call.late:
+            misses = misses_deadline_as_late(choice.first_event_s, remaining_s)
+        else:
+            misses = misses_deadline(
+                choice.first_event_s, remaining_s
+            ) or misses_latency_target(
                 choice.first_event_s, target_left_s, chosen.load
             )
-        ):
+        if chosen.uncached_tokens and misses:
             failure = Failure(
                 ResultCode.DEADLINE_UNREACHABLE,
                 f"first event in {choice.first_event_s:.2f} s at"
--- a/wasabiwing/server_slots.py
+++ b/wasabiwing/server_slots.py
@@ -239,6 +239,10 @@
                 )
             )
 
+    def is_wanted(self, service: str, request_id: str) -> bool:
+        """Whether a request has asked for a slot."""
+        return (service, request_id) in self._wish_by_key
+
     @property
     def is_awaited(self) -> bool:
         """Whether a request waits for a slot."""
--- a/wasabiwing/server_wait.py
+++ b/wasabiwing/server_wait.py
@@ -1,28 +1,39 @@
 """Waits for a backend server with room for the next attempt of a request.
 
 Between ``call_forwarding``, which makes the attempt, and ``server_selection``,
-which chooses the server. A request waits only while a server may have room
-again soon.
+which chooses the server once there is room. The order of waiting requests is
+that of ``request_queue``, and the longest wait follows from ``queue_order``.
 """
 
 from collections.abc import Callable
+from dataclasses import replace
+from typing import Protocol
 
 from result import Err
+from result import Ok
+from result import Result
 
 from wasabiwing.answer_relay import CallProgress
+from wasabiwing.call_refusal import LATE_DEADLINE_SHARE
 from wasabiwing.call_refusal import max_wait_for_server_s
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
-from wasabiwing.quarantine import Quarantine
+from wasabiwing.events import Event
+from wasabiwing.events import log_event
+from wasabiwing.metrics import GatewayMetrics
+from wasabiwing.queue_order import longest_wait_s
 from wasabiwing.relay_peers import MOST_UNREACHABLE
+from wasabiwing.request_queue import RequestQueue
+from wasabiwing.request_queue import RequestQueues
+from wasabiwing.request_queue import Waiter
+from wasabiwing.request_queue import waiter_kind
 from wasabiwing.routed_calls import RoutedCall
-from wasabiwing.server_directory import RegisteredServer
 from wasabiwing.server_selection import SelectedServer
-from wasabiwing.server_selection import ServerSelector
 from wasabiwing.timers import TimerService
 
-# Period in seconds at which a waiting request looks for a server with room.
-SERVER_POLL_S = 0.015
+# Period in seconds at which a request that awaits a permit or a slot asks for
+# it again. The issuer takes one that does not for gone.
+GRANT_POLL_S = 0.015
 
 # Longest wait in seconds for a server by a request that is suspected of a
 # crash: until the crash is attributed to a request, or until the same request
@@ -30,20 +41,44 @@
 SUSPECT_WAIT_S = 0.5
 
 
+class Placement(Protocol):
+    """Chooses servers; see ``ServerSelector``."""
+
+    def choose_server(
+        self, call: RoutedCall, tried: frozenset[str]
+    ) -> Result[SelectedServer, Failure]:
+        """Returns the server for the next attempt of a request."""
+
+    def give_up(self, call: RoutedCall) -> None:
+        """Records that a request looks for no server any more."""
+
+    def awaits_grant(self, call: RoutedCall) -> bool:
+        """Whether a request awaits a permit or a slot that is its own."""
+
+    async def wait_for_grant(self, seconds: float) -> None:
+        """Waits until a permit or a slot comes, for ``seconds`` at most."""
+
+
 class ServerWait:
     """Finds servers for the requests of one node, and waits for room."""
 
     def __init__(
         self,
+        node_id: str,
         timer: TimerService,
-        placement: ServerSelector,
-        quarantine: Quarantine[RegisteredServer],
+        placement: Placement,
+        queues: RequestQueues,
+        metrics: GatewayMetrics,
+        suspect_digest: Callable[[RoutedCall], str],
         stop_refusal: Callable[[RoutedCall, float], Failure | None],
         unreachable_share: Callable[[RoutedCall], float],
     ) -> None:
+        self._node_id = node_id
         self._timer = timer
         self._placement = placement
-        self._quarantine = quarantine
+        self._queues = queues
+        self._metrics = metrics
+        self._suspect_digest = suspect_digest
         self._stop_refusal = stop_refusal
         self._unreachable_share = unreachable_share
 
@@ -52,33 +87,125 @@
     ) -> SelectedServer | Failure:
         """Returns a server for the next attempt, or why there is none.
 
-        While no server has room, the request waits for a short time.
+        While no server has room, the request waits in its service's queue.
         """
         if (
             progress.relayed
             and self._unreachable_share(call) >= MOST_UNREACHABLE
         ):
             return Failure(ResultCode.CONNECT_FAILED, "few servers reached")
-        wait_s = max_wait_for_server_s(call.route.latency_target_s)
-        if self._quarantine.suspect_digest(call):
-            wait_s = SUSPECT_WAIT_S
-        wait_until = self._timer.now() + wait_s
         refusal = self._stop_refusal(call, progress.came_at)
         if refusal is not None:
             return refusal
-        while True:
-            placed = self._placement.choose_server(
-                call, frozenset(progress.tried_server_ids)
-            )
-            if isinstance(placed, Err) and progress.silent_server_ids:
-                # Those that took over have refused.
-                tried = progress.tried_server_ids - progress.silent_server_ids
-                placed = self._placement.choose_server(call, frozenset(tried))
-            if not isinstance(placed, Err):
+        queue = self._queues.queue(call.service)
+        suspect_digest = self._suspect_digest(call)
+        kind = waiter_kind(
+            call, frozenset(progress.tried_server_ids), suspect_digest
+        )
+        if not queue.has_precedence(call, kind):
+            placed = self._choose(call, progress)
+            if isinstance(placed, Ok):
+                queue.charge(call)
                 return placed.ok_value
+            if placed.err_value.code is not ResultCode.OVERLOADED:
+                self._placement.give_up(call)
+                return placed.err_value
+        waiter = self._queues.join(call, kind)
+        ahead = queue.position(waiter)
+        served = False
+        try:
+            placed = await self._wait_in_queue(
+                waiter, progress, queue, suspect_digest
+            )
+            served = isinstance(placed, Ok)
+        finally:
+            self._queues.leave(waiter, served)
+            self._note_waited(waiter, ahead, served)
+        if isinstance(placed, Ok):
+            queue.charge(call)
+            return placed.ok_value
+        return placed.err_value
+
+    async def _wait_in_queue(
+        self,
+        waiter: Waiter,
+        progress: CallProgress,
+        queue: RequestQueue,
+        suspect_digest: str,
+    ) -> Result[SelectedServer, Failure]:
+        """Returns the server for a waiting request, or why there is none."""
+        call = waiter.call
+        short_s = (
+            SUSPECT_WAIT_S
+            if suspect_digest
+            else max_wait_for_server_s(call.route.latency_target_s)
+        )
+        # The first look for a server has failed or was left to those ahead.
+        failure = Failure(ResultCode.OVERLOADED, "others wait")
+        now = waiter.joined_at
+        room_s = queue.predicted_room_s(waiter)
+        remaining_s = call.deadline - now
+        wait_until = now + longest_wait_s(short_s, remaining_s, room_s)
+        while True:
+            waiter.has_own_signal = self._placement.awaits_grant(call)
+            if waiter.has_own_signal:
+                # The issuer has been told of the short wait.
+                wait_until = min(wait_until, waiter.joined_at + short_s)
+            if wait_until <= now:
+                self._placement.give_up(call)
+                return Err(_with_return(failure, room_s))
+            if waiter.has_own_signal:
+                await self._placement.wait_for_grant(GRANT_POLL_S)
+            else:
+                await queue.wait(waiter, wait_until - now)
+            placed = self._choose(call, progress)
+            if isinstance(placed, Ok):
+                return placed
             failure = placed.err_value
-            waiting_helps = failure.code is ResultCode.OVERLOADED
-            if not waiting_helps or self._timer.now() >= wait_until:
+            if failure.code is not ResultCode.OVERLOADED:
                 self._placement.give_up(call)
-                return failure
-            await self._placement.wait_for_room(SERVER_POLL_S)
+                return placed
+            queue.note_failed(waiter)
+            now = self._timer.now()
+            room_s = queue.predicted_room_s(waiter)
+            if room_s is not None:
+                # Those ahead are served, so that a longer wait may help.
+                longer_s = longest_wait_s(0.0, call.deadline - now, room_s)
+                latest = waiter.joined_at + remaining_s * LATE_DEADLINE_SHARE
+                wait_until = max(wait_until, min(now + longer_s, latest))
+
+    def _choose(
+        self, call: RoutedCall, progress: CallProgress
+    ) -> Result[SelectedServer, Failure]:
+        placed = self._placement.choose_server(
+            call, frozenset(progress.tried_server_ids)
+        )
+        if isinstance(placed, Err) and progress.silent_server_ids:
+            # Those that took over have refused.
+            tried = progress.tried_server_ids - progress.silent_server_ids
+            placed = self._placement.choose_server(call, frozenset(tried))
+        return placed
+
+    def _note_waited(self, waiter: Waiter, ahead: int, served: bool) -> None:
+        """Logs and counts the wait of a request."""
+        call = waiter.call
+        wait_s = self._timer.now() - waiter.joined_at
+        self._metrics.queue_wait.labels(call.service).observe(wait_s)
+        log_event(
+            Event.REQUEST_WAITED,
+            self._node_id,
+            request=call.head.attempt_id,
+            route=call.route.name,
+            organisation=call.organisation_name,
+            ahead=ahead,
+            returned=waiter.returned,
+            served=served,
+            wait_s=round(wait_s, 3),
+        )
+
+
+def _with_return(failure: Failure, room_s: float | None) -> Failure:
+    """Returns a refusal whose caller returns when there is room."""
+    if failure.retry_after_s is not None or room_s is None:
+        return failure
+    return replace(failure, retry_after_s=room_s)
