--- /dev/null
+++ b/tests/test_late_work.py
@@ -0,0 +1,89 @@
+"""Tests of requests whose answers will be late, through a node."""
+
+from anyio import create_task_group
+from anyio import sleep
+import pytest
+
+from tests.examples import error_of
+from tests.node_deployment import deployment
+from tests.node_deployment import POLL_S
+from wasabiwing.codes import ResultCode
+from wasabiwing.http_client import find_header
+from wasabiwing.messages import ServerLoadEntry
+from wasabiwing.prefill_rates import PrefillRates
+from wasabiwing.report_aggregation import read_load
+from wasabiwing.routed_calls import LATE_CLASS
+from wasabiwing.routed_calls import URGENCY_CLASSES
+from wasabiwing.server_loads import ServerLoads
+from wasabiwing.timers import FakeTimer
+from wasabiwing_platform_standins.server import ServerFault
+from wasabiwing_platform_standins.server import ServerStandIn
+
+# Prompt that takes 5.3 s by the assumed time per token: longer than 1.3 times
+# the route's target of 4 s.
+LONG_PROMPT = {"Wasabiwing-Token-Counts": "265000,10"}
+SHORT_PROMPT = "100,10"
+
+
+@pytest.mark.anyio
+class TestLateWork:
+    """A request behind a long prompt, whose first event misses its target."""
+
+    @pytest.mark.parametrize("has_time", (True, False))
+    async def test_late_request_runs_last_or_is_refused(
+        self, has_time: bool
+    ) -> None:
+        """Guards against refusals of requests that are still worth running.
+
+        A third of the caller's time must be enough for the work before it.
+        """
+        async with deployment() as system:
+            server = ServerStandIn("server-1", [ServerFault.SILENT])
+            await system.add_server("models", server)
+            await system.wait_ready()
+            async with create_task_group() as tasks:
+                tasks.start_soon(
+                    system.call, "/notes/", "POST", b"long", LONG_PROMPT
+                )
+                while not server.received_requests:
+                    await sleep(POLL_S)
+                timeout_ms = 20_000 if has_time else 14_000
+                reply = await system.call(
+                    "/notes/",
+                    headers={
+                        "Wasabiwing-Token-Counts": SHORT_PROMPT,
+                        "Wasabiwing-Deadline-Ms": str(timeout_ms),
+                    },
+                )
+                tasks.cancel_scope.cancel()
+            urgencies = [
+                int(request.headers["wasabiwing-request-urgency"])
+                for request in server.received_requests
+            ]
+            if has_time:
+                assert reply.status == 200
+                assert urgencies == [0, 2 * LATE_CLASS]
+            else:
+                assert reply.status == 503
+                code = ResultCode.DEADLINE_UNREACHABLE
+                assert error_of(reply)["code"] == int(code)
+                assert find_header(reply.headers, b"retry-after")
+                assert urgencies == [0]
+
+
+class TestLoad:
+    """Late work in the loads of servers."""
+
+    def test_late_work_is_not_ahead_of_other_requests(self) -> None:
+        """Guards against late work that makes further requests late."""
+        loads = ServerLoads(FakeTimer(), PrefillRates())
+        loads.note_sent("s", "late", LATE_CLASS, 5000)
+        least_urgent = URGENCY_CLASSES - 1
+        assert loads.estimate("s", "models", least_urgent).pending_tokens == 0
+        late = loads.estimate("s", "models", LATE_CLASS)
+        assert late.pending_tokens == 5000
+
+    def test_report_of_an_earlier_release_has_no_late_work(self) -> None:
+        """Guards against mixed releases that cannot read each other."""
+        load = read_load(ServerLoadEntry("s", (1, 2, 3), 4))
+        assert load.pending_by_class == (1, 2, 3, 0)
