--- a/wasabiwing/answer_relay.py
+++ b/wasabiwing/answer_relay.py
@@ -375,7 +375,9 @@
         self._count_run(call, progress)
         first_event_s = self._timer.now() - watched.sent_at
         computed_tokens = round(placed.queued_tokens) + placed.uncached_tokens
-        self._rates.observe(call.service, computed_tokens, first_event_s)
+        if not call.late:
+            # Late work also waits for requests that were sent after it.
+            self._rates.observe(call.service, computed_tokens, first_event_s)
         self._metrics.first_token.labels(call.route.name).observe(
             self._timer.now() - call.received_at
         )
