--- a/wasabiwing/server_wait.py
+++ b/wasabiwing/server_wait.py
@@ -105,7 +105,7 @@
         if not queue.has_precedence(call, kind):
             placed = self._choose(call, progress)
             if isinstance(placed, Ok):
-                queue.charge(call)
+                self._queues.note_placed(call)
                 return placed.ok_value
             if placed.err_value.code is not ResultCode.OVERLOADED:
                 self._placement.give_up(call)
@@ -122,7 +122,7 @@
             self._queues.leave(waiter, served)
             self._note_waited(waiter, ahead, served)
         if isinstance(placed, Ok):
-            queue.charge(call)
+            self._queues.note_placed(call)
             return placed.ok_value
         return placed.err_value
 
