--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -15,7 +15,9 @@
 from random import Random
 
 from wasabiwing.call_refusal import misses_deadline
+from wasabiwing.call_refusal import misses_deadline_as_late
 from wasabiwing.call_refusal import misses_latency_target
+from wasabiwing.call_refusal import retry_after_s
 from wasabiwing.candidate_sets import candidate_sets
 from wasabiwing.candidate_sets import expected_cached_tokens
 from wasabiwing.candidate_sets import prompt_group_size
@@ -23,8 +25,10 @@
 from wasabiwing.candidate_sets import search_candidate_sets
 from wasabiwing.prefill_rates import PrefillRates
 from wasabiwing.prompt_cache import PromptCacheIndex
+from wasabiwing.refused_shares import RefusedShares
 from wasabiwing.report_aggregation import add_load
 from wasabiwing.report_aggregation import subtract_own_load
+from wasabiwing.routed_calls import LATE_CLASS
 from wasabiwing.routed_calls import PromptPart
 from wasabiwing.routed_calls import URGENCY_CLASSES
 from wasabiwing.server_choice import Candidate
@@ -93,6 +97,12 @@
     parts: tuple[PromptPart, ...]
     first_event_at: float | None = None
     refused_at: float | None = None
+    # Whether the request is sent as late work, which engines compute last.
+    late: bool = False
+    # Whether the caller has returned after a refusal, and the seconds after
+    # which the policy asks a refused caller to return.
+    returned: bool = False
+    retry_after_s: float = 0.0
 
     @property
     def tokens(self) -> int:
@@ -235,6 +245,7 @@
         self.rates = PrefillRates()
         self.loads = ServerLoads(timer, self.rates)
         self.prompts = PromptCacheIndex()
+        self.shares = RefusedShares(timer)
         # Servers and shared parts of prompts placed since the last exchange.
         self.placed: list[tuple[str, tuple[PromptPart, ...]]] = []
 
@@ -275,13 +286,45 @@
     first_event_s = FIRST_EVENT_DELAY_S + work / TOKENS_PER_S
     remaining_s = prompt.kind.deadline_s - (now - prompt.arrived_at)
     in_time_s = prompt.kind.target_s - (now - prompt.arrived_at)
-    if misses_deadline(first_event_s, remaining_s):
-        return None
-    if misses_latency_target(first_event_s, in_time_s, candidate.load):
+    prompt.retry_after_s = retry_after_s(first_event_s, remaining_s, 0.5)
+    if not misses_deadline(
+        first_event_s, remaining_s
+    ) and not misses_latency_target(first_event_s, in_time_s, candidate.load):
+        return chosen
+    return _place_late(node, prompt, servers, remaining_s)
+
+
+def refusing_policy(
+    node: ReplayNode, prompt: Prompt, servers: Sequence[str], now: float
+) -> str | None:
+    """Chooses a server by the rules of a node without late work."""
+    chosen = product_policy(node, prompt, servers, now)
+    if prompt.late:
+        prompt.late = False
         return None
     return chosen
 
 
+def _place_late(
+    node: ReplayNode,
+    prompt: Prompt,
+    servers: Sequence[str],
+    remaining_s: float,
+) -> str | None:
+    """Chooses the server that computes late work first, if early enough."""
+    if not node.shares.may_run_late(SERVICE, prompt.kind.urgency_class):
+        return None
+    work_by_server = {
+        candidate.id: candidate.uncached_tokens
+        + node.loads.estimate(candidate.id, SERVICE, LATE_CLASS).pending_tokens
+        for candidate in node.candidates(prompt, servers)
+    }
+    best = min(work_by_server, key=lambda item: work_by_server[item])
+    first_event_s = FIRST_EVENT_DELAY_S + work_by_server[best] / TOKENS_PER_S
+    prompt.late = not misses_deadline_as_late(first_event_s, remaining_s)
+    return best if prompt.late else None
+
+
 def place_without_refusal(
     node: ReplayNode, prompt: Prompt, servers: Sequence[str], now: float
 ) -> str | None:
@@ -417,9 +460,13 @@
     many_nodes: bool = False,
     slow_servers: SlowServers | None = None,
     learns_speeds: bool = False,
+    callers_return: bool = False,
 ) -> Result:
     """Replays requests and returns their outcomes.
 
+    With ``callers_return``, a refused caller comes back once, after the time
+    that the policy has named.
+
     ``engines_lost_at`` is a time and the number of engines that fail at it.
     With ``many_nodes``, nodes get the aggregate of all loads, less often, and
     do not learn what others have placed. ``slow_servers`` makes some engines
@@ -439,6 +486,7 @@
     waiting_events: list[tuple[float, str]] = []
     # Predicted time of the first event and slowdown, by request id.
     prediction_by_id: dict[str, tuple[float, float]] = {}
+    returning: list[tuple[float, Prompt]] = []
     pending = [
         Prompt(prompt.id, prompt.kind, prompt.arrived_at, prompt.parts)
         for prompt in prompts
@@ -458,14 +506,24 @@
             slow_servers.redraw(engines, now)
             slow_servers.probe(fleet, engines, now)
         alive = [engine.id for engine in engines if not engine.failed]
+        due = [prompt for at, prompt in returning if at <= now]
+        returning = [item for item in returning if item[0] > now]
         while pending and pending[0].arrived_at <= now:
-            prompt = pending.pop(0)
+            due.append(pending.pop(0))
+        for prompt in due:
             node = random.choice(fleet)
             chosen = policy(node, prompt, alive, now)
+            node.shares.note(
+                SERVICE, prompt.kind.urgency_class, chosen is None
+            )
             if chosen is None:
                 prompt.refused_at = now
+                if callers_return and not prompt.returned:
+                    prompt.returned = True
+                    returning.append((now + prompt.retry_after_s, prompt))
                 continue
             prediction_by_id[prompt.id] = _predict(node, prompt, chosen)
+            prompt.refused_at = None
             _send(by_id[chosen], node, prompt, now)
             running[prompt.id] = (prompt, node, chosen)
         for engine in engines:
@@ -513,6 +571,8 @@
 ) -> None:
     cached = node.prompts.cached_tokens(engine.id, prompt.parts)
     urgency_class = min(prompt.kind.urgency_class, URGENCY_CLASSES - 1)
+    if prompt.late:
+        urgency_class = LATE_CLASS
     node.loads.note_sent(
         engine.id, prompt.id, urgency_class, max(prompt.tokens - cached, 1)
     )
--- a/wasabiwing/answer_relay.py
+++ b/wasabiwing/answer_relay.py
@@ -381,13 +381,15 @@
         self._count_run(call, progress)
         first_event_s = self._timer.now() - watched.sent_at
         computed_tokens = round(placed.queued_tokens) + placed.uncached_tokens
-        self._note_prediction(call, placed, computed_tokens, first_event_s)
-        self._pace.note_first_event(
-            placed.server.id,
-            call.service,
-            placed.choice.first_event_s,
-            first_event_s,
-        )
+        if not call.late:
+            # Late work also waits for requests that were sent after it.
+            self._note_prediction(call, placed, computed_tokens, first_event_s)
+            self._pace.note_first_event(
+                placed.server.id,
+                call.service,
+                placed.choice.first_event_s,
+                first_event_s,
+            )
         self._metrics.first_token.labels(call.route.name).observe(
             self._timer.now() - call.received_at
         )
--- a/wasabiwing/call_forwarding.py
+++ b/wasabiwing/call_forwarding.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from dataclasses import replace
 from functools import partial
 from math import inf
 from random import Random
@@ -22,7 +23,7 @@
 from wasabiwing.attempt_watch import WatchedAttempt
 from wasabiwing.call_refusal import caller_retry_after_s
 from wasabiwing.call_refusal import failure_status
-from wasabiwing.call_refusal import max_wait_for_server_s
+from wasabiwing.call_refusal import is_lack_of_capacity
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
@@ -38,8 +39,8 @@
 from wasabiwing.quarantine import request_digest
 from wasabiwing.relay_peers import is_relay_due
 from wasabiwing.relay_peers import may_relay_refusal
-from wasabiwing.relay_peers import MOST_UNREACHABLE
 from wasabiwing.relay_peers import UNHEARD_S
+from wasabiwing.request_queue import RequestQueues
 from wasabiwing.retry_budgets import ServiceRetryBudgets
 from wasabiwing.routed_calls import CallCodec
 from wasabiwing.routed_calls import RoutedCall
@@ -55,6 +56,7 @@
 from wasabiwing.server_selection import SelectedServer
 from wasabiwing.server_selection import ServerSelector
 from wasabiwing.server_statements import ServerStatements
+from wasabiwing.server_wait import ServerWait
 from wasabiwing.service_configuration import RouteKind
 from wasabiwing.silent_attempts import KEPT_BUDGET_SHARE
 from wasabiwing.silent_attempts import Prospects
@@ -68,14 +70,6 @@
 # states that it has not run the request.
 MAX_REFUSED_ATTEMPTS = 3
 
-# Period in seconds at which a waiting request looks for a server with room.
-SERVER_POLL_S = 0.015
-
-# Longest wait in seconds for a server by a request that is suspected of a
-# crash: until the crash is attributed to a request, or until the same request
-# has ended elsewhere in this node.
-SUSPECT_WAIT_S = 0.5
-
 # A repeatable stream is sent to another server when its server has been silent
 # for this multiple of the predicted time to the first event, and for at least
 # this many seconds.
@@ -89,6 +83,9 @@
 # Failures of requests of which no byte was sent.
 NOT_SENT_CODES = (ResultCode.CONNECT_FAILED, ResultCode.SERVER_UNWILLING)
 
+# Time in seconds of which the refused requests are spread at their returns.
+REFUSED_SPAN_S = 1.0
+
 # Number of requests that one log line names.
 MAX_LOGGED_REQUESTS = 20
 
@@ -126,6 +123,7 @@
         reachability: ServerReachability,
         peer_relay: PeerRelay,
         pace: ServerPace,
+        queues: RequestQueues,
         random: Random,
     ) -> None:
         self._node_id = node_id
@@ -150,8 +148,19 @@
         self._reachability = reachability
         self._peer_relay = peer_relay
         self._pace = pace
+        self._queues = queues
         self._random = random
         self._running = RunningCalls()
+        self._server_wait = ServerWait(
+            node_id,
+            timer,
+            placement,
+            queues,
+            metrics,
+            quarantine.suspect_digest,
+            self._stop_refusal,
+            self._unreachable_share,
+        )
 
     def log_unfinished(self) -> None:
         """Logs the requests that are running when the process is killed."""
@@ -253,7 +262,7 @@
             placed = (
                 next_server.pop()
                 if next_server
-                else await self._wait_for_server(call, progress)
+                else await self._server_wait.wait(call, progress)
             )
             if isinstance(placed, Failure) and self._may_relay_refusal(
                 call, progress, placed
@@ -270,7 +279,11 @@
                     else _final_failure(progress)
                 )
             failure = await self._attempt(
-                call, placed, progress, output, next_server
+                replace(call, late=True) if placed.late else call,
+                placed,
+                progress,
+                output,
+                next_server,
             )
             if failure is None:
                 self._quarantine.note_success(call)
@@ -366,42 +379,6 @@
             call.head.answer_tokens,
         )
 
-    async def _wait_for_server(
-        self, call: RoutedCall, progress: CallProgress
-    ) -> SelectedServer | Failure:
-        """Returns a server for the next attempt, or why there is none.
-
-        While no server has room, the request waits for a short time.
-        """
-        if (
-            progress.relayed
-            and self._unreachable_share(call) >= MOST_UNREACHABLE
-        ):
-            return Failure(ResultCode.CONNECT_FAILED, "few servers reached")
-        wait_s = max_wait_for_server_s(call.route.latency_target_s)
-        if self._quarantine.suspect_digest(call):
-            wait_s = SUSPECT_WAIT_S
-        wait_until = self._timer.now() + wait_s
-        refusal = self._stop_refusal(call, progress.came_at)
-        if refusal is not None:
-            return refusal
-        while True:
-            placed = self._placement.choose_server(
-                call, frozenset(progress.tried_server_ids)
-            )
-            if isinstance(placed, Err) and progress.silent_server_ids:
-                # Those that took over have refused.
-                tried = progress.tried_server_ids - progress.silent_server_ids
-                placed = self._placement.choose_server(call, frozenset(tried))
-            if not isinstance(placed, Err):
-                return placed.ok_value
-            failure = placed.err_value
-            waiting_helps = failure.code is ResultCode.OVERLOADED
-            if not waiting_helps or self._timer.now() >= wait_until:
-                self._placement.give_up(call)
-                return failure
-            await self._placement.wait_for_room(SERVER_POLL_S)
-
     def _may_move(
         self,
         call: RoutedCall,
@@ -681,6 +658,8 @@
         self, call: RoutedCall, placed: SelectedServer, progress: CallProgress
     ) -> None:
         server_id = placed.server.id
+        if placed.late:
+            self._metrics.late_requests.labels(call.service).inc()
         if _is_first_attempt(progress, server_id):
             self._retry_budgets.note_first_attempt(call.service)
             self._note_demand(call, placed)
@@ -702,6 +681,7 @@
             uncached_tokens=placed.uncached_tokens,
             queued_tokens=round(placed.queued_tokens),
             first_event_s=round(placed.choice.first_event_s, 3),
+            urgency=_urgency(call),
             scores={
                 name: round(score, 3)
                 for name, score in placed.choice.score_by_server
@@ -749,9 +729,20 @@
             await send_whole(output, progress.fallback_answer)
             return
         remaining_s = max(call.deadline - self._timer.now(), 0.0)
+        spread_s = 0.0
+        if is_lack_of_capacity(failure):
+            self._queues.note_refused(call)
+            refused_tokens = self._queues.refused_tokens_per_s(call.service)
+            spread_s = self._placement.fleet_work_s(
+                call.service, refused_tokens * REFUSED_SPAN_S
+            )
         retry_after_s = caller_retry_after_s(
-            failure, remaining_s, self._random.random()
+            failure, remaining_s, self._random.random(), spread_s
         )
+        if failure.run_state is RunState.NOT_RUN:
+            self._metrics.refusals.labels(
+                call.service, failure.code.name
+            ).inc()
         await output.refuse(failure_status(failure), failure, retry_after_s)
 
     def _log_end(
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -72,6 +72,7 @@
 from wasabiwing.quarantine import CRASHES_TO_QUARANTINE
 from wasabiwing.queued_demand import queued_demand
 from wasabiwing.relay_peers import RelayPeers
+from wasabiwing.request_queue import RequestQueues
 from wasabiwing.restorable_store import RestorableStore
 from wasabiwing.retry_budgets import ServiceRetryBudgets
 from wasabiwing.routed_calls import CallCodec
@@ -395,6 +396,10 @@
             RelayPeers(timer, self._relay_inboxes, random),
             ServerConnections(timer, lambda node_id: None),
         )
+        self.queues = RequestQueues(timer, metrics.gateway.show_queue_length)
+        placement.use_late_rule(self.queues.may_run_late)
+        self._loads.on_room(self.queues.note_room)
+        self.view.on_new_server(self.queues.note_room)
         self._has_relay = settings.relay_endpoint is not None
         self.forwarder = CallForwarder(
             node_id,
@@ -446,6 +451,7 @@
             self.reachability,
             self._peer_relay,
             self._pace,
+            self.queues,
             random,
         )
         self.caller_http = CallerHttp(
