--- a/tests/hostile_clients.py
+++ b/tests/hostile_clients.py
@@ -210,6 +210,8 @@
                     "listen_port": front.port,
                     "inbox_address": f"tcp://{inbox}",
                     "controller_address": f"tcp://{controller}",
+                    "memory_mb": MEMORY_MB,
+                    "max_descriptors": DESCRIPTORS,
                     **fields,
                 }
             )
--- a/tests/test_recorded_bytes.py
+++ b/tests/test_recorded_bytes.py
@@ -21,6 +21,7 @@
 
 from tests.sample_values import sample
 from wasabiwing.claim_records import Segment
+from wasabiwing.client_limits import ClientLimits
 from wasabiwing.configuration import Configuration
 from wasabiwing.configuration_store import Manifest
 from wasabiwing.configuration_store import Root
@@ -95,7 +96,12 @@
 
 # Fields with defaults that later builds have added, by record.
 ADDED_FIELDS_BY_RECORD: dict[str, dict[str, object]] = {
-    "settings gateway": {"kill_grace_s": 30.0},
+    "settings gateway": {
+        "kill_grace_s": 30.0,
+        "memory_mb": 0.0,
+        "max_descriptors": 0,
+        "clients": ClientLimits(),
+    },
 }
 
 
--- a/wasabiwing/asgi.py
+++ b/wasabiwing/asgi.py
@@ -1,5 +1,6 @@
 """Small helpers for ASGI applications, and running uvicorn in a task."""
 
+from asyncio import get_running_loop
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterator
@@ -25,12 +26,12 @@
 from msgspec.json import encode
 from uvicorn import Config
 from uvicorn import Server
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from wasabiwing.answer_log import failure_document
 from wasabiwing.asgi_answer import AsgiAnswer
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
+from wasabiwing.connection_budget import ConnectionBudget
 from wasabiwing.events import Event as LogEvent
 from wasabiwing.events import log_event
 from wasabiwing.header_timeout import PipelineProtocol
@@ -51,7 +52,8 @@
 
 SOCKET_BACKLOG = 2048
 
-# Period in seconds at which ``serve_http`` reads the idle timeout again.
+# Period in seconds at which ``serve_http`` reads the idle timeout again and
+# looks for slow clients.
 IDLE_TIMEOUT_POLL_S = 0.5
 
 # Time in seconds for unfinished answers to end after ``stop`` was set, where a
@@ -282,15 +284,19 @@
     listener: socket,
     stop: Event,
     idle_timeout_s: Callable[[], float] | None = None,
-    protocol: type[HttpToolsProtocol] = PipelineProtocol,
+    protocol: type[PipelineProtocol] = PipelineProtocol,
     closing_s: Callable[[], float] = lambda: GRACEFUL_SHUTDOWN_S,
+    budget: ConnectionBudget | None = None,
 ) -> None:
     """Serves HTTP on a bound socket until ``stop`` is set.
 
     Unfinished answers then have ``closing_s()`` seconds to end.
     Cancelling the task closes all connections. ``idle_timeout_s`` is called
-    every ``IDLE_TIMEOUT_POLL_S`` seconds, since the timeout may change.
+    every ``IDLE_TIMEOUT_POLL_S`` seconds, since the timeout may change. All
+    listeners of a process share one ``budget``.
     """
+    if budget is not None:
+        protocol = type("Budgeted", (protocol,), {"budget": budget})
     config = Config(
         application,
         http=protocol,
@@ -310,19 +316,19 @@
             setattr(config, "timeout_graceful_shutdown", closing_s())
             server.should_exit = True
 
-        async def follow_idle_timeout() -> None:
-            while idle_timeout_s is not None:
-                config.timeout_keep_alive = ceil(idle_timeout_s())
-                for connection in server.server_state.connections:
-                    setattr(
-                        connection,
-                        "timeout_keep_alive",
-                        config.timeout_keep_alive,
-                    )
+        async def follow_connections() -> None:
+            while True:
+                if idle_timeout_s is not None:
+                    config.timeout_keep_alive = ceil(idle_timeout_s())
+                now = get_running_loop().time()
+                for connection in tuple(server.server_state.connections):
+                    assert isinstance(connection, PipelineProtocol)
+                    connection.timeout_keep_alive = config.timeout_keep_alive
+                    connection.sweep(now)
                 await sleep(IDLE_TIMEOUT_POLL_S)
 
         tasks.start_soon(wait_for_stop)
-        tasks.start_soon(follow_idle_timeout)
+        tasks.start_soon(follow_connections)
         try:
             await server.serve(sockets=[listener])
         finally:
--- a/wasabiwing/asgi_answer.py
+++ b/wasabiwing/asgi_answer.py
@@ -20,7 +20,8 @@
 from wasabiwing.answer_end import Framing
 from wasabiwing.routed_calls import RawHeaders
 
-# ASGI extension with uvicorn's state of the request.
+# ASGI extension with a weak reference to uvicorn's state of the request, which
+# lives as long as the request's task.
 CYCLE_EXTENSION = "wasabiwing.cycle"
 
 # HTTP version whose clients know no chunks.
@@ -62,7 +63,7 @@
         framing = answer_framing(self._scope["method"], status, headers)
         knows_chunks = self._scope["http_version"] != VERSION_WITHOUT_CHUNKS
         if framing is Framing.CONNECTION and not (states_end and knows_chunks):
-            cycle = self._scope["extensions"][CYCLE_EXTENSION]["cycle"]
+            cycle = self._scope["extensions"][CYCLE_EXTENSION]["cycle"]()
             cycle.chunked_encoding = False
             cycle.keep_alive = False
             self._unframed = cycle
--- a/wasabiwing/codes.py
+++ b/wasabiwing/codes.py
@@ -42,6 +42,7 @@
     REQUEST_TOO_LARGE = 108
     HEADERS_TOO_LARGE = 109
     HEADERS_TOO_SLOW = 110
+    BODY_TOO_SLOW = 111
     # 2xx: the system did not serve a correct request.
     OVERLOADED = 200
     DEADLINE_UNREACHABLE = 201
@@ -115,6 +116,7 @@
     ResultCode.REQUEST_TOO_LARGE: "The request body exceeds the limit.",
     ResultCode.HEADERS_TOO_LARGE: "The headers exceed the limit.",
     ResultCode.HEADERS_TOO_SLOW: "The headers took longer than the limit.",
+    ResultCode.BODY_TOO_SLOW: "The body took longer than the limit.",
     ResultCode.OVERLOADED: "No capacity is free within the queue limits.",
     ResultCode.DEADLINE_UNREACHABLE: "The deadline cannot be met.",
     ResultCode.NO_BACKEND_SERVER: "No backend server may take the request.",
--- a/wasabiwing/controller.py
+++ b/wasabiwing/controller.py
@@ -18,6 +18,8 @@
 from wasabiwing.claim_home import ClaimHome
 from wasabiwing.configuration import Configuration
 from wasabiwing.configuration_distribution import ConfigurationDistributor
+from wasabiwing.connection_budget import ConnectionBudget
+from wasabiwing.connection_budget import machine_limits
 from wasabiwing.controller_http import ControllerHttp
 from wasabiwing.controller_http import NoticeDocument
 from wasabiwing.etcd_store import EtcdStore
@@ -371,7 +373,14 @@
             inbox=addresses.inbox,
         )
         task_status.started(addresses)
-        await serve_http(controller.http.application(), listener, stop)
+        budget = ConnectionBudget(
+            settings.node_id,
+            process=machine_limits(0.0, 0),
+            count_refusal=metrics.count_refused_client,
+        )
+        await serve_http(
+            controller.http.application(), listener, stop, budget=budget
+        )
         await controller.members.leave()
         await timer.sleep(LEAVE_FLUSH_S)
         tasks.cancel_scope.cancel()
--- a/wasabiwing/events.py
+++ b/wasabiwing/events.py
@@ -60,6 +60,7 @@
     REQUEST_RELAYED = 222
     RELAY_DECLINED = 223
     SILENT_ATTEMPT_KEPT = 224
+    CLIENT_REFUSED = 230
     # 3xx: configuration.
     CONFIGURATION_IN_FORCE = 300
     CONFIGURATION_REJECTED = 301
@@ -184,6 +185,9 @@
     Event.SILENT_ATTEMPT_KEPT: (
         "An attempt at a silent server goes on; nothing else can carry it."
     ),
+    Event.CLIENT_REFUSED: (
+        "Clients sent too much or too slowly and were refused or cut."
+    ),
     Event.PART_QUARANTINED: (
         "A part of prompts was in repeated crashes; requests are refused."
     ),
--- a/wasabiwing/gateway.py
+++ b/wasabiwing/gateway.py
@@ -22,6 +22,8 @@
 from wasabiwing.cluster_view import ClusterView
 from wasabiwing.configuration import Configuration
 from wasabiwing.configuration_follower import ConfigurationFollower
+from wasabiwing.connection_budget import ConnectionBudget
+from wasabiwing.connection_budget import machine_limits
 from wasabiwing.decisions import DecisionLog
 from wasabiwing.events import Event as LogEvent
 from wasabiwing.events import log_event
@@ -581,6 +583,12 @@
             inbox=addresses.inbox,
         )
         task_status.started(addresses)
+        budget = ConnectionBudget(
+            settings.node_id,
+            lambda: settings.clients,
+            machine_limits(settings.memory_mb, settings.max_descriptors),
+            gateway.metrics.count_refused_client,
+        )
         await serve_http(
             gateway.http.application(),
             listener,
@@ -588,6 +596,7 @@
             protocol=PipelineProtocol,
             # The time until the kill bounds the answers, and nothing before.
             closing_s=lambda: max(gateway.stop_admission.time_left_s, 0.0),
+            budget=budget,
         )
         tasks.cancel_scope.cancel()
     await engine.close()
--- a/wasabiwing/header_timeout.py
+++ b/wasabiwing/header_timeout.py
@@ -11,50 +11,41 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from typing import Any
+from weakref import ref
 
 from httptools import HttpParserError
 from httptools import HttpParserUpgrade
 from httptools import HttpRequestParser
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from wasabiwing.asgi_answer import CYCLE_EXTENSION
+from wasabiwing.client_limits import Cause
+from wasabiwing.guarded_protocol import GuardedProtocol
 from wasabiwing.offered_upgrade import head_without_upgrade
 
-# ASGI extension with a function ``has_next``, which tells whether a request
-# that was read on the same connection waits for its turn.
+# ASGI extension with a weak reference to the connection's protocol. It tells
+# whether a request that was read on the same connection waits for its turn.
 PIPELINE_EXTENSION = "wasabiwing.pipeline"
 
-REQUEST_TIMEOUT = (
-    b"HTTP/1.1 408 Request Timeout\r\n"
-    b"content-length: 0\r\n"
-    b"connection: close\r\n\r\n"
-)
 
-
-# Answer of uvicorn to bytes that are no request.
-INVALID_REQUEST = "Invalid HTTP request received."
-
-
-class PipelineProtocol(HttpToolsProtocol):
+class PipelineProtocol(GuardedProtocol):
     """Tells the application whether further requests were read."""
 
     # Whether the parser has ended a message at its head, because it offers an
     # upgrade.
     _is_upgrade_offered = False
 
-    def data_received(self, data: bytes) -> None:
-        """Parses received bytes.
+    def _feed(self, piece: bytes) -> None:
+        """Gives some bytes to the parser.
 
         The parser takes what follows an offered upgrade for another protocol.
         The message is parsed again without the offer, which a server may
         ignore (RFC 9110, section 7.8).
         """
-        self._unset_keepalive_if_required()
         while True:
             try:
-                self.parser.feed_data(data)
+                self.parser.feed_data(piece)
             except HttpParserError:
-                self.send_400_response(INVALID_REQUEST)
+                self._refuse_unparsed()
                 return
             except HttpParserUpgrade as offer:
                 head = head_without_upgrade(
@@ -64,9 +55,9 @@
                     self.headers,
                 )
                 if head is None:
-                    self.send_400_response(INVALID_REQUEST)
+                    self._refuse_unparsed()
                     return
-                data = head + data[offer.args[0] :]
+                piece = head + piece[offer.args[0] :]
                 self.parser = HttpRequestParser(self)
                 self.parser.set_dangerous_leniencies(
                     lenient_data_after_close=True
@@ -86,7 +77,9 @@
     def on_message_begin(self) -> None:
         super().on_message_begin()
         self.scope["extensions"] = {
-            PIPELINE_EXTENSION: {"has_next": self._has_next_request}
+            # Weak references: a cycle of references would keep the head of
+            # each request until the next full garbage collection.
+            PIPELINE_EXTENSION: {"protocol": ref(self)}
         }
 
     def on_headers_complete(self) -> None:
@@ -95,9 +88,9 @@
             return
         super().on_headers_complete()
         # A later request on the connection replaces ``self.cycle``.
-        self.scope["extensions"][CYCLE_EXTENSION] = {"cycle": self.cycle}
+        self.scope["extensions"][CYCLE_EXTENSION] = {"cycle": ref(self.cycle)}
 
-    def _has_next_request(self) -> bool:
+    def has_next_request(self) -> bool:
         """Whether a further request was read on this connection."""
         return bool(self.pipeline)
 
@@ -105,12 +98,13 @@
 def has_next_request(scope: Mapping[str, Any]) -> bool:
     """Whether a request waits that was read on the same connection."""
     extension = scope.get("extensions", {}).get(PIPELINE_EXTENSION)
-    return extension is not None and bool(extension["has_next"]())
+    protocol = None if extension is None else extension["protocol"]()
+    return protocol is not None and bool(protocol.has_next_request())
 
 
 def header_timeout_protocol(
     timeout_s: Callable[[], float], on_timeout: Callable[[], None]
-) -> type[HttpToolsProtocol]:
+) -> type[PipelineProtocol]:
     """Returns a protocol that closes connections with slow headers.
 
     ``timeout_s`` is called for each request and returns the limit in seconds
@@ -150,7 +144,6 @@
                 self._start_header_timer()
                 return
             on_timeout()
-            self.transport.write(REQUEST_TIMEOUT)
-            self.transport.close()
+            self._refuse(Cause.SLOW_HEAD)
 
     return HeaderTimeoutProtocol
--- a/wasabiwing/metrics.py
+++ b/wasabiwing/metrics.py
@@ -72,11 +72,21 @@
             ("part",),
             registry=self.registry,
         )
+        self.clients_refused = Counter(
+            "wasabiwing_clients_refused",
+            "Clients that were refused or cut at a limit, by cause.",
+            ("cause",),
+            registry=self.registry,
+        )
 
     def count_part_refusal(self, part: str) -> None:
         """Counts a refusal for a quarantined part of a prompt."""
         self.part_refusals.labels(part).inc()
 
+    def count_refused_client(self, cause: str) -> None:
+        """Counts a client that was refused or cut at a limit."""
+        self.clients_refused.labels(cause).inc()
+
     def count_unknown_header(self, name: str) -> None:
         """Counts an answer with a header that the program does not read."""
         self.unknown_headers.labels(name).inc()
@@ -119,6 +129,16 @@
             ("kind", "code"),
             registry=self.registry,
         )
+        self.clients_refused = Counter(
+            "wasabiwing_clients_refused",
+            "Clients that were refused or cut at a limit, by cause.",
+            ("cause",),
+            registry=self.registry,
+        )
+
+    def count_refused_client(self, cause: str) -> None:
+        """Counts a client that was refused or cut at a limit."""
+        self.clients_refused.labels(cause).inc()
 
     def count_store_call(self, kind: str, code: ResultCode) -> None:
         """Counts a call to the key-value service."""
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import dataclass
+from dataclasses import replace
 from random import Random
 from random import SystemRandom
 
@@ -24,6 +25,7 @@
 from wasabiwing.caller_http import CallerHttp
 from wasabiwing.cap_admission import CapAdmission
 from wasabiwing.cap_admission import SPENDING_PERIOD_S
+from wasabiwing.client_limits import ClientLimits
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
 from wasabiwing.duties import DUTY_PERIOD_S
@@ -158,6 +160,7 @@
         self._store = RestorableStore(platform.store)
         random = Random(SystemRandom().getrandbits(SEED_BITS))
         self._node_id = node_id
+        self._clients = settings.clients
         self._timer = timer
         self._last_tick_at = timer.now()
         incarnation_id = f"{node_id}/{random.getrandbits(SEED_BITS):016x}"
@@ -484,6 +487,16 @@
             return RequestLimits()
         return configuration.limits
 
+    @property
+    def client_limits(self) -> ClientLimits:
+        """Limits on what one client may send."""
+        limits = self.limits
+        return replace(
+            self._clients,
+            max_header_bytes=limits.max_header_bytes,
+            header_timeout_s=limits.header_timeout_s,
+        )
+
     def log_slow_headers(self) -> None:
         """Logs the refusal of a request whose headers arrived too slowly."""
         log_event(
--- a/wasabiwing/node_program.py
+++ b/wasabiwing/node_program.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from functools import partial
 from signal import SIGHUP
 
 from anyio import create_task_group
@@ -10,6 +11,8 @@
 
 from wasabiwing.asgi import bind_listener
 from wasabiwing.asgi import serve_http
+from wasabiwing.connection_budget import ConnectionBudget
+from wasabiwing.connection_budget import machine_limits
 from wasabiwing.error_containment import run_logging_errors
 from wasabiwing.events import Event as LogEvent
 from wasabiwing.events import log_event
@@ -58,6 +61,12 @@
         node = Node(settings, platform, timer, transport, metrics)
         messages = MessageRouter(settings.node_id, transport)
         node.register(messages)
+        budget = ConnectionBudget(
+            settings.node_id,
+            lambda: node.client_limits,
+            machine_limits(settings.memory_mb, settings.max_descriptors),
+            metrics.gateway.count_refused_client,
+        )
         drained = Event()
         tasks.start_soon(timer.run)
         tasks.start_soon(messages.run)
@@ -69,7 +78,7 @@
             reload_on_signal, settings.node_id, platform.reload_settings
         )
         tasks.start_soon(
-            serve_http,
+            partial(serve_http, budget=budget),
             readiness_application(node.report_readiness, metrics.registry),
             readiness_listener,
             never_stopped,
@@ -86,7 +95,7 @@
         async with create_task_group() as listening:
             if relay_listener is not None:
                 listening.start_soon(
-                    serve_http,
+                    partial(serve_http, budget=budget),
                     node.caller_http.relay_application(),
                     relay_listener,
                     drained,
@@ -105,6 +114,7 @@
                 # The time until the kill bounds the answers, and nothing
                 # before.
                 lambda: max(node.stop_admission.time_left_s, 0.0),
+                budget,
             )
         tasks.cancel_scope.cancel()
     log_event(LogEvent.PROGRAM_STOPPED, settings.node_id)
--- a/wasabiwing/node_settings.py
+++ b/wasabiwing/node_settings.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass
 
+from wasabiwing.client_limits import ClientLimits
 from wasabiwing.server_directory import HEARTBEAT_S
 
 
@@ -88,3 +89,9 @@
     capacity: int = 0
     # Interval at which backend servers renew their entries, in seconds.
     server_heartbeat_s: float = HEARTBEAT_S
+    # Memory of the VM, and descriptors that the process may open; 0 for what
+    # the operating system says.
+    memory_mb: float = 0.0
+    max_descriptors: int = 0
+    # What one caller may send; the operator's limits on headers go before.
+    clients: ClientLimits = ClientLimits()
--- a/wasabiwing/settings.py
+++ b/wasabiwing/settings.py
@@ -14,6 +14,7 @@
 from result import Ok
 from result import Result
 
+from wasabiwing.client_limits import ClientLimits
 from wasabiwing.codes import EXIT_USAGE
 from wasabiwing.routing_scores import RoutingPolicy
 from wasabiwing.validation import parse_document
@@ -56,6 +57,12 @@
     log_path: str = ""
     # Time from a stop request until the process is killed.
     kill_grace_s: float = 30.0
+    # Memory of the VM in megabytes, and descriptors that the process may open;
+    # 0 for what the operating system says.
+    memory_mb: float = 0.0
+    max_descriptors: int = 0
+    # What one client may send, and how slowly.
+    clients: ClientLimits = ClientLimits()
 
     def __post_init__(self) -> None:
         if self.kill_grace_s <= self.stop_grace_s:
