--- a/wasabiwing/events.py
+++ b/wasabiwing/events.py
@@ -61,6 +61,7 @@
     RELAY_DECLINED = 223
     SILENT_ATTEMPT_KEPT = 224
     REQUEST_WAITED = 230
+    CLIENT_REFUSED = 231
     # 3xx: configuration.
     CONFIGURATION_IN_FORCE = 300
     CONFIGURATION_REJECTED = 301
@@ -192,6 +193,9 @@
     Event.REQUEST_WAITED: (
         "A request has waited for a server with room, and whether it got one."
     ),
+    Event.CLIENT_REFUSED: (
+        "Clients sent too much or too slowly and were refused or cut."
+    ),
     Event.PART_QUARANTINED: (
         "A part of prompts was in repeated crashes; requests are refused."
     ),
