--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -621,14 +621,27 @@
         if platform.cloud is not None and settings.runs_autoscaler:
             demand = self._reported_state.demand
             demand.add_source(
-                queued_demand(self.view, self._loads, self._prefill_rates)
+                queued_demand(
+                    self.view,
+                    self._loads,
+                    self._prefill_rates,
+                    self.queues.waiting_tokens,
+                    self.queues.refused_tokens_per_s,
+                )
             )
+            demand.follow_closely(self._states_speed)
             autoscaler = Autoscaler(
                 node_id,
                 self._timer,
                 platform.cloud,
                 self.view,
-                ServerNeeds(self._timer, self.view, demand, self._limits),
+                ServerNeeds(
+                    self._timer,
+                    self.view,
+                    demand,
+                    self._limits,
+                    self._loads.speeds.slowdown,
+                ),
                 settings.availability_zones,
                 self._statements,
                 self._reported_state.orders,
@@ -726,6 +739,13 @@
             log_ended,
         )
 
+    def _states_speed(self, service: str) -> bool:
+        """Whether a server of a service has stated its speed."""
+        return any(
+            self._loads.speeds.states_speed(server.id)
+            for server in self.view.directory.servers_of_service(service)
+        )
+
     def _may_hold_duties(self) -> bool:
         """Whether this node has the data that the duties need.
 
--- a/wasabiwing/server_demand.py
+++ b/wasabiwing/server_demand.py
@@ -86,6 +86,10 @@
         covered = 1.0 - exp(-averaged_s / DEMAND_TIME_CONSTANT_S)
         return self._recent_s.value(now) / DEMAND_TIME_CONSTANT_S / covered
 
+    def mean_demand(self, now: float) -> float:
+        """Returns the computing time per second, over some seconds."""
+        return self._computing_s.value(now) / MEAN_TIME_CONSTANT_S
+
     def mean_s(self, now: float) -> float:
         """Returns the mean computing time of a request; 0 without any."""
         count = self._requests.value(now)
@@ -105,11 +109,23 @@
         self._work_by_service: dict[str, _Work] = {}
         self._demand_by_peer: dict[str, tuple[float, Mapping[str, float]]] = {}
         self._sources: list[Callable[[], Mapping[str, float]]] = []
+        self._is_followed: Callable[[str], bool] = lambda service: True
 
     def add_source(self, source: Callable[[], Mapping[str, float]]) -> None:
         """Registers a source of further demand, in servers by service."""
         self._sources.append(source)
 
+    def follow_closely(self, is_followed: Callable[[str], bool]) -> None:
+        """Sets for which services the demand of the last second counts.
+
+        For all others it is the average of some seconds, without sources.
+        """
+        self._is_followed = is_followed
+
+    def is_followed(self, service: str) -> bool:
+        """Whether the demand of the last second counts."""
+        return self._is_followed(service)
+
     def note_work(self, service: str, computing_s: float) -> None:
         """Adds the computing time of one request to its service's demand."""
         work = self._work_by_service.setdefault(service, _Work())
@@ -120,11 +136,14 @@
         now = self._timer.now()
         demand = {
             service: work.demand(now)
+            if self._is_followed(service)
+            else work.mean_demand(now)
             for service, work in self._work_by_service.items()
         }
         for source in self._sources:
             for service, servers in source().items():
-                demand[service] = demand.get(service, 0.0) + servers
+                if self._is_followed(service):
+                    demand[service] = demand.get(service, 0.0) + servers
         return {
             service: round(servers, 4) for service, servers in demand.items()
         }
--- a/wasabiwing/server_need.py
+++ b/wasabiwing/server_need.py
@@ -124,7 +124,9 @@
             return None
         servers = self._view.directory.servers_of_service(service)
         server_ids = [server.id for server in servers]
-        expected = self._forecast.expected(service, limits.boot_s)
+        expected = self._forecast.measured(service)
+        if self._demand.is_followed(service):
+            expected = self._forecast.expected(service, limits.boot_s)
         slowdown = self._mean_slowdown(server_ids)
         lost = self._lost_servers(service, server_ids)
         utilisation = self._utilisation(service, slowdown)
