--- a/wasabiwing/autoscaler.py
+++ b/wasabiwing/autoscaler.py
@@ -14,9 +14,11 @@
 from result import Ok
 from result import Result
 
+from wasabiwing.capacity_plan import KNOWN_SPEED_RESERVE
 from wasabiwing.capacity_plan import plan_servers
 from wasabiwing.capacity_plan import ServerCount
 from wasabiwing.capacity_plan import ServerOrder
+from wasabiwing.capacity_plan import UNKNOWN_SPEED_RESERVE
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.demand_forecast import NEED_WINDOW_S
@@ -151,6 +153,12 @@
             for zone in self._zones
             if zone not in self._view.evacuated_zones
         ]
+        reserve = KNOWN_SPEED_RESERVE
+        if not need.followed:
+            # With an unknown speed, a zone counts as exhausted only while it
+            # has just refused servers.
+            exhausted_zones = refusing_zones
+            reserve = UNKNOWN_SPEED_RESERVE
         orders = plan_servers(
             need.highest,
             zones,
@@ -160,6 +168,7 @@
             self._may_shrink(need),
             need.kept,
             refusing_zones,
+            reserve,
         )
         for order in orders:
             sent = await self._send(stamp, service, order, need, counts)
@@ -187,10 +196,12 @@
         hears the demand of the other nodes only after some reports.
         """
         now = self._timer.now()
-        if not need.idle and now - self._holder_since < NEED_WINDOW_S:
-            return False
-        if self._heard_share() < MIN_HEARD_SHARE:
-            return False
+        if need.followed:
+            is_new = now - self._holder_since < NEED_WINDOW_S
+            if is_new and not need.idle:
+                return False
+            if self._heard_share() < MIN_HEARD_SHARE:
+                return False
         return now - self._last_growth_at > RELEASE_DELAY_S
 
     async def _send(
--- a/wasabiwing/capacity_plan.py
+++ b/wasabiwing/capacity_plan.py
@@ -64,6 +64,29 @@
     count: int
 
 
+@dataclass(frozen=True, slots=True)
+class Reserve:
+    """Servers beyond those that can just bear the load."""
+
+    # Servers beyond the need, as a share of it.
+    share: float = RESERVE_SHARE
+    # Share of the need that must remain if a zone is reclaimed.
+    covered_share: float = 1.0
+    # Whether reclaimable servers cover the loss of a zone where they are
+    # cheaper, and surplus is released in the fullest zone. Otherwise
+    # on-demand ones do, and it is released in the dearest zone.
+    is_spread: bool = True
+
+
+# Reserve of services whose servers state their speed: slow ones raise the
+# need themselves, and the need leaves more than half of the servers' time.
+# After the loss of a zone they are busy for less than 0.75 of their time.
+KNOWN_SPEED_RESERVE = Reserve(share=0.25, covered_share=0.75)
+
+# Reserve of all other services.
+UNKNOWN_SPEED_RESERVE = Reserve(is_spread=False)
+
+
 class _Plan:
     """The wanted numbers of servers while a plan is computed."""
 
@@ -168,6 +191,7 @@
     may_shrink: bool,
     kept: int = 0,
     refusing_zones: frozenset[str] = frozenset(),
+    reserve: Reserve = Reserve(),
 ) -> tuple[ServerOrder, ...]:
     """Returns orders for the numbers of servers that should change.
 
@@ -183,12 +207,14 @@
     )
     plan = _Plan(cheapest, counts)
     needed = max(busy, MIN_SERVERS)
-    total = needed + ceil(needed * RESERVE_SHARE)
+    total = needed + ceil(needed * reserve.share)
+    remaining = ceil(needed * reserve.covered_share)
     target = max(
         total - MIN_ON_DEMAND_SERVERS,
         _substitute_count(kept, len(zones), limits),
     )
-    covered = max(needed, kept)
+    covered = max(remaining, kept)
+    is_spread = reserve.is_spread or kept > 0
     if limits.reclaimable_price > 0:
         available_zones = [
             zone
@@ -196,19 +222,21 @@
             if zone not in exhausted_zones | refusing_zones
         ]
         _add_servers(plan, True, available_zones, target, limits)
-        _fill_empty_zones(plan, available_zones, target, limits)
-        _cover_lost_zone(plan, available_zones, covered, limits)
+        if is_spread:
+            _fill_empty_zones(plan, available_zones, target, limits)
+            _cover_lost_zone(plan, available_zones, covered, limits)
     else:
         _add_servers(plan, False, cheapest, max(total, kept), limits)
     missing = max(
-        needed - plan.remaining_after_reclaim(),
+        remaining - plan.remaining_after_reclaim(),
         MIN_ON_DEMAND_SERVERS - plan.total(False),
     )
     if exhausted_zones:
         # Reclaims come in waves: while a zone is exhausted, more servers may
         # be reclaimed.
         missing = max(
-            missing, busy - plan.remaining_after_reclaim(ZONES_AT_RISK)
+            missing,
+            min(busy, remaining) - plan.remaining_after_reclaim(ZONES_AT_RISK),
         )
     _add_servers(plan, False, cheapest, plan.total(False) + missing, limits)
     for zone in cheapest:
@@ -222,7 +250,7 @@
             cheapest,
             limits,
             lambda: (
-                plan.warm_after_reclaim() > needed
+                plan.warm_after_reclaim() > remaining
                 and plan.total(False) > MIN_ON_DEMAND_SERVERS
                 and _has_substitutes(plan, available_zones, limits, kept)
             ),
@@ -234,8 +262,11 @@
             limits,
             lambda: (
                 plan.warm_reclaimable() > target
-                and plan.remaining_after_release() >= covered
+                and (
+                    not is_spread or plan.remaining_after_release() >= covered
+                )
             ),
+            in_fullest_zone=is_spread,
         )
     return tuple(
         ServerOrder(zone, kind, count)
@@ -337,11 +368,11 @@
     cheapest: Sequence[str],
     limits: ScaleLimits,
     has_surplus: Callable[[], bool],
+    in_fullest_zone: bool = False,
 ) -> None:
-    """Releases surplus servers of a kind.
+    """Releases surplus servers of a kind, in the dearest zone first.
 
-    Reclaimable servers are released in the fullest zone, so that the loss of
-    one zone costs as few as possible; others in the dearest zone.
+    In the fullest zone instead, the loss of one zone costs as few as possible.
     """
     while has_surplus():
         zones = [
@@ -353,6 +384,8 @@
         if not zones:
             return
         zone = zones[0]
-        if reclaimable:
-            zone = max(zones, key=lambda zone: plan.wanted[(zone, True)])
+        if in_fullest_zone:
+            zone = max(
+                zones, key=lambda zone: plan.wanted[(zone, reclaimable)]
+            )
         plan.wanted[(zone, reclaimable)] -= 1
--- a/wasabiwing/demand_forecast.py
+++ b/wasabiwing/demand_forecast.py
@@ -20,8 +20,9 @@
 
 # Ratio of the measured demand to its average above which it has risen. The
 # work that arrives within a second varies by 8% at 150 prompts a second of
-# equal length; twice that still occurs several times a minute.
-RISE_RATIO = 1.2
+# equal length, and by twice that at lengths that differ; the reserve bears
+# smaller rises.
+RISE_RATIO = 1.4
 
 # Largest continued rise, as a ratio to the measured demand. A sudden step
 # looks like a steep rise that goes on.
--- a/wasabiwing/server_need.py
+++ b/wasabiwing/server_need.py
@@ -54,6 +54,8 @@
     kept: int
     # Whether no demand was seen in the last seconds.
     idle: bool
+    # Whether the demand is followed closely, as the servers state their speed.
+    followed: bool = True
 
     def figures(self) -> dict[str, float]:
         """Returns the figures by name, for log lines and metrics."""
@@ -146,6 +148,7 @@
             self._recent_need.note(service, busy),
             self._deployed.kept_count(service),
             idle,
+            self._demand.is_followed(service),
         )
 
     def _mean_slowdown(self, server_ids: list[str]) -> float:
