--- a/tests/test_server_speeds.py
+++ b/tests/test_server_speeds.py
@@ -77,6 +77,22 @@
             )
         assert speeds.slowdown("server-0") == pytest.approx(1.0)
 
+    async def test_services_are_compared_apart(self) -> None:
+        """Guards against a busy service that makes all its servers slow."""
+        speeds = ServerSpeeds(FakeTimer(0.0))
+        for number in range(200):
+            is_model = number % 2 == 0
+            server_id = f"{'model' if is_model else 'desk'}-{number % 6}"
+            speeds.note_first_event(
+                server_id,
+                0.2,
+                0.5 if is_model else 0.2,
+                speeds.slowdown(server_id),
+                "models" if is_model else "desk",
+            )
+        assert speeds.slowdown("model-0") == pytest.approx(1.0)
+        assert speeds.slowdown("desk-1") == pytest.approx(1.0)
+
     async def test_change_after_the_send_teaches_nothing(self) -> None:
         speeds = ServerSpeeds(FakeTimer(0.0))
         speeds.note_first_event("b", 0.2, 0.2, 1.0)
--- a/wasabiwing/answer_relay.py
+++ b/wasabiwing/answer_relay.py
@@ -399,6 +399,7 @@
             placed.choice.first_event_s,
             observed_s,
             placed.slowdown,
+            call.service,
         )
         # The rate of a service is that of its servers at their usual speed.
         self._rates.observe(
--- a/wasabiwing/server_speeds.py
+++ b/wasabiwing/server_speeds.py
@@ -38,7 +38,7 @@
 DECAY_FACTOR = 0.98
 EVENT_HALF_LIFE_S = 30.0
 
-# The same factor for the first events of all servers together.
+# The same factor for the first events of all servers of a service together.
 FLEET_DECAY_FACTOR = 0.995
 
 # Number of first events as predicted that a server counts as having had.
@@ -87,7 +87,8 @@
         self._timer = timer
         self._statement_by_server: dict[str, _Statement] = {}
         self._lateness_by_server: dict[str, _Lateness] = {}
-        self._fleet_lateness = _Lateness()
+        self._lateness_by_service: dict[str, _Lateness] = {}
+        self._service_by_server: dict[str, str] = {}
         # Number and lateness of this node's first events since the last
         # ``take_events``.
         self._new_events_by_server: dict[str, tuple[int, float]] = {}
@@ -119,9 +120,12 @@
         predicted_s: float,
         observed_s: float,
         slowdown_at_send: float,
+        service: str = "",
     ) -> None:
         """Records the predicted and the observed time of a first event.
 
+        A server is compared with the others of its service, because
+        predictions may be wrong for all requests of a service.
         ``slowdown_at_send`` is the one that the prediction is based on. If
         the server has changed since, the first event says nothing.
         """
@@ -138,7 +142,10 @@
         lateness.add(bounded, DECAY_FACTOR)
         count, log_sum = self._new_events_by_server.get(server_id, (0, 0.0))
         self._new_events_by_server[server_id] = (count + 1, log_sum + bounded)
-        self._fleet_lateness.add(bounded, FLEET_DECAY_FACTOR)
+        self._service_by_server[server_id] = service
+        self._lateness_by_service.setdefault(service, _Lateness()).add(
+            bounded, FLEET_DECAY_FACTOR
+        )
 
     def take_events(self) -> dict[str, tuple[int, float]]:
         """Returns and forgets the new first events, by server.
@@ -195,6 +202,7 @@
         self._lateness_by_server.pop(server_id, None)
         self._new_events_by_server.pop(server_id, None)
         self._told_by_server.pop(server_id, None)
+        self._service_by_server.pop(server_id, None)
 
     def _learned_slowdown(self, server_id: str) -> float:
         told, told_at = self._told_by_server.get(server_id, (0.0, 0.0))
@@ -206,14 +214,16 @@
         """Returns how much later a server's first events are than others'.
 
         Predictions that are wrong for all servers alike, as with many nodes
-        that send at once, say nothing about one of them.
+        that send at once, say nothing about one of them. A server that this
+        node has no first event of counts as usual.
         """
         lateness = self._lateness_by_server.get(server_id)
-        if lateness is None:
+        service = self._service_by_server.get(server_id)
+        if lateness is None or service is None:
             return USUAL_SLOWDOWN
         self._reduce_weight(lateness)
-        fleet = self._fleet_lateness
-        mean = fleet.log_sum / fleet.weight if fleet.weight > 0.0 else 0.0
+        fleet = self._lateness_by_service[service]
+        mean = fleet.log_sum / fleet.weight
         excess = lateness.log_sum - lateness.weight * mean
         learned = exp(excess / (lateness.weight + PRIOR_EVENTS))
         return min(max(learned, MIN_SLOWDOWN), MAX_SLOWDOWN)
