--- a/wasabiwing/metrics.py
+++ b/wasabiwing/metrics.py
@@ -164,6 +164,12 @@
             ("kind",),
             registry=self.registry,
         )
+        self.speed_messages = Counter(
+            "wasabiwing_server_speed_messages",
+            "Readings of servers' speeds and messages about them, by kind.",
+            ("kind",),
+            registry=self.registry,
+        )
 
         self.unusable_values = Counter(
             "wasabiwing_unusable_store_values",
@@ -185,6 +191,10 @@
         """Shows the age in seconds that ``age_s`` returns when scraped."""
         self.store_age.set_function(age_s)
 
+    def count_speed_message(self, kind: str) -> None:
+        """Counts a reading of a server's speed, or a message about it."""
+        self.speed_messages.labels(kind).inc()
+
     def count_statement(self, kind: str) -> None:
         """Counts a statement of a backend server about itself."""
         self.statements.labels(kind.lower()).inc()
--- a/wasabiwing/node.py
+++ b/wasabiwing/node.py
@@ -324,6 +324,7 @@
             self._loads.speeds,
             self.nodes.node_ids,
             self._loads.note_speed,
+            metrics.count_speed_message,
         )
         self._speed_notices = SpeedNotices(
             timer,
@@ -333,6 +334,7 @@
             self._reports.live_inboxes,
             lambda server_id: directory.get(server_id) is not None,
             self._speed_prober.held_s,
+            metrics.count_speed_message,
         )
         self._loads.on_stated_speed(self._speed_notices.note_statement)
         timer.subscribe(PROBE_PERIOD_S, self._speed_prober.probe_all)
--- a/wasabiwing/speed_notices.py
+++ b/wasabiwing/speed_notices.py
@@ -46,6 +46,7 @@
         live_inboxes: Callable[[], Mapping[str, str]],
         is_known: Callable[[str], bool],
         held_s: Callable[[str], float],
+        count: Callable[[str], None] = lambda kind: None,
     ) -> None:
         self._timer = timer
         self._transport = transport
@@ -54,6 +55,7 @@
         self._live_inboxes = live_inboxes
         self._is_known = is_known
         self._held_s = held_s
+        self._count = count
         # What the nodes have been told and therefore expect.
         self._told = ServerSpeeds(timer)
         # Changes that may be passed on now.
@@ -81,6 +83,7 @@
                 round(held_s * MILLISECONDS),
             )
             notice = SpeedNotice((speed,))
+            self._count("told")
             for inbox in self._live_inboxes().values():
                 self._transport.send(inbox, notice)
 
@@ -97,6 +100,7 @@
         return True
 
     async def _receive(self, envelope: Envelope, notice: SpeedNotice) -> None:
+        self._count("heard")
         for item in notice.speeds:
             if self._is_known(item.server_id) and item.percent > 0:
                 held_ms = min(max(item.held_ms, 0), MAX_HELD_MS)
--- a/wasabiwing/speed_prober.py
+++ b/wasabiwing/speed_prober.py
@@ -86,6 +86,7 @@
         speeds: ServerSpeeds,
         node_ids: Callable[[], Sequence[str]],
         note_statement: Callable[[str, float], None],
+        count: Callable[[str], None] = lambda kind: None,
     ) -> None:
         self._timer = timer
         self._connections = connections
@@ -94,6 +95,7 @@
         self._speeds = speeds
         self._node_ids = node_ids
         self._note_statement = note_statement
+        self._count = count
         self._probed = ProbedServers(node_id)
         # Earliest time of a server's next reading, or that of its last one.
         self._next_read_by_server: dict[str, float] = {}
@@ -146,6 +148,7 @@
         slowdown = None
         with move_on_after(PROBE_TIMEOUT_S):
             slowdown = await self._read_slowdown(server, path)
+        self._count("unread" if slowdown is None else "read")
         if slowdown is None:
             self._next_read_by_server[server.id] = (
                 self._timer.now() + FAILURE_PAUSE_S
