--- a/tests/test_request_queue.py
+++ b/tests/test_request_queue.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from anyio import create_task_group
+from anyio import Event
 import pytest
 
 from tests.queue_replay import by_arrival
@@ -222,6 +223,24 @@
         queue.note_failed(blocked)
         assert other.woken.is_set()
 
+    async def test_news_start_few_rounds(self) -> None:
+        """Guards against a choice of a server for each message."""
+        timer = FakeTimer(0.0)
+        queues = RequestQueues(timer)
+        queue = queues.queue(SERVICE)
+        waiter = queues.join(make_call("a", 0.0), (frozenset(), "", 1, 10))
+        rounds = 0
+        for _ in range(100):
+            queues.note_news()
+            if waiter.woken.is_set():
+                rounds += 1
+                waiter.woken = Event()
+                queue.note_failed(waiter)
+            await timer.advance(0.001)
+        assert 1 <= rounds <= 10
+        queues.note_room()
+        assert waiter.woken.is_set()
+
     def test_new_request_does_not_overtake_its_kind(self) -> None:
         queues = RequestQueues(FakeTimer(0.0))
         call = make_call("a", 0.0)
--- a/wasabiwing/request_queue.py
+++ b/wasabiwing/request_queue.py
@@ -16,6 +16,7 @@
 from dataclasses import field
 from itertools import count
 from math import exp
+from math import inf
 
 from anyio import create_task_group
 from anyio import Event as AnyioEvent
@@ -39,6 +40,10 @@
 # a wake-up.
 CHECK_PERIOD_S = 0.05
 
+# Shortest time between two rounds of a queue that mere news start, in seconds.
+# News of servers come some hundred times a second, also without any room.
+NEWS_INTERVAL_S = 0.01
+
 # Time over which served waiters are counted, in seconds.
 SERVED_WINDOW_S = 1.0
 
@@ -96,6 +101,7 @@
         # there was none since the last signal.
         self._searching: Waiter | None = None
         self._failed_kinds: set[WaiterKind] = set()
+        self._round_at = -inf
         # Times at which waiters have got a server.
         self._served_at: deque[float] = deque()
 
@@ -162,10 +168,17 @@
             self.position(waiter), len(self._served_at) / SERVED_WINDOW_S
         )
 
-    def wake(self) -> None:
-        """Wakes the best waiter, because there may be room."""
-        if not self._waiters:
+    def wake(self, is_news: bool = False) -> None:
+        """Wakes the best waiter, because there may be room.
+
+        Mere news that come soon after others are left to the next signal.
+        """
+        now = self._timer.now()
+        if not self._waiters or (
+            is_news and now - self._round_at < NEWS_INTERVAL_S
+        ):
             return
+        self._round_at = now
         self._failed_kinds.clear()
         if self._searching is None:
             self._wake_next()
@@ -324,10 +337,15 @@
         self._show_length(service, len(queue))
 
     def note_room(self) -> None:
-        """Wakes the best waiters, because there may be room."""
+        """Wakes the best waiters, because there probably is room."""
         for queue in self._queue_by_service.values():
             queue.wake()
 
+    def note_news(self) -> None:
+        """Wakes the best waiters, because news may mean that there is room."""
+        for queue in self._queue_by_service.values():
+            queue.wake(is_news=True)
+
     async def check(self) -> None:
         """Looks for room that sends no signal."""
         self.note_room()
--- a/wasabiwing/server_loads.py
+++ b/wasabiwing/server_loads.py
@@ -91,15 +91,23 @@
         self._rates = rates
         self._server_by_id: dict[str, _Server] = {}
         self._on_heard: Callable[[str], None] = lambda server_id: None
-        self._on_room: Callable[[], None] = lambda: None
+        self._on_ended: Callable[[], None] = lambda: None
+        self._on_news: Callable[[], None] = lambda: None
 
     def on_heard(self, listener: Callable[[str], None]) -> None:
         """Registers a listener for the ids of servers that send anything."""
         self._on_heard = listener
 
-    def on_room(self, listener: Callable[[], None]) -> None:
-        """Registers a listener for changes after which there may be room."""
-        self._on_room = listener
+    def on_room(
+        self, on_ended: Callable[[], None], on_news: Callable[[], None]
+    ) -> None:
+        """Registers listeners for changes after which there may be room.
+
+        ``on_ended`` is called when a request of this node has ended, and
+        ``on_news`` when more is known of what servers do.
+        """
+        self._on_ended = on_ended
+        self._on_news = on_news
 
     def note_sent(
         self,
@@ -130,7 +138,7 @@
         server = self._server(server_id)
         server.pending_by_attempt.pop(attempt_id, None)
         self.note_heard(server_id)
-        self._on_room()
+        self._on_news()
 
     def note_heard(self, server_id: str) -> None:
         """Records that a server has sent something."""
@@ -153,7 +161,7 @@
             change = FAILURE_WEIGHT * (float(failed) - current)
             server.failure_share = current + change
             server.failure_share_at = self._timer.now()
-        self._on_room()
+        self._on_ended()
 
     def note_unreachable(self, server_id: str) -> None:
         """Records that a server did not accept a connection."""
@@ -165,7 +173,7 @@
         server = self._server(server_id)
         server.statement = load
         server.stated_at = self._timer.now()
-        self._on_room()
+        self._on_news()
 
     def note_peer_loads(
         self, peer_id: str, load_by_server: Mapping[str, NodeLoad]
@@ -176,7 +184,7 @@
             server.load_by_peer.pop(peer_id, None)
         for server_id, load in load_by_server.items():
             self._server(server_id).load_by_peer[peer_id] = (now, load)
-        self._on_room()
+        self._on_news()
 
     def replace_peer_loads(
         self, load_by_server_by_peer: Mapping[str, Mapping[str, NodeLoad]]
@@ -188,7 +196,7 @@
         for peer_id, load_by_server in load_by_server_by_peer.items():
             for server_id, load in load_by_server.items():
                 self._server(server_id).load_by_peer[peer_id] = (now, load)
-        self._on_room()
+        self._on_news()
 
     def own_load_by_server(self) -> dict[str, NodeLoad]:
         """Returns this node's requests in flight, for its reports."""
