--- a/tests/test_request_queue.py
+++ b/tests/test_request_queue.py
@@ -21,9 +21,9 @@
 from wasabiwing.queue_order import head_key
 from wasabiwing.queue_order import longest_wait_s
 from wasabiwing.queue_order import queue_level
-from wasabiwing.request_queue import MAX_REFUSED_DIGESTS
-from wasabiwing.request_queue import REFUSED_LIFETIME_S
-from wasabiwing.request_queue import RefusedRequests
+from wasabiwing.refused_requests import MAX_REFUSED_DIGESTS
+from wasabiwing.refused_requests import REFUSED_LIFETIME_S
+from wasabiwing.refused_requests import RefusedRequests
 from wasabiwing.request_queue import RequestQueues
 from wasabiwing.request_queue import waiter_kind
 from wasabiwing.routed_calls import LATE_CLASS
--- a/wasabiwing/request_queue.py
+++ b/wasabiwing/request_queue.py
@@ -10,7 +10,6 @@
 """
 
 from collections import deque
-from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
@@ -21,7 +20,6 @@
 from anyio import create_task_group
 from anyio import Event as AnyioEvent
 
-from wasabiwing.quarantine import request_digest
 from wasabiwing.queue_order import due_at
 from wasabiwing.queue_order import fair_cost
 from wasabiwing.queue_order import finish_tag
@@ -30,7 +28,9 @@
 from wasabiwing.queue_order import Level
 from wasabiwing.queue_order import predicted_room_s
 from wasabiwing.queue_order import queue_level
+from wasabiwing.queue_order import start_by
 from wasabiwing.queue_order import start_tag
+from wasabiwing.refused_requests import RefusedRequests
 from wasabiwing.refused_shares import RefusedShares
 from wasabiwing.routed_calls import RoutedCall
 from wasabiwing.timers import TimerService
@@ -50,21 +50,31 @@
 # Time constant of the average of refused tokens, in seconds.
 REFUSED_TIME_CONSTANT_S = 1.0
 
-# Number and age in seconds of the refused requests that are remembered. A
-# caller returns after a third of its remaining time at the latest.
-MAX_REFUSED_DIGESTS = 4096
-REFUSED_LIFETIME_S = 10.0
-
-# Largest body in bytes of which a digest is computed for a refused request;
-# that takes some 60 microseconds.
-MAX_DIGEST_BODY_BYTES = 65_536
-
 # What distinguishes waiting requests for which the choice of a server may
 # differ: the servers tried before, the digest of a suspect, the urgency class
 # and the order of magnitude of the prompt's tokens.
 WaiterKind = tuple[frozenset[str], str, int, int]
 
 
+@dataclass(slots=True)
+class _Flow:
+    """Virtual times of one organisation in one level."""
+
+    start_tag: float = 0.0
+    finish_tag: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Place:
+    """What the place of a waiting request in its queue follows from."""
+
+    flow: _Flow
+    start_by: float
+    # Level and due time until ``start_by``, and after it.
+    in_time: tuple[Level, float]
+    late: tuple[Level, float]
+
+
 @dataclass(slots=True, eq=False)
 class Waiter:
     """A request that waits for a server."""
@@ -78,14 +88,7 @@
     woken: AnyioEvent = field(default_factory=AnyioEvent)
     # Whether it looks for a server by itself, because a grant is its own.
     has_own_signal: bool = False
-
-
-@dataclass(slots=True)
-class _Flow:
-    """Virtual times of one organisation in one level."""
-
-    start_tag: float = 0.0
-    finish_tag: float = 0.0
+    place: _Place = field(init=False)
 
 
 class RequestQueue:
@@ -127,14 +130,22 @@
 
     def position(self, waiter: Waiter) -> int:
         """Returns how many waiting requests go before a waiting one."""
-        key = self._waiter_key(waiter)
-        return sum(self._waiter_key(other) < key for other in self._waiters)
+        now = self._timer.now()
+        key = _key(waiter, now)
+        return sum(_key(other, now) < key for other in self._waiters)
 
     def join(self, waiter: Waiter) -> None:
         """Adds a request to the queue."""
-        flow = self._flow(waiter.call)
-        if not any(self._flow(item.call) is flow for item in self._waiters):
-            flow.start_tag = self._next_start(waiter.call, flow)
+        call = waiter.call
+        flow = self._flow(call)
+        if not any(item.place.flow is flow for item in self._waiters):
+            flow.start_tag = self._next_start(call, flow)
+        waiter.place = _Place(
+            flow,
+            start_by(call),
+            (queue_level(call, -inf), due_at(call, -inf)),
+            (queue_level(call, inf), due_at(call, inf)),
+        )
         self._waiters.append(waiter)
 
     def leave(self, waiter: Waiter, served: bool) -> None:
@@ -210,22 +221,10 @@
             and not waiter.has_own_signal
         ]
         if found:
-            self._searching = min(found, key=self._waiter_key)
+            now = self._timer.now()
+            self._searching = min(found, key=lambda item: _key(item, now))
             self._searching.woken.set()
 
-    def _waiter_key(self, waiter: Waiter) -> tuple[Level, HeadKey]:
-        return self._key(waiter.call, waiter.sequence, waiter.returned)
-
-    def _key(
-        self, call: RoutedCall, sequence: int, returned: bool
-    ) -> tuple[Level, HeadKey]:
-        now = self._timer.now()
-        flow = self._flow(call)
-        return (
-            queue_level(call, now),
-            head_key(flow.start_tag, due_at(call, now), sequence, returned),
-        )
-
     def _next_start(self, call: RoutedCall, flow: _Flow) -> float:
         level = (call.organisation_priority, call.urgency_class)
         virtual_time = self._virtual_time_by_level.get(level, 0.0)
@@ -243,40 +242,13 @@
         return flow
 
 
-class RefusedRequests:
-    """Requests that one node has refused lately, by digest.
-
-    A caller that returns has the same organisation, target and body, but
-    another attempt id. Returns to other nodes are not recognised.
-    """
-
-    def __init__(self, timer: TimerService) -> None:
-        self._timer = timer
-        # Times of the latest refusals by digest, the oldest first.
-        self._refused_at: OrderedDict[str, float] = OrderedDict()
-
-    def note(self, call: RoutedCall) -> bool:
-        """Records a refusal; returns whether it is the first one."""
-        if len(call.body) > MAX_DIGEST_BODY_BYTES:
-            return True
-        digest = request_digest(call)
-        is_first = self._refused_at.pop(digest, None) is None
-        self._refused_at[digest] = self._timer.now()
-        if len(self._refused_at) > MAX_REFUSED_DIGESTS:
-            self._refused_at.popitem(last=False)
-        return is_first
-
-    def has(self, call: RoutedCall) -> bool:
-        """Whether the caller of a request was refused lately."""
-        oldest = self._timer.now() - REFUSED_LIFETIME_S
-        while self._refused_at:
-            digest, refused_at = next(iter(self._refused_at.items()))
-            if refused_at >= oldest:
-                break
-            del self._refused_at[digest]
-        if not self._refused_at or len(call.body) > MAX_DIGEST_BODY_BYTES:
-            return False
-        return request_digest(call) in self._refused_at
+def _key(waiter: Waiter, now: float) -> tuple[Level, HeadKey]:
+    """Returns the key by which a waiting request is ordered now."""
+    place = waiter.place
+    level, due = place.late if now > place.start_by else place.in_time
+    return level, head_key(
+        place.flow.start_tag, due, waiter.sequence, waiter.returned
+    )
 
 
 class RequestQueues:
