--- a/tests/test_request_queue.py
+++ b/tests/test_request_queue.py
@@ -6,6 +6,7 @@
 
 from anyio import create_task_group
 from anyio import Event
+from anyio import fail_after
 import pytest
 
 from tests.queue_replay import by_arrival
@@ -32,6 +33,9 @@
 
 ORGANISATIONS = "abcde"
 
+# Time after which a test with a lost wake-up fails, in seconds.
+HANG_S = 30.0
+
 each_seed = pytest.mark.parametrize("seed", (1, 2, 3))
 
 
@@ -163,13 +167,14 @@
             assert await replay.place(call) is None
             order.append(name)
 
-        async with create_task_group() as tasks:
-            for item in waiting:
-                tasks.start_soon(wait, *item)
-                await run_ready_tasks()
-            for _ in waiting:
-                replay.end_work()
-                await run_ready_tasks()
+        with fail_after(HANG_S):
+            async with create_task_group() as tasks:
+                for item in waiting:
+                    tasks.start_soon(wait, *item)
+                    await run_ready_tasks()
+                for _ in waiting:
+                    replay.end_work()
+                    await run_ready_tasks()
         return order
 
     async def test_more_urgent_request_goes_first(self) -> None:
@@ -197,16 +202,17 @@
             assert await replay.place(make_call(name, 0.0)) is None
             served.append(name)
 
-        async with create_task_group() as all_tasks:
-            async with create_task_group() as leaving:
-                leaving.start_soon(wait, "a")
-                await run_ready_tasks()
-                all_tasks.start_soon(wait, "b")
+        with fail_after(HANG_S):
+            async with create_task_group() as all_tasks:
+                async with create_task_group() as leaving:
+                    leaving.start_soon(wait, "a")
+                    await run_ready_tasks()
+                    all_tasks.start_soon(wait, "b")
+                    await run_ready_tasks()
+                    replay.end_work()
+                    leaving.cancel_scope.cancel()
                 await run_ready_tasks()
-                replay.end_work()
-                leaving.cancel_scope.cancel()
-            await run_ready_tasks()
-            assert served == ["b"]
+                assert served == ["b"]
         assert len(replay.queues.queue(SERVICE)) == 0
 
     async def test_other_kind_is_asked_after_a_failure(self) -> None:
