--- a/tests/test_request_queue.py
+++ b/tests/test_request_queue.py
@@ -5,6 +5,8 @@
 from dataclasses import replace
 
 from anyio import create_task_group
+from anyio import Event
+from anyio import fail_after
 import pytest
 
 from tests.queue_replay import by_arrival
@@ -20,9 +22,9 @@
 from wasabiwing.queue_order import head_key
 from wasabiwing.queue_order import longest_wait_s
 from wasabiwing.queue_order import queue_level
-from wasabiwing.request_queue import MAX_REFUSED_DIGESTS
-from wasabiwing.request_queue import REFUSED_LIFETIME_S
-from wasabiwing.request_queue import RefusedRequests
+from wasabiwing.refused_requests import MAX_REFUSED_DIGESTS
+from wasabiwing.refused_requests import REFUSED_LIFETIME_S
+from wasabiwing.refused_requests import RefusedRequests
 from wasabiwing.request_queue import RequestQueues
 from wasabiwing.request_queue import waiter_kind
 from wasabiwing.routed_calls import LATE_CLASS
@@ -31,6 +33,9 @@
 
 ORGANISATIONS = "abcde"
 
+# Time after which a test with a lost wake-up fails, in seconds.
+HANG_S = 30.0
+
 each_seed = pytest.mark.parametrize("seed", (1, 2, 3))
 
 
@@ -162,13 +167,14 @@
             assert await replay.place(call) is None
             order.append(name)
 
-        async with create_task_group() as tasks:
-            for item in waiting:
-                tasks.start_soon(wait, *item)
-                await run_ready_tasks()
-            for _ in waiting:
-                replay.end_work()
-                await run_ready_tasks()
+        with fail_after(HANG_S):
+            async with create_task_group() as tasks:
+                for item in waiting:
+                    tasks.start_soon(wait, *item)
+                    await run_ready_tasks()
+                for _ in waiting:
+                    replay.end_work()
+                    await run_ready_tasks()
         return order
 
     async def test_more_urgent_request_goes_first(self) -> None:
@@ -196,16 +202,17 @@
             assert await replay.place(make_call(name, 0.0)) is None
             served.append(name)
 
-        async with create_task_group() as all_tasks:
-            async with create_task_group() as leaving:
-                leaving.start_soon(wait, "a")
+        with fail_after(HANG_S):
+            async with create_task_group() as all_tasks:
+                async with create_task_group() as leaving:
+                    leaving.start_soon(wait, "a")
+                    await run_ready_tasks()
+                    all_tasks.start_soon(wait, "b")
+                    await run_ready_tasks()
+                    replay.end_work()
+                    leaving.cancel_scope.cancel()
                 await run_ready_tasks()
-                all_tasks.start_soon(wait, "b")
-                await run_ready_tasks()
-                replay.end_work()
-                leaving.cancel_scope.cancel()
-            await run_ready_tasks()
-            assert served == ["b"]
+                assert served == ["b"]
         assert len(replay.queues.queue(SERVICE)) == 0
 
     async def test_other_kind_is_asked_after_a_failure(self) -> None:
@@ -222,6 +229,24 @@
         queue.note_failed(blocked)
         assert other.woken.is_set()
 
+    async def test_news_start_few_rounds(self) -> None:
+        """Guards against a choice of a server for each message."""
+        timer = FakeTimer(0.0)
+        queues = RequestQueues(timer)
+        queue = queues.queue(SERVICE)
+        waiter = queues.join(make_call("a", 0.0), (frozenset(), "", 1, 10))
+        rounds = 0
+        for _ in range(100):
+            queues.note_news()
+            if waiter.woken.is_set():
+                rounds += 1
+                waiter.woken = Event()
+                queue.note_failed(waiter)
+            await timer.advance(0.001)
+        assert 1 <= rounds <= 10
+        queues.note_room()
+        assert waiter.woken.is_set()
+
     def test_new_request_does_not_overtake_its_kind(self) -> None:
         queues = RequestQueues(FakeTimer(0.0))
         call = make_call("a", 0.0)
