--- a/wasabiwing/guarded_protocol.py
+++ b/wasabiwing/guarded_protocol.py
@@ -44,6 +44,9 @@
 LINGER_S = 1.0
 LINGER_BYTES = 1_000_000
 
+# Longest length of a body that is read, in digits.
+LENGTH_DIGITS = 15
+
 # Time after uvicorn's own limit on idle connections at which one is closed
 # whose client has sent empty lines, in seconds.
 KEEP_ALIVE_MARGIN_S = 1.0
@@ -96,6 +99,10 @@
         self._counted_bytes = 0
         self._lines = 0
         self._chunks = 0
+        # Bytes that a body of stated length still has. The parser gets them at
+        # once, since no other message can be in them.
+        self._content_left = 0
+        self._stated_length = 0
         # Received bytes that were not parsed yet.
         self._unparsed = b""
         # Requests that were not answered yet, oldest first.
@@ -139,6 +146,11 @@
     def cut(self) -> None:
         """Closes the connection at once."""
         self._dropped = 0
+        for request in self._requests:
+            _abandon(request)
+        self._requests.clear()
+        self.pipeline.clear()
+        self._release()
         self.transport.abort()
 
     # Received bytes.
@@ -162,8 +174,8 @@
                 self._unparsed = data[begin:]
                 self._hold_reading(True)
                 return
-            end = begin + PIECE_BYTES
-            piece = data if len(data) <= PIECE_BYTES else data[begin:end]
+            end = begin + max(PIECE_BYTES, self._content_left)
+            piece = data[begin:end] if begin or end < len(data) else data
             begin = end
             self._counted_bytes += len(piece)
             self._feed(piece)
@@ -202,6 +214,7 @@
     def on_message_begin(self) -> None:
         super().on_message_begin()
         self._lines = 0
+        self._stated_length = 0
         if self._reading is Reading.HEAD:
             # The head of an offered upgrade is parsed a second time.
             return
@@ -218,6 +231,10 @@
             # must not get after the head (RFC 9110, section 6.5.1).
             return
         super().on_header(name, value)
+        name, value = self.headers[-1]
+        if name == b"content-length" and len(value) <= LENGTH_DIGITS:
+            # The parser accepts digits only, and one length.
+            self._stated_length = int(value) if value.isdigit() else 0
 
     def on_headers_complete(self) -> None:
         request = self._requests[-1]
@@ -225,6 +242,7 @@
             self._counted_bytes + self._lines * LINE_MEMORY_BYTES
         )
         self._start_reading(Reading.BODY)
+        self._content_left = self._stated_length
         super().on_headers_complete()
         request.cycle = self.cycle
 
@@ -235,6 +253,7 @@
     def on_body(self, body: bytes) -> None:
         # The rest of the piece in which the head ended is not counted.
         self._counted_bytes = max(self._counted_bytes - len(body), 0)
+        self._content_left = max(self._content_left - len(body), 0)
         if not self.cycle.response_complete:
             self._requests[-1].held_bytes += len(body)
         super().on_body(body)
@@ -250,6 +269,7 @@
         self._counted_bytes = 0
         self._lines = 0
         self._chunks = 0
+        self._content_left = 0
 
     # Responses.
 
@@ -345,22 +365,31 @@
         if self._dropped is not None:
             return
         self._dropped = 0
-        self._unparsed = b""
         self.budget.refused(cause, self.loop.time())
         refused = self._take_arriving()
+        if refused is not None and not self._has_response(refused):
+            _abandon(refused)
+        self._release()
         if self._requests:
             last = self._requests[-1].cycle
             assert last is not None
             last.keep_alive = False
             self._hold_reading(True)
         elif self._reading is Reading.BODY and (
-            refused is None or self.cycle.response_started
+            refused is None or self._has_response(refused)
         ):
-            # Its answer was sent already, or begun.
             self.transport.close()
         else:
             self._answer_refusal(cause)
 
+    def _release(self) -> None:
+        """Drops what has arrived of a message that is not parsed further."""
+        self._unparsed = b""
+        self.headers = []
+        self.scope = {}  # type: ignore[typeddict-item]
+        # Holds a part of a header line.
+        self.parser = None  # type: ignore[assignment]
+
     def _take_arriving(self) -> _Request | None:
         """Removes the request that arrives from those to be answered."""
         if not self._arrives_unanswered():
@@ -370,9 +399,6 @@
         return self._requests.pop()
 
     def _answer_refusal(self, cause: Cause) -> None:
-        if self._reading is Reading.BODY:
-            self.cycle.disconnected = True
-            self.cycle.message_event.set()
         self.transport.write(refusal_response(cause))
         self.transport.write_eof()
         self._hold_reading(False)
@@ -386,6 +412,11 @@
 
     # State.
 
+    @staticmethod
+    def _has_response(request: _Request) -> bool:
+        """Whether a response to the request was begun."""
+        return request.cycle is not None and request.cycle.response_started
+
     def _arrives_unanswered(self) -> bool:
         """Whether a request arrives that was not answered yet."""
         if self._reading is Reading.BODY:
@@ -397,8 +428,12 @@
         return len(self._requests) > self._arrives_unanswered()
 
     def _held_bytes(self) -> int:
+        arriving = 0
+        if self._reading is not Reading.BODY:
+            arriving = self._counted_bytes + self._lines * LINE_MEMORY_BYTES
         return (
-            sum(request.held_bytes for request in self._requests)
+            arriving
+            + sum(request.held_bytes for request in self._requests)
             + len(self._unparsed)
             + self.transport.get_write_buffer_size()
         )
@@ -415,6 +450,22 @@
             self.flow.resume_reading()
 
 
+def _abandon(request: _Request) -> None:
+    """Tells a request's task that its client is gone, and frees its head.
+
+    The event loop may read from all connections before the task runs.
+    """
+    cycle = request.cycle
+    if cycle is None:
+        return
+    cycle.disconnected = True
+    cycle.message_event.set()
+    cycle.body = bytearray()
+    headers = cycle.scope["headers"]
+    assert isinstance(headers, list)
+    headers.clear()
+
+
 def refusal_response(cause: Cause) -> bytes:
     """Returns the whole response to a request that was refused."""
     status, code = REFUSAL_BY_CAUSE[cause]
