--- a/tests/test_client_messages.py
+++ b/tests/test_client_messages.py
@@ -169,6 +169,8 @@
     HEAD + b"a b: c\r\n\r\n",
     HEAD + b": c\r\n\r\n",
     b"\x00\x01\x02\r\n\r\n",
+    b"GET /\xc3\xa9 HTTP/1.1\r\n\r\n",
+    b"GET http://:x HTTP/1.1\r\n\r\n",
     b"POST /bad HTTP/9.x\r\n\r\n",
 )
 
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 from contextlib import AbstractAsyncContextManager
 from contextlib import AsyncExitStack
+from dataclasses import replace
 from pathlib import Path
 
 from anyio import connect_tcp
@@ -41,6 +42,10 @@
 # Bodies of 0.9 MB each that are never finished.
 UNFINISHED_BODIES = 300
 
+# Connections that all send a few heads.
+CROWD = 800
+CROWD_BYTES = 120_000
+
 PROGRAMS = {"node": running_node, "gateway": running_gateway}
 
 Runner = Callable[[Path], AbstractAsyncContextManager[Program]]
@@ -95,6 +100,17 @@
 class TestCrowds:
     """More connections and bodies than the machine has room for."""
 
+    @pytest.mark.parametrize("run", PROGRAMS.values(), ids=PROGRAMS.keys())
+    @pytest.mark.parametrize("hostile", HOSTILE[:2], ids=hostile_id)
+    async def test_heads_are_read_from_all_before_any_is_freed(
+        self, run: Runner, hostile: Hostile, tmp_path: Path
+    ) -> None:
+        """Guards against memory that closed connections keep for a while."""
+        async with run(tmp_path) as program:
+            few = replace(hostile, total=CROWD_BYTES)
+            await attack(program.ports[0], few, CROWD)
+            await assert_sound(program)
+
     @pytest.mark.parametrize("run", PROGRAMS.values(), ids=PROGRAMS.keys())
     async def test_unfinished_bodies_take_all_memory(
         self, run: Runner, tmp_path: Path
