--- a/tests/raw_server.py
+++ b/tests/raw_server.py
@@ -8,6 +8,7 @@
 from enum import auto
 from enum import Enum
 from socket import SO_LINGER
+from socket import SO_RCVBUF
 from socket import SOL_SOCKET
 from struct import pack
 
@@ -53,6 +54,10 @@
     # Ends the connection and waits until the peer has closed it, too.
     FIN = auto()
     RESET = auto()
+    # Resets the connection without waiting until the peer has read.
+    RESET_AT_ONCE = auto()
+    # Ends the connection for its own part and resets it later.
+    FIN_THEN_RESET = auto()
     # Accepts no more connections and ends the connection.
     CRASH = auto()
     # Ends the connection; the process is gone ``GONE_AFTER_S`` later.
@@ -76,6 +81,8 @@
     ending: Ending = Ending.FIN
     # Whether the server reads the request's body before it answers.
     reads_body: bool = True
+    # Bytes of the request's body that it reads otherwise.
+    read_bytes: int = 0
 
 
 @dataclass(slots=True)
@@ -104,6 +111,8 @@
     waiting: list[SocketStream] = field(default_factory=list)
     open: list[SocketStream] = field(default_factory=list)
     listener: Listener[SocketStream] | None = None
+    # Size of the kernel's buffer of received bytes; 0 for the default.
+    receive_buffer_bytes: int = 0
 
     async def serve(self, stream: SocketStream) -> None:
         """Serves one connection."""
@@ -139,6 +148,8 @@
                             buffer += await stream.receive()
                         body, buffer = buffer[:length], buffer[length:]
                         self.bodies.append(body)
+                    while len(buffer) < answer.read_bytes:
+                        buffer += await stream.receive()
                     await stream.send(
                         b"HTTP/1.1 %b\r\n" % answer.status
                         + self.origin_headers(headers)
@@ -151,6 +162,14 @@
                 if answer.ending is Ending.RESET:
                     await sleep(READ_BEFORE_RESET_S)
                     _reset_on_close(stream)
+                if answer.ending is Ending.FIN_THEN_RESET:
+                    await stream.send_eof()
+                    await sleep(READ_BEFORE_RESET_S)
+                if answer.ending in (
+                    Ending.RESET_AT_ONCE,
+                    Ending.FIN_THEN_RESET,
+                ):
+                    _reset_on_close(stream)
                 if answer.ending is Ending.CRASH:
                     await self._stop_listening()
                 if answer.ending is Ending.GONE_SOON:
@@ -223,6 +242,10 @@
         local_host=HOST, local_port=port, reuse_port=False
     )
     server.listener = listener
+    if server.receive_buffer_bytes:
+        listener.extra(SocketAttribute.raw_socket).setsockopt(
+            SOL_SOCKET, SO_RCVBUF, server.receive_buffer_bytes
+        )
     async with create_task_group() as tasks:
         tasks.start_soon(_serve, listener, server)
         yield f"{HOST}:{listener.extra(SocketAttribute.local_port)}"
--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import replace
+from typing import cast
 
 from anyio import create_task_group
 from anyio import fail_after
@@ -33,6 +34,7 @@
 from wasabiwing.routing_scores import RoutingPolicy
 from wasabiwing_demo.deployment import EntryVm
 from wasabiwing_demo.deployment import LocalDeployment
+from wasabiwing_platform_standins.examples import configuration_document
 from wasabiwing_platform_standins.server import stream_answer
 from wasabiwing_platform_standins.server import stream_event
 from wasabiwing_standins.engine import answer_text
@@ -83,11 +85,19 @@
 
 @asynccontextmanager
 async def node_before(
-    service: str, *answers: RawAnswer
+    service: str,
+    *answers: RawAnswer,
+    max_body_bytes: int = 100_000,
+    receive_buffer_bytes: int = 0,
 ) -> AsyncIterator[tuple[Deployment, RawServer]]:
     """Runs a node before two servers of a service, at one address."""
     server = RawServer(node_origin, list(answers))
-    async with deployment() as system, serve_raw(server) as address:
+    server.receive_buffer_bytes = receive_buffer_bytes
+    async with deployment(False) as system, serve_raw(server) as address:
+        document = configuration_document()
+        limits = cast(dict[str, int], document["limits"])
+        limits["maxBodyBytes"] = max_body_bytes
+        system.configure(document)
         for server_id in ("server-1", "server-2"):
             system.address_by_server[server_id] = address
             system.register(server_id, service)
@@ -463,15 +473,19 @@
 
 @asynccontextmanager
 async def gateway_before(
-    server_id: str, *answers: RawAnswer
+    server_id: str,
+    *answers: RawAnswer,
+    max_body_bytes: int = 1_000_000,
+    receive_buffer_bytes: int = 0,
 ) -> AsyncIterator[tuple[LocalDeployment, RawServer]]:
     """Runs a gateway with a raw server in the place of a stand-in.
 
     The policy sends the first request to the server with the lowest id.
     """
     server = RawServer(gateway_origin, list(answers), STATUS_PATHS)
+    server.receive_buffer_bytes = receive_buffer_bytes
     async with running_deployment(
-        example_configuration(),
+        replace(example_configuration(), max_body_bytes=max_body_bytes),
         1,
         routing_policy=RoutingPolicy.LEAST_OUTSTANDING,
     ) as system:
@@ -695,12 +709,12 @@
     return await Caller(HttpClient()).send(vm, method, "/orders/status")
 
 
-async def charge(vm: EntryVm) -> HttpReply:
+async def charge(vm: EntryVm, length: int = 100_000) -> HttpReply:
     """Sends a long request that may run only once to a gateway."""
     return await Caller(HttpClient()).send(
         vm,
         "POST",
         "/orders/charges",
-        {"note": "x" * 100_000},
+        {"note": "x" * length},
         {"Idempotency-Key": "key-1"},
     )
--- a/wasabiwing/answer_end.py
+++ b/wasabiwing/answer_end.py
@@ -5,7 +5,8 @@
 
 Load pattern: servers that crash while they send such answers. What tells the
 two apart is outside the answer: a server that accepts no connection any more,
-or that cut other requests at the same moment.
+that cut other requests at the same moment, or that has not taken its whole
+request.
 """
 
 from collections import OrderedDict
@@ -30,6 +31,9 @@
 
 SUCCESS_STATUSES = range(200, 300)
 
+# Statuses that a final answer may have, by RFC 9110, section 15.
+DEFINED_STATUSES = range(200, 600)
+
 # Time in seconds before the end of an answer within which a cut of another
 # request shows that the server crashed.
 CUT_WINDOW_S = 0.1
@@ -62,6 +66,20 @@
     return Framing.LENGTH if b"content-length" in names else Framing.CONNECTION
 
 
+def status_fault(status: int) -> Failure | None:
+    """Returns why an answer's status makes it no answer, or ``None``.
+
+    The request may have run: nothing else that the server says is credible.
+    """
+    if status in DEFINED_STATUSES:
+        return None
+    return Failure(
+        ResultCode.SERVER_ERROR,
+        f"status {status}, which HTTP does not define",
+        RunState.MAY_HAVE_RUN,
+    )
+
+
 class EndedServer(Protocol):
     """Backend server that has ended an answer."""
 
@@ -113,6 +131,7 @@
         remaining_s: float,
         is_inside_event: bool = False,
         may_be_continued: bool = False,
+        took_request: Callable[[], bool] = lambda: True,
     ) -> Failure | None:
         """Returns why an ended success is not whole, or ``None``.
 
@@ -121,7 +140,8 @@
         end of an answer without length and chunks waits while its server is
         probed; ``remaining_s`` is the time left until its caller gives up.
         ``may_be_continued`` says that another server may carry on a stream
-        after its last event, and then proves its end.
+        after its last event, and then proves its end. ``took_request`` tells
+        whether the server accepted every byte of the request.
         """
         if is_inside_event:
             return self._cut(server, "ended inside an event")
@@ -131,10 +151,14 @@
             return self._cut(
                 server, "ended with its connection before any content"
             )
+        if not took_request():
+            return self._cut(server, "ended before its request was taken")
         ended_at = self._timer.now()
         listens = True
         with move_on_after(max(remaining_s, 0.0) * CHECK_SHARE):
             listens = await self._listens(server.address)
+        if not took_request():
+            return self._cut(server, "was reset after its end")
         if not listens and not self._is_leaving(server):
             return self._cut(server, "ended as its server stopped to listen")
         if not listens and may_be_continued:
--- a/wasabiwing/answer_relay.py
+++ b/wasabiwing/answer_relay.py
@@ -229,6 +229,7 @@
                 framing,
                 bool(body.ok_value),
                 call.deadline - self._timer.now(),
+                took_request=answer.took_request,
             )
             if failure is not None:
                 return failure
@@ -322,6 +323,7 @@
             call.deadline - self._timer.now(),
             cutter.is_inside_event,
             call.route.repeatable and bool(cutter.last_event_id),
+            answer.took_request,
         )
         if failure is not None:
             cutter.discard_incomplete_event()
--- a/wasabiwing/http_client.py
+++ b/wasabiwing/http_client.py
@@ -29,12 +29,14 @@
 
 from wasabiwing.answer_end import answer_framing
 from wasabiwing.answer_end import Framing
+from wasabiwing.answer_end import status_fault
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
 from wasabiwing.ports import HttpReply
 from wasabiwing.retry_after import read_retry_after
 from wasabiwing.tcp_options import SOCKET_OPTIONS
+from wasabiwing.tcp_options import took_all
 
 CONNECT_TIMEOUT_S = 1.0
 
@@ -90,19 +92,27 @@
     def __init__(self, may_send: Callable[[], bool] | None = None) -> None:
         self._may_send = may_send
         self.may_have_been_sent = False
+        # Whether the server refused a byte of the request; httpcore reads
+        # the answer nevertheless.
+        self.was_cut = False
 
     async def __call__(self, name: str, info: Mapping[str, object]) -> None:
         if name.endswith("send_request_headers.started"):
             if self._may_send is not None and not self._may_send():
                 raise SendWithheld
             self.may_have_been_sent = True
+        elif name.endswith(
+            ("send_request_headers.failed", "send_request_body.failed")
+        ):
+            self.was_cut = True
 
 
 class HttpStream:
     """An answer whose body is read in chunks."""
 
-    def __init__(self, response: Response) -> None:
+    def __init__(self, response: Response, trace: _SendTrace) -> None:
         self._response = response
+        self._trace = trace
         self.status = response.status
         self.headers = tuple(response.headers)
 
@@ -110,6 +120,12 @@
         """Returns a header by its lower-case name."""
         return find_header(self.headers, name)
 
+    def took_request(self) -> bool:
+        """Whether the server has accepted every byte of the request."""
+        if self._trace.was_cut:
+            return False
+        return took_all(self._response.extensions["network_stream"])
+
     async def chunks(self) -> AsyncIterator[Result[bytes, Failure]]:
         """Yields body bytes as they arrive; ends after a failure."""
         try:
@@ -224,7 +240,11 @@
                     },
                 ) as response:
                     opened = True
-                    stream = HttpStream(response)
+                    fault = status_fault(response.status)
+                    if fault is not None:
+                        yield Err(fault)
+                        return
+                    stream = HttpStream(response, trace)
                     if observer is not None:
                         observer(stream.headers)
                     yield Ok(stream)
@@ -293,6 +313,7 @@
                     stream.headers,
                     read.ok_value,
                     framing is not Framing.CONNECTION,
+                    framing is not Framing.CONNECTION or stream.took_request(),
                 )
             )
 
--- a/wasabiwing/plain_dispatch.py
+++ b/wasabiwing/plain_dispatch.py
@@ -281,6 +281,7 @@
                 framing,
                 bool(reply.body),
                 call.deadline - self._timer.now(),
+                took_request=lambda: reply.took_request,
             )
         return Ok(reply) if failure is None else Err(failure)
 
--- a/wasabiwing/ports.py
+++ b/wasabiwing/ports.py
@@ -202,6 +202,8 @@
     body: bytes
     # Whether the sender stated where the body ends.
     states_end: bool = True
+    # Whether the sender had accepted the whole request, if it did not.
+    took_request: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/wasabiwing/server_connections.py
+++ b/wasabiwing/server_connections.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from h11 import SEND_BODY
 from httpcore import AnyIOBackend
 from httpcore import AsyncHTTP11Connection
 from httpcore import ConnectError
@@ -26,11 +27,13 @@
 from result import Ok
 from result import Result
 
+from wasabiwing.answer_end import status_fault
 from wasabiwing.codes import Failure
 from wasabiwing.codes import ResultCode
 from wasabiwing.codes import RunState
 from wasabiwing.routed_calls import RawHeaders
 from wasabiwing.tcp_options import SOCKET_OPTIONS
+from wasabiwing.tcp_options import took_all
 from wasabiwing.timers import TimerService
 
 # The network between zones responds within milliseconds.
@@ -129,6 +132,16 @@
         finally:
             memory_budget.release(size)
 
+    def took_request(self) -> bool:
+        """Whether the server has accepted every byte of the request.
+
+        httpcore reads the answer also after a failure to send the request.
+        """
+        connection = self._entry.connection
+        # httpcore gives no public access to the parser's state.
+        is_sent = connection._h11_state.our_state is not SEND_BODY
+        return is_sent and took_all(connection._network_stream)
+
     async def close(self, reusable_s: float | None = None) -> None:
         """Ends the exchange and returns its connection to the pool.
 
@@ -219,6 +232,11 @@
         except BaseException:
             await entry.connection.aclose()
             raise
+        fault = status_fault(response.status)
+        if fault is not None:
+            await response.aclose()
+            await entry.connection.aclose()
+            return Err(fault)
         answer.set_response(response)
         return Ok(answer)
 
--- a/wasabiwing/tcp_options.py
+++ b/wasabiwing/tcp_options.py
@@ -7,7 +7,9 @@
 the time for which a peer may leave a long body unread.
 """
 
+from fcntl import ioctl
 from socket import IPPROTO_TCP
+from socket import SO_ERROR
 from socket import SO_KEEPALIVE
 from socket import SOL_SOCKET
 from socket import TCP_KEEPCNT
@@ -15,6 +17,9 @@
 from socket import TCP_KEEPINTVL
 from socket import TCP_NODELAY
 from socket import TCP_USER_TIMEOUT
+from termios import TIOCOUTQ
+
+from httpcore import AsyncNetworkStream
 
 # Silence in seconds after which the first keep-alive probe is sent, and the
 # time between two probes.
@@ -37,3 +42,21 @@
     (IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES),
     (IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
 )
+
+
+def took_all(stream: AsyncNetworkStream) -> bool:
+    """Whether the peer has accepted every byte that was sent to it.
+
+    To be called at the end of the peer's bytes, which may come before it has
+    read all. The event loop reads nothing more then and sees no reset.
+    """
+    connection = stream.get_extra_info("socket")
+    if connection is None:
+        return True
+    try:
+        error = connection.getsockopt(SOL_SOCKET, SO_ERROR)
+        unsent = ioctl(connection.fileno(), TIOCOUTQ, bytes(4))
+    except (OSError, ValueError):
+        # The event loop has closed it after an error.
+        return False
+    return not error and not any(unsent)
