--- a/wasabiwing/link_health.py
+++ b/wasabiwing/link_health.py
@@ -13,11 +13,12 @@
 # Time without an acknowledgement of sent messages after which a connection
 # counts as silent, in seconds. Longer than a pause of a busy process, and
 # short enough for a second connection before usage of a window is due.
-SILENT_AFTER_S = 1.5
+SILENT_AFTER_S = 1.75
 
 # Time to the acknowledgement of messages whose receiver sends nothing else,
-# in seconds.
-ACKNOWLEDGE_AFTER_S = 0.5
+# in seconds. Longer than the period of reports to heads, which acknowledge
+# pushes, so that few messages are sent for acknowledgements only.
+ACKNOWLEDGE_AFTER_S = 0.75
 
 # Largest time between two connections to an address that stays silent, in
 # seconds.
--- a/wasabiwing/spending_totals.py
+++ b/wasabiwing/spending_totals.py
@@ -19,7 +19,7 @@
 # Time after a change in which totals are repeated: longer than a silent
 # connection is kept; and the interval, in seconds.
 REPEATED_FOR_S = 5.0
-REPEAT_EVERY_S = 1.0
+REPEAT_EVERY_S = 2.0
 
 # Time after the last statement for which a sender's totals are kept, in
 # seconds.
