--- a/wasabiwing/capacity_plan.py
+++ b/wasabiwing/capacity_plan.py
@@ -130,11 +130,6 @@
         )
         return self.total() - sum(at_risk[-zones:])
 
-    def warm_reclaimable_after_reclaim(self) -> int:
-        """Returns how many of them remain if a zone is reclaimed."""
-        at_risk = [self._warm_count(key) for key in self.wanted if key[1]]
-        return sum(at_risk) - max(at_risk, default=0)
-
     def remaining_after_release(self) -> int:
         """Returns how many warm servers a reclaim leaves after a release.
 
@@ -198,9 +193,8 @@
     ``busy`` is the number of servers that can just bear the load. In
     ``exhausted_zones`` reclaimable servers were just lost or refused, so that
     more may be lost; ``refusing_zones`` have refused them for longer.
-    ``kept`` servers remain whatever the load, also when a zone is lost;
-    on-demand ones among them are released only when as many reclaimable ones
-    are warm.
+    ``kept`` servers remain whatever the load; on-demand ones among them are
+    released only when as many reclaimable ones are warm.
     """
     cheapest = sorted(
         zones, key=lambda zone: (limits.price_by_zone.get(zone, 1.0), zone)
@@ -209,11 +203,7 @@
     needed = max(busy, MIN_SERVERS)
     total = needed + ceil(needed * reserve.share)
     remaining = ceil(needed * reserve.covered_share)
-    target = max(
-        total - MIN_ON_DEMAND_SERVERS,
-        _substitute_count(kept, len(zones), limits),
-    )
-    covered = max(remaining, kept)
+    target = max(total - MIN_ON_DEMAND_SERVERS, kept)
     is_spread = reserve.is_spread or kept > 0
     if limits.reclaimable_price > 0:
         available_zones = [
@@ -224,7 +214,7 @@
         _add_servers(plan, True, available_zones, target, limits)
         if is_spread:
             _fill_empty_zones(plan, available_zones, target, limits)
-            _cover_lost_zone(plan, available_zones, covered, limits)
+            _cover_lost_zone(plan, available_zones, remaining, limits)
     else:
         _add_servers(plan, False, cheapest, max(total, kept), limits)
     missing = max(
@@ -263,7 +253,8 @@
             lambda: (
                 plan.warm_reclaimable() > target
                 and (
-                    not is_spread or plan.remaining_after_release() >= covered
+                    not is_spread
+                    or plan.remaining_after_release() >= remaining
                 )
             ),
             in_fullest_zone=is_spread,
@@ -275,25 +266,6 @@
     )
 
 
-def _is_spread_cheaper(zone_count: int, limits: ScaleLimits) -> bool:
-    """Whether reclaimable servers cover a zone's loss at a lower price."""
-    if zone_count < 2:
-        return False
-    return limits.reclaimable_price * zone_count / (zone_count - 1) < 1.0
-
-
-def _substitute_count(kept: int, zone_count: int, limits: ScaleLimits) -> int:
-    """Returns how many reclaimable servers replace on-demand ones.
-
-    With the on-demand ones that always run, the loss of a zone leaves as many
-    as there were.
-    """
-    if kept == 0 or not _is_spread_cheaper(zone_count, limits):
-        return kept
-    spread = (kept - MIN_ON_DEMAND_SERVERS) * zone_count
-    return max(ceil(spread / (zone_count - 1)), MIN_SERVERS)
-
-
 def _fill_empty_zones(
     plan: _Plan, zones: Sequence[str], total: int, limits: ScaleLimits
 ) -> None:
@@ -319,7 +291,8 @@
     one more server after the loss costs ``count / (count - 1)`` reclaimable
     servers instead of an on-demand one.
     """
-    if not _is_spread_cheaper(len(zones), limits):
+    count = len(zones)
+    if count < 2 or limits.reclaimable_price * count / (count - 1) >= 1.0:
         return
     while plan.remaining_after_reclaim() < needed:
         before = plan.total(True)
@@ -336,7 +309,7 @@
     Where the zones have no room for as many reclaimable servers, an on-demand
     one that is released makes room for one.
     """
-    if plan.warm_reclaimable_after_reclaim() >= kept - MIN_ON_DEMAND_SERVERS:
+    if plan.warm_reclaimable() >= kept:
         return True
     is_full = all(plan.in_zone(zone) >= limits.max_servers for zone in zones)
     return is_full and plan.warm_total() > kept
--- a/wasabiwing/deployed_servers.py
+++ b/wasabiwing/deployed_servers.py
@@ -7,10 +7,8 @@
 a node that starts later counts what earlier holders have kept.
 """
 
-from collections.abc import Mapping
 from dataclasses import dataclass
 
-from wasabiwing.capacity_plan import MIN_ON_DEMAND_SERVERS
 from wasabiwing.timers import TimerService
 
 # Time after the first demand for which the deployed servers are kept, in
@@ -39,8 +37,8 @@
     present: int
     # Time of the last change of ``present`` before any demand.
     changed_at: float
-    # Most servers of one kind that the loss of a zone leaves, and most
-    # on-demand servers, that were seen before any demand.
+    # Most servers of one kind, and most on-demand servers, that were seen
+    # before any demand.
     count: int = 0
     on_demand: int = 0
     # Time of the first demand; ``None`` before it.
@@ -55,24 +53,16 @@
         self._deployment_by_service: dict[str, _Deployment] = {}
 
     def note(
-        self,
-        service: str,
-        on_demand: int,
-        reclaimable_by_zone: Mapping[str, int],
-        demand: float,
+        self, service: str, on_demand: int, reclaimable: int, demand: float
     ) -> None:
         """Counts the registered servers; called periodically.
 
-        Reclaimable servers count as many as the loss of a zone leaves,
-        because so many more are ordered in place of on-demand ones. While
-        both are there, the larger kind is the deployment, so that nothing is
-        counted twice.
+        While on-demand servers are replaced by reclaimable ones, both are
+        there. The larger kind is the deployment, so that the replacement is
+        not counted twice.
         """
         now = self._timer.now()
-        reclaimable = sum(reclaimable_by_zone.values())
         present = on_demand + reclaimable
-        left = reclaimable - max(reclaimable_by_zone.values(), default=0)
-        left += min(on_demand, MIN_ON_DEMAND_SERVERS)
         known = self._deployment_by_service.get(service)
         if known is None:
             known = _Deployment(now, present, now)
@@ -85,7 +75,7 @@
         if present != known.present:
             known.present = present
             known.changed_at = now
-        known.count = max(known.count, on_demand, left)
+        known.count = max(known.count, on_demand, reclaimable)
         known.on_demand = max(known.on_demand, on_demand)
 
     def on_demand_count(self, service: str) -> int:
--- a/wasabiwing/queued_demand.py
+++ b/wasabiwing/queued_demand.py
@@ -13,9 +13,9 @@
 from wasabiwing.prefill_rates import PrefillRates
 from wasabiwing.server_loads import ServerLoads
 
-# Time in which queued prompts should be computed, in seconds: about the time
-# that callers wait for a first event.
-DRAIN_S = 2.0
+# Time in which queued prompts should be computed, in seconds: the boot time of
+# the servers that are ordered for them, usually.
+DRAIN_S = 4.0
 
 
 def no_tokens(service: str) -> float:
--- a/wasabiwing/server_need.py
+++ b/wasabiwing/server_need.py
@@ -7,7 +7,6 @@
 they name.
 """
 
-from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -104,16 +103,9 @@
         """Follows a service's demand; called periodically on every node."""
         measured = self._demand.total_servers(service)
         servers = self._view.directory.servers_of_service(service)
-        reclaimable_by_zone = Counter(
-            server.availability_zone
-            for server in servers
-            if server.reclaimable
-        )
+        reclaimable = sum(server.reclaimable for server in servers)
         self._deployed.note(
-            service,
-            len(servers) - reclaimable_by_zone.total(),
-            reclaimable_by_zone,
-            measured,
+            service, len(servers) - reclaimable, reclaimable, measured
         )
         self._forecast.note(service, measured)
 
@@ -152,13 +144,17 @@
         )
 
     def _mean_slowdown(self, server_ids: list[str]) -> float:
+        """Returns the harmonic mean, as the servers' capacities add up."""
         if not server_ids:
             return 1.0
-        total = sum(
-            min(max(self._slowdown_of(server_id), MIN_SLOWDOWN), MAX_SLOWDOWN)
+        capacity = sum(
+            1.0
+            / min(
+                max(self._slowdown_of(server_id), MIN_SLOWDOWN), MAX_SLOWDOWN
+            )
             for server_id in server_ids
         )
-        return total / len(server_ids)
+        return len(server_ids) / capacity
 
     def _utilisation(self, service: str, slowdown: float) -> float:
         """Returns how busy a service's servers may be.
