--- a/wasabiwing/guarded_protocol.py
+++ b/wasabiwing/guarded_protocol.py
@@ -254,7 +254,9 @@
         if self.transport.is_closing() or self._dropped is not None:
             return
         self._note_held()
-        self.limits = self.budget.limits()
+        if self._count.reading is Reading.BETWEEN:
+            # A message that arrives keeps the limits of its beginning.
+            self.limits = self.budget.limits()
         cause = self._slowness(now)
         if cause is Cause.SILENT:
             self.budget.refused(cause, now)
