--- a/review/6/case.py
+++ b/review/6/case.py
@@ -6,7 +6,6 @@
 
 from asyncio import create_task
 from asyncio import gather
-from asyncio import run
 from asyncio import sleep
 from dataclasses import dataclass
 from os import environ
@@ -25,6 +24,7 @@
 from deployment import Node
 from deployment import Record
 from deployment import route
+from deployment import run_case
 from unframed_worker import whole_stream
 
 STAND_INS = Path(__file__).resolve().parents[1] / "stand_ins_2"
@@ -146,7 +146,13 @@
         streams.append(create_task(read_stream(node, f"n{number}")))
         await sleep(PERIOD_S)
     await gather(*tasks)
-    return judge(await gather(*streams), gone_at, record)
+    received = await gather(*streams)
+    for worker_id, process in zip(address_by_id, processes, strict=True):
+        process.kill()
+        assert process.stdout is not None
+        runs = process.stdout.read().decode().split()
+        record.write(f"{worker_id}: ran {' '.join(runs)}")
+    return judge(received, gone_at, record)
 
 
 def judge(streams: list[Stream], gone_at: float, record: Record) -> int:
@@ -188,4 +194,4 @@
 
 
 if __name__ == "__main__":
-    raise SystemExit(run(main()))
+    run_case(main)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -6,7 +6,6 @@
 
 from asyncio import create_task
 from asyncio import gather
-from asyncio import run
 from asyncio import sleep
 from dataclasses import dataclass
 from os import environ
@@ -21,6 +20,7 @@
 from deployment import Node
 from deployment import Record
 from deployment import route
+from deployment import run_case
 from stream_worker import StreamWorker
 from stream_worker import whole_stream
 from worker import Worker
@@ -224,4 +224,4 @@
 
 
 if __name__ == "__main__":
-    raise SystemExit(run(main()))
+    run_case(main)
--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -1,19 +1,27 @@
 """A small deployment: stand-ins in this process, nodes as processes."""
 
+from asyncio import run
 from asyncio import Server
 from asyncio import sleep
+from collections.abc import Callable
+from collections.abc import Coroutine
 from json import dumps
 from os import environ
 from pathlib import Path
+from random import randrange
 from shutil import rmtree
 from signal import SIGKILL
+from signal import signal
+from signal import SIGTERM
 from socket import socket
 from subprocess import Popen
+from sys import stderr
 from tempfile import mkdtemp
 from time import monotonic
 from time import time
 from tomllib import loads
 from typing import Any
+from typing import NoReturn
 from typing import TextIO
 
 from client import send
@@ -32,8 +40,11 @@
 # Time limit for the start of all nodes, in seconds.
 START_S = 25.0
 
-# A worker writes to the store this often, in seconds.
-HEARTBEAT_S = 1.2
+# Ports below those of outgoing connections.
+PORTS = (15_000, 31_000)
+
+# Exit status of a case that could not run.
+COULD_NOT_RUN = 2
 
 BOUNDS = {
     "seedLagS": "3",
@@ -300,19 +311,31 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Returns free ports; the last two of them follow each other."""
+    """Returns free ports that follow each other."""
     while True:
+        first = randrange(*PORTS)
         sockets = [socket() for _ in range(count)]
         try:
-            for opened in sockets[:-1]:
-                opened.bind((HOST, 0))
-            ports: list[int] = [
-                opened.getsockname()[1] for opened in sockets[:-1]
-            ]
-            sockets[-1].bind((HOST, ports[-1] + 1))
-            return [*ports, ports[-1] + 1]
-        except (OSError, OverflowError):
+            for number, opened in enumerate(sockets):
+                opened.bind((HOST, first + number))
+            return [first + number for number in range(count)]
+        except OSError:
             continue
         finally:
             for opened in sockets:
                 opened.close()
+
+
+def run_case(main: Callable[[], Coroutine[Any, Any, int]]) -> NoReturn:
+    """Runs a case and ends with its status; SIGTERM ends it in order."""
+
+    def stop(number: int, frame: object) -> None:
+        raise SystemExit(COULD_NOT_RUN)
+
+    signal(SIGTERM, stop)
+    try:
+        status = run(main())
+    except Exception as error:
+        print(f"the case could not run: {error!r}", file=stderr)
+        status = COULD_NOT_RUN
+    raise SystemExit(status)
