--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -10,6 +10,8 @@
 from pathlib import Path
 from random import randrange
 from shutil import rmtree
+from signal import SIG_IGN
+from signal import SIGINT
 from signal import SIGKILL
 from signal import signal
 from signal import SIGTERM
@@ -327,12 +329,17 @@
 
 
 def run_case(main: Callable[[], Coroutine[Any, Any, int]]) -> NoReturn:
-    """Runs a case and ends with its status; SIGTERM ends it in order."""
+    """Runs a case and ends with its status; a signal ends it in order."""
 
     def stop(number: int, frame: object) -> None:
+        # ``timeout`` passes a signal on twice; the second one would end the
+        # clean-up.
+        signal(SIGTERM, SIG_IGN)
+        signal(SIGINT, SIG_IGN)
         raise SystemExit(COULD_NOT_RUN)
 
     signal(SIGTERM, stop)
+    signal(SIGINT, stop)
     try:
         status = run(main())
     except Exception as error:
